Serve the thin path: hosts, durable work, batch and the embedded demo

The first whole path: three hosts in one process over an embedded platform run chats, a durable coding request, a booking that can't be repeated, a batch of 200 items and a recall, each checked against what the engines must say.

--- /dev/null
+++ b/src/aspenbridge/batch/__init__.py
@@ -0,0 +1,21 @@
+"""Batch files, jobs and the chunks that hosts claim and run."""
+
+from __future__ import annotations
+
+from ._files import Files
+from ._jobs import Jobs, JobStatus
+from ._records import ChunkRecord, FileRecord, Item, JobRecord, Outcome, Segment
+from ._runner import BatchRunner
+
+__all__ = [
+    "BatchRunner",
+    "ChunkRecord",
+    "FileRecord",
+    "Files",
+    "Item",
+    "JobRecord",
+    "JobStatus",
+    "Jobs",
+    "Outcome",
+    "Segment",
+]
--- /dev/null
+++ b/src/aspenbridge/batch/_jobs.py
@@ -0,0 +1,192 @@
+"""Batch jobs: submitted, watched, cancelled, fetched, through any host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from aspenbridge.lifecycle import load_chart
+from aspenbridge.ports import Conflict, RowKey
+from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.store import Changes
+from aspenbridge.work import new_id
+
+from ._records import (
+    CANCELLED,
+    QUEUED,
+    ChunkRecord,
+    FileRecord,
+    JobRecord,
+    Outcome,
+    active_key,
+    job_key,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from aspenbridge.ports import Clock, ObjectStore
+    from aspenbridge.store import Store, Stored
+
+CHART = load_chart("job")
+CANCEL_ATTEMPTS = 5
+
+
+@attrs.frozen
+class JobKeyRecord:
+    """The job that an idempotency key stands for."""
+
+    file_id: str
+    job_id: str
+
+
+@attrs.frozen
+class JobStatus:
+    """A job and how far it is."""
+
+    job: JobRecord
+    done: int
+    failed: int
+
+
+class Jobs:
+    """The durable side of batch jobs."""
+
+    def __init__(
+        self, store: Store, objects: ObjectStore, clock: Clock, random: Random
+    ) -> None:
+        self._store = store
+        self._objects = objects
+        self._clock = clock
+        self._random = random
+
+    async def submit(
+        self,
+        file: FileRecord,
+        idempotency: str | None,
+        due_wall_s: float,
+        labels: dict[str, str],
+    ) -> Result[JobRecord, Problem]:
+        """Create a job; a resend with the same key gets the first one."""
+        job = JobRecord(
+            job_id=new_id("job", self._random),
+            customer=file.customer,
+            file_id=file.file_id,
+            items=file.items,
+            chunks=file.chunks,
+            state=QUEUED,
+            created_wall_s=self._clock.wall_s(),
+            due_wall_s=due_wall_s,
+            labels=labels,
+        )
+        named = RowKey("keys", f"{file.customer}/job/{idempotency or job.job_id}")
+        key = job_key(job.job_id)
+        changes = Changes().absent(key).put(key, job).absent(named)
+        changes.put(named, JobKeyRecord(file.file_id, job.job_id))
+        changes.put(active_key(job.job_id), job)
+        result = await self._store.commit(changes)
+        if isinstance(result, Success):
+            return Success(job)
+        error = result.failure()
+        if isinstance(error, Conflict):
+            return await self._earlier(named, file)
+        return Failure(_unavailable(error.reason))
+
+    async def status(self, customer: str, job_id: str) -> Result[JobStatus, Problem]:
+        """Return how far a customer's job is."""
+        found = await self._find(customer, job_id)
+        if isinstance(found, Failure):
+            return found
+        chunks = await self.chunks(job_id)
+        if isinstance(chunks, Failure):
+            return chunks
+        segments = [part for chunk in chunks.unwrap() for part in chunk.record.segments]
+        done = sum(segment.items for segment in segments)
+        failed = sum(segment.failed for segment in segments)
+        return Success(JobStatus(found.unwrap().record, done, failed))
+
+    async def cancel(self, customer: str, job_id: str) -> Result[JobRecord, Problem]:
+        """Stop a job; results that count already stay readable."""
+        for _ in range(CANCEL_ATTEMPTS):
+            found = await self._find(customer, job_id)
+            if isinstance(found, Failure):
+                return found
+            stored = found.unwrap()
+            job = stored.record
+            if not CHART.allows(job.state, "cancel"):
+                return Success(job)
+            cancelled = attrs.evolve(job, state=CHART.after(job.state, "cancel"))
+            changes = Changes().unchanged(stored).put(stored.key, cancelled)
+            changes.delete(active_key(job_id))
+            result = await self._store.commit(changes)
+            if isinstance(result, Success):
+                return Success(cancelled)
+            error = result.failure()
+            if not isinstance(error, Conflict):
+                return Failure(_unavailable(error.reason))
+        detail = f"job {job_id!r} changed during each try to cancel it"
+        return Failure(Problem(ResultCode.REVISION_CONFLICT, detail))
+
+    async def outcomes(
+        self, customer: str, job_id: str
+    ) -> Result[tuple[Outcome, ...], Problem]:
+        """Return the results that count, in the order of the items."""
+        found = await self._find(customer, job_id)
+        if isinstance(found, Failure):
+            return found
+        chunks = await self.chunks(job_id)
+        if isinstance(chunks, Failure):
+            return chunks
+        outcomes: list[Outcome] = []
+        for chunk in chunks.unwrap():
+            for segment in chunk.record.segments:
+                read = await self._objects.get(segment.name)
+                if isinstance(read, Failure):
+                    return Failure(_unavailable(read.failure().reason))
+                body = read.unwrap()
+                if body is None:
+                    return Failure(_unavailable(f"{segment.name!r} is missing"))
+                outcomes.extend(msgspec.json.decode(body, type=list[Outcome]))
+        return Success(tuple(outcomes))
+
+    async def chunks(
+        self, job_id: str
+    ) -> Result[tuple[Stored[ChunkRecord], ...], Problem]:
+        """Return the claimed chunks of a job."""
+        scanned = await self._store.scan("chunks", f"{job_id}/", ChunkRecord)
+        return scanned.alt(lambda error: _unavailable(error.reason))
+
+    async def _find(
+        self, customer: str, job_id: str
+    ) -> Result[Stored[JobRecord], Problem]:
+        read = await self._store.get(job_key(job_id), JobRecord)
+        if isinstance(read, Failure):
+            return Failure(_unavailable(read.failure().reason))
+        stored = read.unwrap()
+        if stored is None or stored.record.customer != customer:
+            detail = f"there is no job {job_id!r}"
+            return Failure(Problem(ResultCode.NOT_FOUND, detail))
+        return Success(stored)
+
+    async def _earlier(
+        self, named: RowKey, file: FileRecord
+    ) -> Result[JobRecord, Problem]:
+        read = await self._store.get(named, JobKeyRecord)
+        if isinstance(read, Failure):
+            return Failure(_unavailable(read.failure().reason))
+        stored = read.unwrap()
+        if stored is None or stored.record.file_id != file.file_id:
+            detail = f"key {named.key!r} was used with another file"
+            return Failure(Problem(ResultCode.IDEMPOTENCY_CONFLICT, detail))
+        found = await self._find(file.customer, stored.record.job_id)
+        return found.map(lambda item: item.record)
+
+
+def _unavailable(reason: str) -> Problem:
+    return Problem(ResultCode.STORE_UNAVAILABLE, f"the platform: {reason}")
+
+
+__all__ = ["CANCELLED", "JobKeyRecord", "JobStatus", "Jobs"]
--- /dev/null
+++ b/src/aspenbridge/commands/_check_config.py
@@ -0,0 +1,38 @@
+"""``aspenbridge check-config``."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from returns.result import Failure
+
+from aspenbridge.settings import load_settings, reference_page
+
+from ._exit_codes import BAD_SETTINGS, DONE
+
+
+class CheckConfigCommand(Command):
+    """Check a settings file, or print the reference page."""
+
+    name = "check-config"
+    description = "Check a settings file, or print the reference page."
+    options: ClassVar = [
+        option("config", "c", "Settings file.", flag=False),
+        option("reference", None, "Print the reference page of all settings."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        if self.option("reference"):
+            self.line(reference_page())
+            return DONE
+        path = self.option("config") or "host.ini"
+        loaded = load_settings(path)
+        if isinstance(loaded, Failure):
+            for error in loaded.failure():
+                self.line_error(str(error))
+            return BAD_SETTINGS
+        self.line(f"{path}: the settings are valid")
+        return DONE
--- /dev/null
+++ b/src/aspenbridge/commands/_exit_codes.py
@@ -0,0 +1,8 @@
+"""Exit codes of the commands."""
+
+from __future__ import annotations
+
+DONE = 0
+FAILED = 1
+BAD_SETTINGS = 3
+UNREACHABLE = 4
--- /dev/null
+++ b/src/aspenbridge/demo/__init__.py
@@ -0,0 +1,8 @@
+"""The demo: a whole fleet in one process."""
+
+from __future__ import annotations
+
+from ._report import DemoReport, DemoRow
+from ._run import run_demo
+
+__all__ = ["DemoReport", "DemoRow", "run_demo"]
--- /dev/null
+++ b/src/aspenbridge/demo/_run.py
@@ -0,0 +1,193 @@
+"""Runs the demo's work and checks what came of it."""
+
+from __future__ import annotations
+
+import json
+import random
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from aspenbridge.clock import SystemClock
+from aspenbridge.configuration import ConfigObject
+from aspenbridge.embedded import token_text
+from aspenbridge.loop import run_on_loop
+from aspenbridge.online import Generation
+from aspenbridge.result_codes import ResultCode
+from aspenbridge.work import Work, new_id
+
+from ._fleet import HOSTS, MODEL, SERVICE, Fleet, configuration
+from ._report import DemoReport, DemoRow
+
+if TYPE_CHECKING:
+    from aspenbridge.batch import JobStatus
+    from aspenbridge.host import HostCore
+
+CUSTOMER = "kgotso"
+ITEMS = 200
+BAD_ITEM = 77
+CHATS = 10
+ANSWER_TOKENS = 12
+JOB_LIMIT_S = 60.0
+RECALLED = f"{MODEL}@1"
+
+
+def run_demo() -> DemoReport:
+    """Run the demo and return its report."""
+    reports: list[DemoReport] = []
+
+    async def main() -> int:
+        reports.append(await _demo())
+        return 0
+
+    run_on_loop(main())
+    return reports[0]
+
+
+async def _demo() -> DemoReport:
+    clock = SystemClock()
+    fleet = Fleet(clock, random.SystemRandom())
+    fleet.add_backends()
+    async with AsyncExitStack() as stack:
+        hosts = [
+            await stack.enter_async_context(fleet.host(number))
+            for number in range(1, HOSTS + 1)
+        ]
+        accepted = await hosts[0].authority.accept("demo", 0, configuration())
+        accepted.unwrap()
+        for host in hosts:
+            await host.follower.refresh()
+        job_id = await _submit(hosts[0])
+        rows = [
+            await _chats(hosts, clock),
+            await _coding(hosts, clock),
+            await _bookings(hosts, fleet, clock),
+            await _recall(hosts, clock),
+            await _job(hosts[1], job_id, clock),
+        ]
+    return DemoReport(tuple(rows))
+
+
+def _work(host: HostCore, prompt: str) -> Work:
+    return Work(
+        work_id=new_id("req", host.ports.random),
+        customer=CUSTOMER,
+        model=MODEL,
+        prompt=prompt,
+        max_tokens=ANSWER_TOKENS,
+        online=True,
+        deadline_s=host.ports.clock.now_s() + 30.0,
+    )
+
+
+def _answer(prompt: str) -> str:
+    return "".join(token_text(prompt, index) for index in range(ANSWER_TOKENS))
+
+
+async def _chats(hosts: list[HostCore], clock: SystemClock) -> DemoRow:
+    latencies = []
+    passed = True
+    for number in range(CHATS):
+        host = hosts[number % len(hosts)]
+        prompt = f"respondent {number} says that the queue was long"
+        generation = Generation(_work(host, prompt))
+        started_s = clock.now_s()
+        first_s = 0.0
+        async for _ in host.generator.run(generation):
+            first_s = first_s or clock.now_s()
+        latencies.append(first_s - started_s)
+        passed = passed and generation.text == _answer(prompt)
+    return DemoRow("streamed chat, first token", CHATS, tuple(latencies), passed)
+
+
+async def _coding(hosts: list[HostCore], clock: SystemClock) -> DemoRow:
+    work = _work(hosts[0], "code this answer")
+    started_s = clock.now_s()
+    first = (await hosts[0].coding.submit(work, "call-1")).unwrap()
+    latency_s = clock.now_s() - started_s
+    again = _work(hosts[1], "code this answer")
+    second = (await hosts[1].coding.submit(again, "call-1")).unwrap()
+    read = (await hosts[2].coding.read(CUSTOMER, first.request_id)).unwrap()
+    passed = first == second == read and read.text == _answer("code this answer")
+    return DemoRow("coding request, sent twice", 1, (latency_s,), passed)
+
+
+async def _bookings(hosts: list[HostCore], fleet: Fleet, clock: SystemClock) -> DemoRow:
+    latencies = []
+    replies = []
+    for host in hosts[:2]:
+        started_s = clock.now_s()
+        reply = await host.calls.call(
+            CUSTOMER,
+            SERVICE,
+            "POST",
+            "/bookings",
+            b'{"tool": "chainsaw"}',
+            "booking-1",
+            started_s + 5.0,
+        )
+        replies.append(reply.unwrap())
+        latencies.append(clock.now_s() - started_s)
+    runs = sum(fleet.ledger.runs.values())
+    passed = runs == 1 and replies[0] == replies[1]
+    return DemoRow("booking, sent twice", runs, tuple(latencies), passed)
+
+
+async def _submit(host: HostCore) -> str:
+    lines = [json.dumps(_item(number)) for number in range(ITEMS)]
+    body = "\n".join(lines).encode()
+    file = (await host.files.upload(CUSTOMER, body)).unwrap()
+    due_wall_s = host.ports.clock.wall_s() + 3600.0
+    job = (await host.jobs.submit(file, "evening", due_wall_s, {})).unwrap()
+    return job.job_id
+
+
+def _item(number: int) -> dict[str, object]:
+    model = "no-such-model" if number == BAD_ITEM else MODEL
+    message = {"role": "user", "content": f"summarise call {number}"}
+    body = {"model": model, "messages": [message], "max_tokens": ANSWER_TOKENS}
+    return {"custom_id": f"call-{number}", "body": body}
+
+
+async def _recall(hosts: list[HostCore], clock: SystemClock) -> DemoRow:
+    started_s = clock.now_s()
+    recall = ConfigObject("recall", "faulty", {"selector": RECALLED})
+    revision = hosts[2].view.revision
+    accepted = await hosts[2].authority.accept("demo", revision, [recall])
+    accepted.unwrap()
+    for host in hosts:
+        await host.follower.refresh()
+    latency_s = clock.now_s() - started_s
+    generation = Generation(_work(hosts[0], "after the recall"))
+    async for _ in hosts[0].generator.run(generation):
+        pass
+    passed = generation.served_by == [f"{MODEL}@2"]
+    return DemoRow("recall in force on all hosts", HOSTS, (latency_s,), passed)
+
+
+async def _job(host: HostCore, job_id: str, clock: SystemClock) -> DemoRow:
+    started_s = clock.now_s()
+    status = await _wait(host, job_id, clock)
+    latency_s = clock.now_s() - started_s
+    outcomes = (await host.jobs.outcomes(CUSTOMER, job_id)).unwrap()
+    failed = [item.custom_id for item in outcomes if item.code != ResultCode.OK]
+    passed = (
+        status.done == len({item.custom_id for item in outcomes}) == ITEMS
+        and failed == [f"call-{BAD_ITEM}"]
+        and all(
+            item.text == _answer(f"summarise call {item.custom_id[5:]}")
+            for item in outcomes
+            if item.code == ResultCode.OK
+        )
+    )
+    return DemoRow(
+        "batch items, one can't be done", len(outcomes), (latency_s,), passed
+    )
+
+
+async def _wait(host: HostCore, job_id: str, clock: SystemClock) -> JobStatus:
+    deadline_s = clock.now_s() + JOB_LIMIT_S
+    while True:
+        status = (await host.jobs.status(CUSTOMER, job_id)).unwrap()
+        if status.job.state == "completed" or clock.now_s() > deadline_s:
+            return status
+        await clock.sleep_until(clock.now_s() + 0.1)
--- /dev/null
+++ b/src/aspenbridge/embedded/__init__.py
@@ -0,0 +1,25 @@
+"""The platform in one process: the embedded default of the demo."""
+
+from __future__ import annotations
+
+from ._engine import EmbeddedEngine, EngineModel
+from ._engines import EmbeddedEngines
+from ._hosts import EmbeddedHostList
+from ._objects import MemoryObjects
+from ._peers import LocalPeers
+from ._service import BookingLedger, EmbeddedServices
+from ._table import MemoryTable
+from ._text import token_text
+
+__all__ = [
+    "BookingLedger",
+    "EmbeddedEngine",
+    "EmbeddedEngines",
+    "EmbeddedHostList",
+    "EmbeddedServices",
+    "EngineModel",
+    "LocalPeers",
+    "MemoryObjects",
+    "MemoryTable",
+    "token_text",
+]
--- /dev/null
+++ b/src/aspenbridge/embedded/_engine.py
@@ -0,0 +1,127 @@
+"""A model engine that batches continuously."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from aspenbridge.ports import (
+    CallOutcome,
+    EngineFailure,
+    EngineLoad,
+    GeneratedChunk,
+)
+
+from ._text import token_text
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from aspenbridge.ports import Clock, Generate
+
+
+@attrs.frozen
+class EngineModel:
+    """How long a step takes and how much memory there is."""
+
+    base_step_s: float = 0.010
+    step_per_sequence_s: float = 0.0005
+    prefill_per_token_s: float = 0.0001
+    kv_limit_tokens: int = 200_000
+
+
+@attrs.define(eq=False)
+class _Sequence:
+    call: Generate
+    chunks: asyncio.Queue[GeneratedChunk | EngineFailure]
+    next_index: int
+    prefill_tokens: int
+
+
+class EmbeddedEngine:
+    """Runs every sequence it is given; knows no priorities."""
+
+    def __init__(self, name: str, clock: Clock, model: EngineModel) -> None:
+        self.name = name
+        self._clock = clock
+        self._model = model
+        self._running: dict[str, _Sequence] = {}
+        self._stepper: asyncio.Task[None] | None = None
+        self.started = 0
+
+    async def generate(self, call: Generate) -> AsyncGenerator[GeneratedChunk, None]:
+        """Admit a sequence at once and yield its tokens."""
+        self.started += 1
+        sequence = _Sequence(
+            call=call,
+            chunks=asyncio.Queue(),
+            next_index=call.resume_tokens,
+            prefill_tokens=len(call.prompt.split()) + call.resume_tokens,
+        )
+        self._running[call.attempt_id] = sequence
+        if self._stepper is None:
+            self._stepper = asyncio.ensure_future(self._steps())
+        try:
+            while True:
+                chunk = await sequence.chunks.get()
+                if isinstance(chunk, EngineFailure):
+                    raise chunk
+                yield chunk
+                if chunk.finish_reason is not None:
+                    return
+        finally:
+            self._running.pop(call.attempt_id, None)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop a sequence."""
+        sequence = self._running.pop(attempt_id, None)
+        if sequence is not None:
+            self._fail(sequence, "cancelled")
+
+    def crash(self) -> None:
+        """Break off every sequence."""
+        for sequence in self._running.values():
+            self._fail(sequence, "the engine crashed")
+        self._running.clear()
+
+    def report(self) -> EngineLoad:
+        """Return the load of this moment."""
+        return EngineLoad(
+            running=len(self._running),
+            waiting=0,
+            kv_used_tokens=sum(item.next_index for item in self._running.values()),
+            kv_limit_tokens=self._model.kv_limit_tokens,
+            step_s=self._step_s(0),
+        )
+
+    def _fail(self, sequence: _Sequence, reason: str) -> None:
+        failure = EngineFailure(self.name, CallOutcome.BROKEN, reason)
+        sequence.chunks.put_nowait(failure)
+
+    def _step_s(self, prefill_tokens: int) -> float:
+        model = self._model
+        decode_s = model.base_step_s + model.step_per_sequence_s * len(self._running)
+        return decode_s + model.prefill_per_token_s * prefill_tokens
+
+    async def _steps(self) -> None:
+        while self._running:
+            prefill = sum(item.prefill_tokens for item in self._running.values())
+            for item in self._running.values():
+                item.prefill_tokens = 0
+            await self._clock.sleep_until(self._clock.now_s() + self._step_s(prefill))
+            for attempt_id, sequence in list(self._running.items()):
+                if self._step(sequence):
+                    self._running.pop(attempt_id, None)
+        self._stepper = None
+
+    def _step(self, sequence: _Sequence) -> bool:
+        """Generate one token; return whether it was the last."""
+        call = sequence.call
+        text = token_text(call.prompt, sequence.next_index)
+        sequence.next_index += 1
+        done = sequence.next_index >= call.max_tokens
+        reason = "stop" if done else None
+        sequence.chunks.put_nowait(GeneratedChunk(text, 1, reason))
+        return done
--- /dev/null
+++ b/src/aspenbridge/host/_core.py
@@ -0,0 +1,210 @@
+"""Joins the decision logic of one host; does no I/O of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from returns.result import Failure
+
+from aspenbridge.batch import BatchRunner, Files, Jobs
+from aspenbridge.configuration import Authority, Follower, View
+from aspenbridge.lifecycle import load_chart
+from aspenbridge.membership import Members, Prober, register
+from aspenbridge.online import Calls, Coding, Generator
+from aspenbridge.peers import Ack, Probe
+from aspenbridge.scheduling import LocalAdmission
+from aspenbridge.store import GroupCommitter, Store
+
+from ._errors import StartError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+    from types import TracebackType
+
+    from aspenbridge.membership import Identity
+    from aspenbridge.ports import (
+        Clock,
+        EngineClient,
+        HostList,
+        ObjectStore,
+        PeerAddress,
+        PeerTransport,
+        ServiceClient,
+        TableService,
+    )
+    from aspenbridge.settings import Settings
+
+logger = logging.getLogger(__name__)
+BATCH_IDLE_S = 0.5
+
+
+@attrs.frozen
+class Ports:
+    """What a host is given from the outside."""
+
+    clock: Clock
+    random: Random
+    table: TableService
+    objects: ObjectStore
+    host_list: HostList
+    peers: PeerTransport
+    engines: EngineClient
+    services: ServiceClient
+
+
+class HostCore:
+    """One host; entering it registers an incarnation and starts its loops."""
+
+    def __init__(self, settings: Settings, ports: Ports, peer: PeerAddress) -> None:
+        self.settings = settings
+        self.ports = ports
+        self._peer = peer
+        self._identity: Identity | None = None
+        self._stack = AsyncExitStack()
+        self._chart = load_chart("host")
+        self.state = self._chart.initial
+        clock, random = ports.clock, ports.random
+        self.store = Store(ports.table, clock, random)
+        self.view = View()
+        self.authority = Authority(self.store, clock)
+        self.follower = Follower(self.store, clock, self.view)
+        self.members = Members(clock)
+        self.prober = Prober(
+            self.identity,
+            self.members,
+            ports.peers,
+            ports.host_list,
+            clock,
+            random,
+            settings.membership,
+        )
+        self.admission = LocalAdmission(clock, random)
+        self.generator = Generator(self.view, self.admission, ports.engines, random)
+        group = GroupCommitter(self.store, clock)
+        self.coding = Coding(
+            self.identity, self.store, group, self.generator, clock, random
+        )
+        self.calls = Calls(
+            self.identity, self.view, self.store, ports.services, clock, random
+        )
+        self.files = Files(
+            self.store,
+            ports.objects,
+            random,
+            settings.batch,
+            settings.listen.max_item_bytes,
+        )
+        self.jobs = Jobs(self.store, ports.objects, clock, random)
+        self.batch = BatchRunner(
+            self.identity,
+            self.store,
+            ports.objects,
+            self.jobs,
+            self.generator,
+            clock,
+            random,
+            settings.batch,
+        )
+
+    def identity(self) -> Identity:
+        """
+        Return this host's incarnation.
+
+        :raises StartError: before the host has registered one.
+        """
+        if self._identity is None:
+            raise StartError(f"host {self.settings.host.name!r} has not registered")
+        return self._identity
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        return self.state == "ready"
+
+    async def __aenter__(self) -> HostCore:
+        await self._register()
+        await self._load_configuration()
+        intervals = self.settings
+        self._every(
+            intervals.configuration.poll_interval_s, self._refresh_configuration
+        )
+        self._every(intervals.membership.probe_interval_s, self.prober.probe_one)
+        self._every(
+            intervals.membership.host_list_interval_s, self.prober.read_host_list
+        )
+        self._start(self._batch_loop())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def handle(self, message: Any) -> Any:
+        """Answer a message of another host."""
+        if isinstance(message, Probe):
+            return self.prober.answer(message)
+        return Ack(ok=False, detail=f"{type(message).__name__} is not known here")
+
+    async def _register(self) -> None:
+        registered = await register(
+            self.store,
+            self.ports.clock,
+            self.ports.random,
+            self.settings.host,
+            self._peer,
+        )
+        if isinstance(registered, Failure):
+            reason = registered.failure().reason
+            raise StartError(f"the table service can't be reached: {reason}")
+        self._identity = registered.unwrap()
+
+    async def _load_configuration(self) -> None:
+        if not await self.follower.refresh():
+            raise StartError("the configuration can't be read")
+        self._event("current")
+
+    async def _refresh_configuration(self) -> None:
+        await self.follower.refresh()
+
+    def _event(self, event: str) -> None:
+        if not self._chart.allows(self.state, event):
+            return
+        self.state = self._chart.after(self.state, event)
+        logger.info("host %s is %s", self.settings.host.name, self.state)
+
+    async def _batch_loop(self) -> None:
+        while True:
+            if not await self.batch.run_once():
+                await self._pause(BATCH_IDLE_S)
+
+    def _every(self, interval_s: float, action: Callable[[], Awaitable[None]]) -> None:
+        self._start(self._repeat(interval_s, action))
+
+    async def _repeat(
+        self, interval_s: float, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await action()
+            await self._pause(interval_s * self.ports.random.uniform(0.9, 1.1))
+
+    async def _pause(self, interval_s: float) -> None:
+        clock = self.ports.clock
+        await clock.sleep_until(clock.now_s() + interval_s)
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._stack.push_async_callback(_stop, task)
+
+
+async def _stop(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/src/aspenbridge/host/_errors.py
@@ -0,0 +1,7 @@
+"""Errors of starting a host."""
+
+from __future__ import annotations
+
+
+class StartError(RuntimeError):
+    """The host could not start."""
--- /dev/null
+++ b/src/aspenbridge/membership/_identity.py
@@ -0,0 +1,87 @@
+"""The durable row of a host incarnation; a raised version fences it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from aspenbridge.ports import Conflict, RowKey
+from aspenbridge.store import Changes
+from aspenbridge.work import new_id
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from aspenbridge.ports import Clock, PeerAddress, Unavailable
+    from aspenbridge.settings import HostSettings
+    from aspenbridge.store import Store
+
+HOSTS_TABLE = "hosts"
+LIVE = "live"
+FENCED = "fenced"
+LEFT = "left"
+
+
+@attrs.frozen
+class HostRecord:
+    """One incarnation of a host."""
+
+    incarnation: str
+    host: str
+    address: str
+    region: str
+    failure_domain: str
+    state: str
+    since_wall_s: float
+
+
+@attrs.frozen
+class Identity:
+    """This host's incarnation and the version of its row."""
+
+    record: HostRecord
+    version: int
+
+    @property
+    def incarnation(self) -> str:
+        """The id of the incarnation."""
+        return self.record.incarnation
+
+    def guard(self, changes: Changes) -> Changes:
+        """Make changes fail once this incarnation has been fenced."""
+        return changes.check(host_key(self.incarnation), self.version)
+
+
+def host_key(incarnation: str) -> RowKey:
+    """Return the row of an incarnation."""
+    return RowKey(HOSTS_TABLE, incarnation)
+
+
+async def register(
+    store: Store, clock: Clock, random: Random, host: HostSettings, peer: PeerAddress
+) -> Result[Identity, Unavailable]:
+    """
+    Write the row of a new incarnation.
+
+    :param peer: where other hosts reach this one.
+    :return: the identity that guards the durable writes of the incarnation.
+    """
+    record = HostRecord(
+        incarnation=new_id(host.name, random),
+        host=host.name,
+        address=str(peer),
+        region=host.region,
+        failure_domain=host.failure_domain,
+        state=LIVE,
+        since_wall_s=clock.wall_s(),
+    )
+    key = host_key(record.incarnation)
+    result = await store.commit(Changes().absent(key).put(key, record))
+    if isinstance(result, Failure):
+        error = result.failure()
+        if isinstance(error, Conflict):
+            raise RuntimeError(f"incarnation id {record.incarnation!r} exists")
+        return Failure(error)
+    return Success(Identity(record, result.unwrap().versions[key]))
--- /dev/null
+++ b/src/aspenbridge/online/_generation.py
@@ -0,0 +1,121 @@
+"""Runs one generation to its end, over several engines if need be."""
+
+from __future__ import annotations
+
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import attrs
+
+from aspenbridge.ports import CallOutcome, EngineFailure, Generate
+from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.work import new_id
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from random import Random
+
+    from aspenbridge.configuration import View
+    from aspenbridge.ports import EngineClient, GeneratedChunk
+    from aspenbridge.work import Admission, Grant, Work
+
+ENGINE_ATTEMPTS = 3
+
+
+@attrs.define
+class Generation:
+    """What a generation has produced so far, and where."""
+
+    work: Work
+    text: str = ""
+    tokens: int = 0
+    finish_reason: str | None = None
+    served_by: list[str] = attrs.field(factory=list)
+    failed_on: set[str] = attrs.field(factory=set)
+
+    def add(self, chunk: GeneratedChunk) -> None:
+        """Take in the next chunk."""
+        self.text += chunk.text
+        self.tokens += chunk.tokens
+        self.finish_reason = chunk.finish_reason
+
+
+class Generator:
+    """Finds an engine for each generation and resumes it after a failure."""
+
+    def __init__(
+        self, view: View, admission: Admission, engines: EngineClient, random: Random
+    ) -> None:
+        self._view = view
+        self._admission = admission
+        self._engines = engines
+        self._random = random
+
+    async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
+        """
+        Yield the chunks of a generation until it has finished.
+
+        :param generation: is filled as chunks come; a caller that goes on
+            after a failure hands in the same one again.
+        :raises ProblemError: when it can't be finished.
+        """
+        failures = 0
+        while generation.finish_reason is None:
+            grant = await self._place(generation)
+            try:
+                async with aclosing(self._attempt(generation, grant)) as chunks:
+                    async for chunk in chunks:
+                        yield chunk
+            except EngineFailure as failure:
+                failures += 1
+                generation.failed_on.add(failure.engine)
+                if failures >= ENGINE_ATTEMPTS:
+                    raise _problem(failure).error() from failure
+
+    async def _place(self, generation: Generation) -> Grant:
+        work = generation.work
+        engines = self._view.eligible(work.model, work.adapter)
+        if not engines:
+            raise self._nowhere(work).error()
+        avoid = frozenset(generation.failed_on)
+        return await self._admission.acquire(work, engines, avoid=avoid)
+
+    def _nowhere(self, work: Work) -> Problem:
+        if self._view.has_model(work.model):
+            detail = f"no engine may run model {work.model!r} now"
+            return Problem(ResultCode.NO_ENGINE_ALLOWED, detail)
+        return Problem(ResultCode.UNKNOWN_MODEL, f"there is no model {work.model!r}")
+
+    async def _attempt(
+        self, generation: Generation, grant: Grant
+    ) -> AsyncGenerator[GeneratedChunk, None]:
+        work = generation.work
+        engine = grant.engine
+        call = Generate(
+            attempt_id=new_id("attempt", self._random),
+            prompt=work.prompt,
+            max_tokens=work.max_tokens,
+            adapter=work.adapter,
+            resume_text=generation.text,
+            resume_tokens=generation.tokens,
+        )
+        served = f"{engine.model}@{engine.version}"
+        if served not in generation.served_by:
+            generation.served_by.append(served)
+        failed = True
+        before = generation.tokens
+        try:
+            async with aclosing(self._engines.generate(engine, call)) as chunks:
+                async for chunk in chunks:
+                    generation.add(chunk)
+                    yield chunk
+            if generation.finish_reason is None:
+                raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
+            failed = False
+        finally:
+            used = generation.tokens - before
+            self._admission.release(grant, tokens=used, failed=failed)
+
+
+def _problem(failure: EngineFailure) -> Problem:
+    return Problem(ResultCode.BACKEND_FAILED, str(failure))
--- /dev/null
+++ b/src/aspenbridge/result_codes/__init__.py
@@ -0,0 +1,15 @@
+"""Numbered result codes and the problems that carry them."""
+
+from __future__ import annotations
+
+from ._codes import CodeInfo, Execution, ResultCode, code_table
+from ._problem import Problem, ProblemError
+
+__all__ = [
+    "CodeInfo",
+    "Execution",
+    "Problem",
+    "ProblemError",
+    "ResultCode",
+    "code_table",
+]
--- /dev/null
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -0,0 +1,130 @@
+"""The table of result codes."""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+
+import attrs
+
+
+class Execution(Enum):
+    """What a caller may conclude about the work it asked for."""
+
+    NOT_RUN = "not run"
+    RAN = "ran"
+    UNKNOWN = "outcome unknown"
+
+
+class ResultCode(IntEnum):
+    """Every numbered outcome that a caller or operator can see."""
+
+    OK = 1000
+    MALFORMED_BODY = 2001
+    UNAUTHENTICATED = 2002
+    FORBIDDEN = 2003
+    NOT_FOUND = 2004
+    IDEMPOTENCY_CONFLICT = 2005
+    TOO_LARGE = 2006
+    UNKNOWN_MODEL = 2007
+    DUPLICATE_CUSTOM_ID = 2008
+    INVALID_PARAMETER = 2009
+    REQUEST_CRASHES_ENGINES = 2010
+    CANCELLED = 2011
+    OVERLOADED = 3001
+    CUSTOMER_LIMIT = 3002
+    DEADLINE_EXCEEDED = 3003
+    NO_ENGINE_ALLOWED = 3004
+    STORE_UNAVAILABLE = 4001
+    OUTCOME_UNKNOWN = 4002
+    BACKEND_FAILED = 4003
+    CONFIGURATION_UNKNOWN = 4004
+    SHUTTING_DOWN = 4005
+    STREAM_TRUNCATED = 4006
+    FENCED = 4007
+    REVISION_CONFLICT = 5001
+    BAD_SELECTOR = 5002
+    BAD_CONFIGURATION = 5003
+
+
+@attrs.frozen
+class CodeInfo:
+    """What the documentation and the HTTP surface say about one code."""
+
+    code: ResultCode
+    status: int
+    title: str
+    execution: Execution
+
+
+def _row(
+    code: ResultCode,
+    status: int,
+    title: str,
+    execution: Execution = Execution.NOT_RUN,
+) -> CodeInfo:
+    return CodeInfo(code, status, title, execution)
+
+
+_ROWS = (
+    _row(ResultCode.OK, 200, "Done", Execution.RAN),
+    _row(ResultCode.MALFORMED_BODY, 400, "The body can't be read"),
+    _row(ResultCode.UNAUTHENTICATED, 401, "The API key is missing or unknown"),
+    _row(ResultCode.FORBIDDEN, 403, "The API key may not do this"),
+    _row(ResultCode.NOT_FOUND, 404, "There is no such object"),
+    _row(
+        ResultCode.IDEMPOTENCY_CONFLICT,
+        409,
+        "The idempotency key was used with another body",
+    ),
+    _row(ResultCode.TOO_LARGE, 413, "The request is larger than the limit"),
+    _row(ResultCode.UNKNOWN_MODEL, 404, "No model has this name"),
+    _row(ResultCode.DUPLICATE_CUSTOM_ID, 400, "Two items share a custom_id"),
+    _row(ResultCode.INVALID_PARAMETER, 400, "A parameter has a wrong value"),
+    _row(
+        ResultCode.REQUEST_CRASHES_ENGINES,
+        422,
+        "The request crashed each engine that ran it",
+        Execution.RAN,
+    ),
+    _row(ResultCode.CANCELLED, 409, "The job was cancelled"),
+    _row(ResultCode.OVERLOADED, 503, "The fleet is full"),
+    _row(ResultCode.CUSTOMER_LIMIT, 429, "The customer is over its share"),
+    _row(ResultCode.DEADLINE_EXCEEDED, 504, "The deadline passed"),
+    _row(ResultCode.NO_ENGINE_ALLOWED, 503, "No engine may run this request"),
+    _row(ResultCode.STORE_UNAVAILABLE, 503, "The platform's store is down"),
+    _row(
+        ResultCode.OUTCOME_UNKNOWN,
+        502,
+        "It is not known whether the call ran",
+        Execution.UNKNOWN,
+    ),
+    _row(
+        ResultCode.BACKEND_FAILED,
+        502,
+        "The backend server failed",
+        Execution.UNKNOWN,
+    ),
+    _row(
+        ResultCode.CONFIGURATION_UNKNOWN,
+        503,
+        "The host can't tell whether its configuration is current",
+    ),
+    _row(ResultCode.SHUTTING_DOWN, 503, "The host is shutting down"),
+    _row(
+        ResultCode.STREAM_TRUNCATED,
+        502,
+        "The stream ended before the answer did",
+        Execution.UNKNOWN,
+    ),
+    _row(ResultCode.FENCED, 503, "The host lost its ownership of the work"),
+    _row(ResultCode.REVISION_CONFLICT, 409, "Another change came first"),
+    _row(ResultCode.BAD_SELECTOR, 400, "The selector can't be read"),
+    _row(ResultCode.BAD_CONFIGURATION, 400, "The configuration is not valid"),
+)
+
+_TABLE = {row.code: row for row in _ROWS}
+
+
+def code_table() -> dict[ResultCode, CodeInfo]:
+    """Return the description of each code, in numeric order."""
+    return _TABLE
--- /dev/null
+++ b/src/aspenbridge/store/__init__.py
@@ -0,0 +1,18 @@
+"""Durable records: typed rows, write tokens, group commit."""
+
+from __future__ import annotations
+
+from ._changes import Changes
+from ._group import GroupCommitter
+from ._records import Stored, decode_record, encode_record
+from ._store import Store, StoreError
+
+__all__ = [
+    "Changes",
+    "GroupCommitter",
+    "Store",
+    "StoreError",
+    "Stored",
+    "decode_record",
+    "encode_record",
+]
--- /dev/null
+++ b/src/aspenbridge/store/_store.py
@@ -0,0 +1,128 @@
+"""Reads and writes of records, safe when replies are lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from aspenbridge.ports import Committed, Conflict, RowKey, Unavailable
+
+from ._records import TOKEN_BYTES, Stored, decode_record, token_of
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from aspenbridge.ports import Clock, Row, TableService, Transaction
+
+    from ._changes import Changes
+
+Record = TypeVar("Record")
+StoreError = Conflict | Unavailable
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 2.0
+COMMIT_LIMIT_S = 5.0
+SCAN_LIMIT_ROWS = 1000
+
+
+class Store:
+    """The table service with typed records and recognised retries."""
+
+    def __init__(self, table: TableService, clock: Clock, random: Random) -> None:
+        self._table = table
+        self._clock = clock
+        self._random = random
+
+    async def get(
+        self, key: RowKey, record_class: type[Record]
+    ) -> Result[Stored[Record] | None, Unavailable]:
+        """Return a record, or None when there is no such row."""
+        result = await self._table.read([key])
+        return result.map(lambda rows: _stored(rows[0], record_class))
+
+    async def get_many(
+        self, keys: Sequence[RowKey], record_class: type[Record]
+    ) -> Result[tuple[Stored[Record] | None, ...], Unavailable]:
+        """Return records in the order of their keys, from one moment."""
+        result = await self._table.read(keys)
+        return result.map(
+            lambda rows: tuple(_stored(row, record_class) for row in rows)
+        )
+
+    async def scan(
+        self, table: str, prefix: str, record_class: type[Record]
+    ) -> Result[tuple[Stored[Record], ...], Unavailable]:
+        """Return every record whose key has the prefix, in key order."""
+        found: list[Stored[Record]] = []
+        after = ""
+        while True:
+            result = await self._table.scan(
+                table, prefix, after=after, limit=SCAN_LIMIT_ROWS
+            )
+            if isinstance(result, Failure):
+                return result
+            page = result.unwrap()
+            found.extend(
+                Stored(row.key, decode_record(row.value, record_class), row.version)
+                for row in page.rows
+            )
+            if page.after is None:
+                return Success(tuple(found))
+            after = page.after
+
+    async def commit(
+        self, changes: Changes, *, deadline_s: float | None = None
+    ) -> Result[Committed, StoreError]:
+        """
+        Apply changes together, retrying while the service is unavailable.
+
+        A retry that meets its own earlier write counts as success.
+
+        :param deadline_s: when to give up, on the clock's monotonic scale.
+        :return: ``Unavailable.maybe_applied`` tells whether a write of a
+            commit that was given up may still have taken effect.
+        """
+        token = self._random.randbytes(TOKEN_BYTES)
+        transaction = changes.transaction(token)
+        limit_s = deadline_s or self._clock.now_s() + COMMIT_LIMIT_S
+        backoff_s = FIRST_BACKOFF_S
+        maybe_applied = False
+        while True:
+            result = await self._table.transact(transaction)
+            error = _failure(result)
+            if error is None:
+                return result
+            if isinstance(error, Conflict):
+                if not maybe_applied:
+                    return result
+                return await self._own_write(transaction, token, error)
+            maybe_applied = maybe_applied or error.maybe_applied
+            wake_s = self._clock.now_s() + backoff_s * self._random.uniform(0.5, 1.0)
+            if wake_s >= limit_s:
+                return Failure(Unavailable(error.reason, maybe_applied))
+            await self._clock.sleep_until(wake_s)
+            backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
+
+    async def _own_write(
+        self, transaction: Transaction, token: bytes, conflict: Conflict
+    ) -> Result[Committed, StoreError]:
+        """Tell a conflict with another's write from one with our own."""
+        keys = [put.key for put in transaction.puts]
+        result = await self._table.read(keys)
+        if isinstance(result, Failure):
+            return Failure(Unavailable("conflict not resolved", maybe_applied=True))
+        rows = [row for row in result.unwrap() if row is not None]
+        if any(token_of(row.value) == token for row in rows):
+            return Success(Committed({row.key: row.version for row in rows}))
+        return Failure(conflict)
+
+
+def _failure(result: Result[Committed, StoreError]) -> StoreError | None:
+    return result.failure() if isinstance(result, Failure) else None
+
+
+def _stored(row: Row | None, record_class: type[Record]) -> Stored[Record] | None:
+    if row is None:
+        return None
+    return Stored(row.key, decode_record(row.value, record_class), row.version)
--- /dev/null
+++ b/tests/store/test_store.py
@@ -0,0 +1,57 @@
+"""The store recognises its own writes when replies are lost."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from returns.result import Failure, Success
+
+from aspenbridge.embedded import MemoryTable
+from aspenbridge.ports import Conflict, RowKey, Unavailable
+from aspenbridge.store import Changes, Store
+from tests.support.virtual_loop import run_virtual
+
+KEY = RowKey("things", "one")
+
+
+@attrs.frozen
+class Thing:
+    size: int
+
+
+class LosesReplies(MemoryTable):
+    """Applies a transaction and loses its first reply."""
+
+    lost = False
+
+    async def transact(self, transaction):
+        result = await super().transact(transaction)
+        if not self.lost:
+            self.lost = True
+            return Failure(Unavailable("reply lost", maybe_applied=True))
+        return result
+
+
+def test_commit_succeeds_once_when_the_reply_is_lost() -> None:
+    async def scenario(clock):
+        table = LosesReplies()
+        store = Store(table, clock, random.Random(1))
+        result = await store.commit(Changes().absent(KEY).put(KEY, Thing(1)))
+        stored = (await store.get(KEY, Thing)).unwrap()
+        return result, stored
+
+    result, stored = run_virtual(scenario)
+    assert isinstance(result, Success)
+    assert stored.record == Thing(1)
+
+
+def test_commit_reports_a_conflict_when_another_writer_came_first() -> None:
+    async def scenario(clock):
+        table = MemoryTable()
+        store = Store(table, clock, random.Random(1))
+        await store.commit(Changes().absent(KEY).put(KEY, Thing(1)))
+        return await store.commit(Changes().absent(KEY).put(KEY, Thing(2)))
+
+    result = run_virtual(scenario)
+    assert isinstance(result.failure(), Conflict)
