--- a/src/aspenbridge/peers/_codec.py
+++ b/src/aspenbridge/peers/_codec.py
@@ -51,9 +51,10 @@
 def _plain(value: Any) -> Any:
     if isinstance(value, tuple):
         return [_plain(item) for item in value]
-    if not attrs.has(type(value)):
+    message_class: Any = type(value)
+    if not attrs.has(message_class):
         return value
-    names = _field_names(type(value))
+    names = _field_names(message_class)
     return {camel: _plain(getattr(value, name)) for name, camel, _ in names}
 
 
--- /dev/null
+++ b/src/aspenbridge_standins/__main__.py
@@ -0,0 +1,20 @@
+"""Start a stand-in."""
+
+from __future__ import annotations
+
+import sys
+
+
+def run() -> int:
+    """
+    Run one stand-in until it is told to stop.
+
+    :return: the exit code of the process.
+    """
+    from ._commands import application
+
+    return application().run()
+
+
+if __name__ == "__main__":
+    sys.exit(run())
