Leave the fleet without cutting a request; notice dead tasks

A shutdown is not ready first, refuses after a notice time, waits for running requests up to a limit and then stops. A background task that dies is counted and logged once, and the process ends with code 5.

Ruled out: refusing at once on SIGTERM, which answers 503 to callers whom the balancer still sends here.

--- a/src/aspenbridge/commands/_exit_codes.py
+++ b/src/aspenbridge/commands/_exit_codes.py
@@ -6,3 +6,4 @@
 FAILED = 1
 BAD_SETTINGS = 3
 UNREACHABLE = 4
+FAULT = 5  # a background task of the host died
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+from opentelemetry.trace import NoOpTracer
 from returns.result import Failure
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
@@ -16,21 +17,27 @@
 from aspenbridge.membership import Members, Prober, register
 from aspenbridge.online import Calls, Coding, Generator
 from aspenbridge.peers import Ack, Probe
+from aspenbridge.ports import NoMetrics
 from aspenbridge.scheduling import LocalAdmission
 from aspenbridge.store import GroupCommitter, Store
 
 from ._errors import StartError
+from ._running import RunningWork
+from ._supervisor import Supervisor
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
     from types import TracebackType
 
+    from opentelemetry.trace import Tracer
+
     from aspenbridge.membership import Identity
     from aspenbridge.ports import (
         Clock,
         EngineClient,
         HostList,
+        Metrics,
         ObjectStore,
         PeerAddress,
         PeerTransport,
@@ -41,6 +48,7 @@
 
 logger = logging.getLogger(__name__)
 BATCH_IDLE_S = 0.5
+ACCEPTING = frozenset({"ready", "leaving"})
 
 
 @attrs.frozen
@@ -55,6 +63,8 @@
     peers: PeerTransport
     engines: EngineClient
     services: ServiceClient
+    metrics: Metrics = attrs.field(factory=NoMetrics)
+    tracer: Tracer = attrs.field(factory=NoOpTracer)
 
 
 class HostCore:
@@ -66,6 +76,8 @@
         self._peer = peer
         self._identity: Identity | None = None
         self._stack = AsyncExitStack()
+        self.running = RunningWork()
+        self.supervisor = Supervisor(ports.metrics)
         self._chart = load_chart("host")
         self.state = self._chart.initial
         clock, random = ports.clock, ports.random
@@ -126,7 +138,36 @@
         """Whether the balancer may send requests here."""
         return self.state == "ready"
 
+    @property
+    def accepting(self) -> bool:
+        """Whether new work of callers is taken in."""
+        return self.state in ACCEPTING
+
+    async def drain(self) -> bool:
+        """
+        Leave the fleet without cutting a request.
+
+        The balancer sees not-ready first; new work is refused after a notice
+        time, and running work has a limit to end.
+
+        :return: whether all running work ended in time.
+        """
+        limits = self.settings.limits
+        self._event("stop")
+        await self._pause(limits.shutdown_notice_s)
+        self._event("refuse")
+        limit = asyncio.create_task(self._pause(limits.shutdown_limit_s))
+        idle = asyncio.create_task(self.running.wait_idle())
+        await asyncio.wait((limit, idle), return_when=asyncio.FIRST_COMPLETED)
+        ended = idle.done()
+        for task in (limit, idle):
+            await _stop(task)
+        self._event("drained")
+        return ended
+
     async def __aenter__(self) -> HostCore:
+        self._stack.push_async_callback(self.supervisor.close)
+        self._stack.push_async_callback(self.running.close)
         await self._register()
         await self._load_configuration()
         intervals = self.settings
@@ -179,11 +220,12 @@
         if not self._chart.allows(self.state, event):
             return
         self.state = self._chart.after(self.state, event)
+        self.ports.metrics.count(f"host.state.{self.state}")
         logger.info("host %s is %s", self.settings.host.name, self.state)
 
     async def _batch_loop(self) -> None:
         while True:
-            if not await self.batch.run_once():
+            if not self.ready or not await self.batch.run_once():
                 await self._pause(BATCH_IDLE_S)
 
     def _every(self, interval_s: float, action: Callable[[], Awaitable[None]]) -> None:
@@ -201,8 +243,7 @@
         await clock.sleep_until(clock.now_s() + interval_s)
 
     def _start(self, coroutine: Any) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._stack.push_async_callback(_stop, task)
+        self.supervisor.start(coroutine)
 
 
 async def _stop(task: asyncio.Task[None]) -> None:
--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -33,6 +33,7 @@
     from aspenbridge.settings import Settings
 
 logger = logging.getLogger(__name__)
+EXIT_FAULT = 5
 
 
 async def serve(settings: Settings) -> int:
@@ -40,7 +41,7 @@
     Run one host until it is told to stop.
 
     :param settings: the settings of the host.
-    :return: the exit code of the process.
+    :return: the exit code of the process; not 0 after the death of a task.
     :raises StartError: when the platform can't be reached.
     """
     stopping = asyncio.Event()
@@ -59,8 +60,21 @@
         await stack.enter_async_context(host)
         await _listen(stack, host)
         logger.info("host %s listens", settings.host.name)
-        await stopping.wait()
-    return 0
+        faulty = await _stopped_or_faulty(stopping, host)
+        if not await host.drain():
+            logger.warning("%d requests were cut", host.running.count)
+    return EXIT_FAULT if faulty else 0
+
+
+async def _stopped_or_faulty(stopping: asyncio.Event, host: HostCore) -> bool:
+    """Wait for a signal or the death of a task; tell whether one died."""
+    waits = [
+        asyncio.create_task(event.wait()) for event in (stopping, host.supervisor.fault)
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in waits:
+        task.cancel()
+    return host.supervisor.fault.is_set()
 
 
 def _ports(
--- a/src/aspenbridge/http/_customers.py
+++ b/src/aspenbridge/http/_customers.py
@@ -45,9 +45,9 @@
 
     def _customer(self, request: Request) -> str:
         caller = authenticate(request, self._host.view, "customer")
-        if not self._host.ready:
+        if not self._host.accepting:
             detail = f"this host is {self._host.state}"
-            raise Problem(ResultCode.SHUTTING_DOWN, detail).error()
+            raise Problem(ResultCode.SHUTTING_DOWN, detail, retry_after_s=1.0).error()
         return caller.name
 
     def _deadline_s(self) -> float:
--- a/src/aspenbridge/ports/__init__.py
+++ b/src/aspenbridge/ports/__init__.py
@@ -33,6 +33,7 @@
     Transaction,
     Unavailable,
 )
+from ._telemetry import Metrics, NoMetrics
 
 __all__ = [
     "CallOutcome",
@@ -50,6 +51,8 @@
     "GeneratedChunk",
     "HostEntry",
     "HostList",
+    "Metrics",
+    "NoMetrics",
     "ObjectStore",
     "Page",
     "PeerAddress",
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -112,6 +112,9 @@
     online_deadline_s: float = option(30.0, "Deadline of a request that names none.")
     retry_budget: float = option(0.1, "Retries allowed per request, on average.")
     queue_limit: int = option(256, "Online requests that may wait for one group.")
+    shutdown_notice_s: float = option(
+        3.0, "Time between not ready and refusing new work at a shutdown."
+    )
     shutdown_limit_s: float = option(60.0, "Time that running streams have to end.")
 
 
