Hand out places of an engine group with exact load and fair queues

Cause: each host counted only its own work per engine, so hosts together could fill an engine several times over and batch work was never told to leave. The owner of a group now knows every place in use, takes batch places back for online requests, and shares by tokens given.

Ruled out: sharing by requests (a customer with long answers gets more).

--- /dev/null
+++ b/src/aspenbridge/routing/__init__.py
@@ -0,0 +1,8 @@
+"""Where work should run: prefix caches, groups of engines and regions."""
+
+from __future__ import annotations
+
+from ._groups import EngineGroup, group_engines, region_of
+from ._prefixes import PrefixIndex, prefix_hashes
+
+__all__ = ["EngineGroup", "PrefixIndex", "group_engines", "prefix_hashes", "region_of"]
--- /dev/null
+++ b/src/aspenbridge/scheduling/_group.py
@@ -0,0 +1,343 @@
+"""Places on the engines of one group, as its owner hands them out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from aspenbridge.routing import PrefixIndex
+
+from ._engine_state import EngineState, Holding
+from ._fair_queue import FairQueue, Waiter
+from ._rates import Rate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from aspenbridge.peers import GrantRequest, RunningGrant
+
+ONLINE_WAIT_LIMIT_S = 1.0
+REVOKE_TIME_S = 0.1
+GRACE_S = 1.5
+REPORT_IN_FLIGHT_S = 1.0
+URGENT_S = 600.0
+URGENT_FACTOR = 4.0
+STARVED_S = 10.0
+LOAD_BOUND = 1.25
+
+
+@attrs.frozen
+class GroupPolicy:
+    """What a group's owner goes by."""
+
+    isolation: bool = True
+    fairness: bool = True
+    affinity: bool = True
+    online_headroom: float = 0.1
+    queue_limit: int = 256
+
+
+@attrs.define
+class Settled:
+    """What changed: places given, taken back, and requests turned away."""
+
+    granted: list[tuple[Waiter, str]] = attrs.field(factory=list)
+    revoked: list[Holding] = attrs.field(factory=list)
+    refused: list[Waiter] = attrs.field(factory=list)
+
+
+class Group:
+    """Exact load and queues of one group; does no I/O."""
+
+    def __init__(
+        self,
+        policy: GroupPolicy,
+        capacity: Callable[[str], int],
+        weight: Callable[[str], float],
+        now_s: float,
+        *,
+        grace_s: float = GRACE_S,
+    ) -> None:
+        self._policy = policy
+        self._capacity = capacity
+        self._online = FairQueue(weight, fair=policy.fairness)
+        batch = FairQueue(weight, fair=policy.fairness)
+        self._batch = batch if policy.isolation else self._online
+        self._engines: dict[str, EngineState] = {}
+        self._where: dict[str, str] = {}
+        self._arrivals = Rate(now_s)
+        self._releases = Rate(now_s)
+        self._grace_until_s = now_s + grace_s
+        self._batch_granted_s = now_s
+        self.prefixes = PrefixIndex()
+
+    @property
+    def running(self) -> int:
+        """Places in use."""
+        return len(self._where)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        batch = 0 if self._batch is self._online else len(self._batch)
+        return len(self._online) + batch
+
+    def engine(self, name: str) -> EngineState:
+        """Return what is known of an engine."""
+        state = self._engines.get(name)
+        if state is None:
+            state = EngineState(name, self._capacity(name))
+            self._engines[name] = state
+        return state
+
+    def engines(self) -> tuple[EngineState, ...]:
+        """Return every engine that was asked for."""
+        return tuple(self._engines.values())
+
+    def request(self, request: GrantRequest, now_s: float) -> Waiter:
+        """Queue a request; ``settle`` tells what becomes of it."""
+        for name in request.engines:
+            self.engine(name)
+        wait_s = request.wait_s
+        if request.online:
+            self._arrivals.count(now_s)
+            wait_s = min(wait_s, ONLINE_WAIT_LIMIT_S)
+        waiter = Waiter(request, now_s, now_s + wait_s, now_s + request.due_in_s)
+        self._queue(request.online).push(waiter)
+        return waiter
+
+    def waiting(self) -> list[Waiter]:
+        """Return every request that waits."""
+        if self._batch is self._online:
+            return list(self._online)
+        return [*self._online, *self._batch]
+
+    def withdraw(self, grant: str) -> None:
+        """Forget a request whose caller has gone."""
+        if self._online.remove(grant) is None:
+            self._batch.remove(grant)
+
+    def release(
+        self, grant: str, now_s: float, *, tokens: int, failed: bool
+    ) -> Holding | None:
+        """Take a place back and settle what it was charged."""
+        holding = self._remove(grant)
+        if holding is None:
+            return None
+        self._releases.count(now_s)
+        state = self.engine(holding.engine)
+        if not holding.revoked:
+            state.outcome(failed=failed, now_s=now_s)
+        if not failed:
+            self.prefixes.learn(holding.engine, holding.prefix_hashes)
+        if holding.charged:
+            queue = self._queue(holding.online)
+            queue.charge(holding.customer, tokens - holding.charged)
+        return holding
+
+    def report(self, origin: str, grants: Iterable[RunningGrant], now_s: float) -> None:
+        """Make the places of one host those that it says it holds."""
+        told = {item.grant: item for item in grants}
+        settled_s = now_s - REPORT_IN_FLIGHT_S
+        for holding in self._holdings():
+            lost = holding.origin == origin and holding.grant not in told
+            if lost and holding.granted_s < settled_s:
+                self._remove(holding.grant)
+        for item in told.values():
+            if item.grant not in self._where:
+                self._add(
+                    Holding(
+                        item.grant,
+                        item.engine,
+                        item.online,
+                        item.customer,
+                        origin,
+                        now_s,
+                    )
+                )
+
+    def drop_origins(self, live: Iterable[str]) -> None:
+        """Take back the places of hosts that are gone."""
+        kept = set(live)
+        for holding in self._holdings():
+            if holding.origin not in kept:
+                self._remove(holding.grant)
+
+    def expected_wait_s(self, customer: str, now_s: float) -> float:
+        """Return how long a new online request would wait."""
+        ahead = self._online.ahead_of(customer)
+        if not ahead:
+            return 0.0
+        rate = self._releases.per_s(now_s)
+        return ahead / rate if rate > 0 else ONLINE_WAIT_LIMIT_S
+
+    def settle(self, now_s: float) -> Settled:
+        """Give out what there is room for and turn away what can't wait."""
+        settled = Settled()
+        settled.refused += self._online.expire(now_s)
+        if self._batch is not self._online:
+            settled.refused += self._batch.expire(now_s)
+        if self._policy.isolation:
+            self._feed_starved(settled, now_s)
+        self._give_online(settled, now_s)
+        self._refuse_excess(settled)
+        if self._policy.isolation:
+            self._give_batch(settled, now_s)
+        return settled
+
+    def _give_online(self, settled: Settled, now_s: float) -> None:
+        def place(waiter: Waiter) -> str | None:
+            found = self._online_place(waiter, now_s)
+            if found is None and self._policy.isolation:
+                found = self._revoke(waiter, settled, now_s)
+            return found
+
+        while (taken := self._online.pop(place, lambda _: 1.0)) is not None:
+            self._grant(*taken, settled, now_s)
+
+    def _feed_starved(self, settled: Settled, now_s: float) -> None:
+        """Give batch one lasting place after a long time without any."""
+        if not len(self._batch) or not self._starved(now_s):
+            return
+
+        def place(waiter: Waiter) -> str | None:
+            return self._online_place(waiter, now_s)
+
+        taken = self._batch.pop(place, lambda _: 1.0)
+        if taken is not None:
+            self._grant(*taken, settled, now_s, protected=True)
+
+    def _give_batch(self, settled: Settled, now_s: float) -> None:
+        if now_s < self._grace_until_s or len(self._online):
+            return
+
+        def place(waiter: Waiter) -> str | None:
+            return self._batch_place(waiter, now_s)
+
+        def urgency(waiter: Waiter) -> float:
+            return URGENT_FACTOR if _urgent(waiter, now_s) else 1.0
+
+        while (taken := self._batch.pop(place, urgency)) is not None:
+            self._grant(*taken, settled, now_s)
+
+    def _grant(
+        self,
+        waiter: Waiter,
+        engine: str,
+        settled: Settled,
+        now_s: float,
+        *,
+        protected: bool = False,
+    ) -> None:
+        request = waiter.request
+        self._add(
+            Holding(
+                request.grant,
+                engine,
+                request.online,
+                request.customer,
+                request.origin,
+                now_s,
+                charged=waiter.tokens,
+                prefix_hashes=request.prefix_hashes,
+                protected=protected,
+            )
+        )
+        if not request.online:
+            self._batch_granted_s = now_s
+            self.engine(engine).prefill(request.prompt_tokens, now_s)
+        settled.granted.append((waiter, engine))
+
+    def _online_place(self, waiter: Waiter, now_s: float) -> str | None:
+        grace = now_s < self._grace_until_s
+
+        def room(state: EngineState) -> bool:
+            free = state.free - (state.limit // 2 if grace else 0)
+            return free > 0 and not state.overcommitted()
+
+        return self._choose(waiter, room, now_s)
+
+    def _batch_place(self, waiter: Waiter, now_s: float) -> str | None:
+        headroom = 0.0 if _urgent(waiter, now_s) else self._policy.online_headroom
+        per_engine = self._arrivals.per_s(now_s) / max(1, len(self._engines))
+        expected = per_engine * REVOKE_TIME_S
+
+        def room(state: EngineState) -> bool:
+            ready = state.prefill_ready(now_s) and not state.overcommitted()
+            return ready and state.batch_room(headroom, expected) > 0
+
+        return self._choose(waiter, room, now_s)
+
+    def _choose(
+        self, waiter: Waiter, room: Callable[[EngineState], bool], now_s: float
+    ) -> str | None:
+        """Prefer the engine with the longest prefix that is not too full."""
+        states = (self._engines[name] for name in waiter.request.engines)
+        open_ = [item for item in states if item.usable(now_s) and room(item)]
+        if not open_:
+            return None
+        used = {item.name: item.online + item.batch for item in open_}
+        if self._policy.affinity and waiter.request.prefix_hashes:
+            bound = 1 + LOAD_BOUND * sum(used.values()) / len(used)
+            near = [item for item in open_ if used[item.name] <= bound]
+            return min(near or open_, key=self._distance(waiter, used)).name
+        return min(open_, key=lambda item: (used[item.name], item.name)).name
+
+    def _distance(
+        self, waiter: Waiter, used: dict[str, int]
+    ) -> Callable[[EngineState], tuple[int, int, str]]:
+        hashes = waiter.request.prefix_hashes
+
+        def distance(state: EngineState) -> tuple[int, int, str]:
+            held = self.prefixes.held(state.name, hashes)
+            return -held, used[state.name], state.name
+
+        return distance
+
+    def _revoke(self, waiter: Waiter, settled: Settled, now_s: float) -> str | None:
+        """Take the newest batch place back and return its engine."""
+        states = [self._engines[name] for name in waiter.request.engines]
+        found = [
+            holding
+            for state in states
+            if state.usable(now_s) and not state.overcommitted()
+            if (holding := state.newest_batch()) is not None
+        ]
+        if not found:
+            return None
+        holding = max(found, key=lambda item: item.granted_s)
+        self.engine(holding.engine).revoke(holding)
+        settled.revoked.append(holding)
+        return holding.engine
+
+    def _refuse_excess(self, settled: Settled) -> None:
+        while len(self._online) > self._policy.queue_limit:
+            waiter = self._online.newest_of_largest()
+            if waiter is None:
+                return
+            self._online.remove(waiter.request.grant)
+            settled.refused.append(waiter)
+
+    def _starved(self, now_s: float) -> bool:
+        """Whether batch has had nothing for too long and holds nothing."""
+        waited_s = now_s - self._batch_granted_s
+        return waited_s > STARVED_S and not any(x.batch for x in self.engines())
+
+    def _queue(self, online: bool) -> FairQueue:
+        return self._online if online else self._batch
+
+    def _holdings(self) -> list[Holding]:
+        return [item for x in self.engines() for item in x.holdings.values()]
+
+    def _add(self, holding: Holding) -> None:
+        self._where[holding.grant] = holding.engine
+        self.engine(holding.engine).add(holding)
+
+    def _remove(self, grant: str) -> Holding | None:
+        name = self._where.pop(grant, None)
+        return None if name is None else self.engine(name).remove(grant)
+
+
+def _urgent(waiter: Waiter, now_s: float) -> bool:
+    return waiter.due_s - now_s < URGENT_S
