Tell the truth about coding requests and bookings after each loss

Cause: a store error during acceptance or journalling was told as 'not run' although the write could still take effect; a run ended with its caller; a result was lost when the store was down at its end; a resend during a booking was told 'unknown' at once.

A run is now a task of its own that retries until there is an answer and records it through outages. An ambiguous acceptance is told as unknown and committed until it is certain.

Ruled out: deleting the entry of a refused call, since a late write would bring it back.

--- a/src/aspenbridge/online/__init__.py
+++ b/src/aspenbridge/online/__init__.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from ._calls import CallRecord, Calls
+from ._calls import Calls
 from ._coding import Coding, CodingRecord
+from ._coding_runs import CodingRuns
 from ._generation import Generation, Generator
+from ._journal import CallRecord
 
 __all__ = [
     "CallRecord",
     "Calls",
     "Coding",
     "CodingRecord",
+    "CodingRuns",
     "Generation",
     "Generator",
 ]
--- a/src/aspenbridge/store/_group.py
+++ b/src/aspenbridge/store/_group.py
@@ -48,7 +48,10 @@
     async def _write(self) -> None:
         while self._waiting:
             members = self._next_group()
-            await self._commit_group(members)
+            try:
+                await self._commit_group(members)
+            except Exception as error:
+                _fail(members, error)
         self._writer = None
 
     def _next_group(self) -> list[_Waiting]:
@@ -81,6 +84,12 @@
     return isinstance(result, Failure) and isinstance(result.failure(), Conflict)
 
 
+def _fail(members: list[_Waiting], error: Exception) -> None:
+    for member in members:
+        if not member.done.done():
+            member.done.set_exception(error)
+
+
 def _settle(member: _Waiting, result: Result[Committed, StoreError]) -> None:
     if not member.done.done():
         member.done.set_result(result)
--- a/src/aspenbridge/store/_store.py
+++ b/src/aspenbridge/store/_store.py
@@ -11,7 +11,7 @@
 from ._records import TOKEN_BYTES, Stored, decode_record, token_of
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
     from random import Random
 
     from aspenbridge.ports import Clock, Row, TableService, Transaction
@@ -33,6 +33,7 @@
         self._table = table
         self._clock = clock
         self._random = random
+        self.on_conflict: Callable[[Conflict], None] = lambda conflict: None
 
     async def get(
         self, key: RowKey, record_class: type[Record]
@@ -94,6 +95,7 @@
             if error is None:
                 return result
             if isinstance(error, Conflict):
+                self.on_conflict(error)
                 if not maybe_applied:
                     return result
                 return await self._own_write(transaction, token, error)
