--- a/src/aspenbridge/batch/__init__.py
+++ b/src/aspenbridge/batch/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._claims import Claims
 from ._files import Files
 from ._jobs import Jobs, JobStatus
 from ._records import ChunkRecord, FileRecord, Item, JobRecord, Outcome, Segment
@@ -10,6 +11,7 @@
 __all__ = [
     "BatchRunner",
     "ChunkRecord",
+    "Claims",
     "FileRecord",
     "Files",
     "Item",
--- a/src/aspenbridge/batch/_files.py
+++ b/src/aspenbridge/batch/_files.py
@@ -54,6 +54,7 @@
             items=len(items),
             chunks=len(chunks),
             size_bytes=len(body),
+            chunk_items=size,
         )
         for number, chunk in enumerate(chunks):
             name = input_name(record.file_id, number)
--- a/src/aspenbridge/batch/_jobs.py
+++ b/src/aspenbridge/batch/_jobs.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import attrs
-import msgspec
 from returns.result import Failure, Result, Success
 
 from aspenbridge.lifecycle import load_chart
 from aspenbridge.ports import Conflict, RowKey
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Problem, ProblemError, ResultCode
 from aspenbridge.store import Changes
 from aspenbridge.work import new_id
 
@@ -24,11 +24,13 @@
     active_key,
     job_key,
 )
+from ._segments import read_segment
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Callable
     from random import Random
 
-    from aspenbridge.ports import Clock, ObjectStore
+    from aspenbridge.ports import Clock, ObjectStore, Unavailable
     from aspenbridge.store import Store, Stored
 
 CHART = load_chart("job")
@@ -62,6 +64,8 @@
         self._objects = objects
         self._clock = clock
         self._random = random
+        self.on_submitted: Callable[[], None] = lambda: None
+        self.on_cancelled: Callable[[str], None] = lambda job_id: None
 
     async def submit(
         self,
@@ -80,6 +84,7 @@
             state=QUEUED,
             created_wall_s=self._clock.wall_s(),
             due_wall_s=due_wall_s,
+            chunk_items=file.chunk_items,
             labels=labels,
         )
         named = RowKey("keys", f"{file.customer}/job/{idempotency or job.job_id}")
@@ -89,11 +94,12 @@
         changes.put(active_key(job.job_id), job)
         result = await self._store.commit(changes)
         if isinstance(result, Success):
+            self.on_submitted()
             return Success(job)
         error = result.failure()
         if isinstance(error, Conflict):
             return await self._earlier(named, file)
-        return Failure(_unavailable(error.reason))
+        return Failure(_not_submitted(job, error))
 
     async def status(self, customer: str, job_id: str) -> Result[JobStatus, Problem]:
         """Return how far a customer's job is."""
@@ -123,6 +129,7 @@
             changes.delete(active_key(job_id))
             result = await self._store.commit(changes)
             if isinstance(result, Success):
+                self.on_cancelled(job_id)
                 return Success(cancelled)
             error = result.failure()
             if not isinstance(error, Conflict):
@@ -130,26 +137,38 @@
         detail = f"job {job_id!r} changed during each try to cancel it"
         return Failure(Problem(ResultCode.REVISION_CONFLICT, detail))
 
-    async def outcomes(
+    async def pages(
         self, customer: str, job_id: str
-    ) -> Result[tuple[Outcome, ...], Problem]:
-        """Return the results that count, in the order of the items."""
+    ) -> AsyncGenerator[tuple[Outcome, ...], None]:
+        """
+        Yield the results that count, one stored segment at a time.
+
+        :raises ProblemError: when there is no such job, or on an outage.
+        """
         found = await self._find(customer, job_id)
         if isinstance(found, Failure):
-            return found
+            raise found.failure().error()
         chunks = await self.chunks(job_id)
         if isinstance(chunks, Failure):
-            return chunks
-        outcomes: list[Outcome] = []
+            raise chunks.failure().error()
         for chunk in chunks.unwrap():
             for segment in chunk.record.segments:
-                read = await self._objects.get(segment.name)
+                read = await read_segment(self._objects, segment)
                 if isinstance(read, Failure):
-                    return Failure(_unavailable(read.failure().reason))
-                body = read.unwrap()
-                if body is None:
-                    return Failure(_unavailable(f"{segment.name!r} is missing"))
-                outcomes.extend(msgspec.json.decode(body, type=list[Outcome]))
+                    raise _unavailable(read.failure()).error()
+                yield read.unwrap()
+
+    async def outcomes(
+        self, customer: str, job_id: str
+    ) -> Result[tuple[Outcome, ...], Problem]:
+        """Return all results that count, in the order of the chunks."""
+        outcomes: list[Outcome] = []
+        try:
+            async with aclosing(self.pages(customer, job_id)) as pages:
+                async for page in pages:
+                    outcomes.extend(page)
+        except ProblemError as error:
+            return Failure(error.problem)
         return Success(tuple(outcomes))
 
     async def chunks(
@@ -185,6 +204,13 @@
         return found.map(lambda item: item.record)
 
 
+def _not_submitted(job: JobRecord, error: Unavailable) -> Problem:
+    if not error.maybe_applied:
+        return _unavailable(error.reason)
+    detail = f"job {job.job_id!r} may exist; send it again with the same key"
+    return Problem(ResultCode.OUTCOME_UNKNOWN, detail)
+
+
 def _unavailable(reason: str) -> Problem:
     return Problem(ResultCode.STORE_UNAVAILABLE, f"the platform: {reason}")
 
--- a/src/aspenbridge/batch/_records.py
+++ b/src/aspenbridge/batch/_records.py
@@ -45,6 +45,7 @@
     items: int
     chunks: int
     size_bytes: int
+    chunk_items: int
 
 
 @attrs.frozen
@@ -59,8 +60,18 @@
     state: str
     created_wall_s: float
     due_wall_s: float
+    chunk_items: int
     labels: dict[str, str] = attrs.field(factory=dict)
 
+    def items_in(self, number: int) -> int:
+        """Return the number of items of a chunk."""
+        return min(self.chunk_items, self.items - number * self.chunk_items)
+
+    @property
+    def open(self) -> bool:
+        """Whether items of the job may start."""
+        return self.state in (QUEUED, RUNNING)
+
 
 @attrs.frozen
 class Segment:
@@ -74,7 +85,11 @@
 
 @attrs.frozen
 class ChunkRecord:
-    """A claimed chunk: who runs it and which results count."""
+    """
+    A chunk that was claimed: who runs it and which results count.
+
+    The owner is empty once the chunk was given back, or has ended.
+    """
 
     job_id: str
     number: int
@@ -93,6 +108,11 @@
         """Whether each item has its result."""
         return self.counted == self.items
 
+    @property
+    def free(self) -> bool:
+        """Whether another host may claim it."""
+        return not self.owner and not self.complete
+
 
 def job_key(job_id: str) -> RowKey:
     """Return the row of a job."""
@@ -114,6 +134,11 @@
     return RowKey("chunks", f"{job_id}/{number:0{CHUNK_DIGITS}d}")
 
 
+def chunk_name(job_id: str, number: int) -> str:
+    """Return the name of a chunk, the key of its row."""
+    return chunk_key(job_id, number).key
+
+
 def input_name(file_id: str, number: int) -> str:
     """Return the object with the items of a chunk."""
     return f"files/{file_id}/{number:0{CHUNK_DIGITS}d}"
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -102,6 +102,7 @@
     chunk_items: int = option(500, "Items in one chunk of a job.")
     item_attempts: int = option(3, "Attempts before an item counts as failed.")
     flush_interval_s: float = option(5.0, "Longest time a result waits to be durable.")
+    flush_bytes: int = option(1_000_000, "Results that are made durable at once.")
     concurrency: int = option(64, "Items that one host runs at once.")
 
 
