Take over the work of failed hosts and renew fenced ones

Cause: nothing fenced a silent host, so its chunks and requests stayed open.

An index row per open piece of work is written with its acceptance and removed with its end. A peer that answers neither directly nor through three others for the suspicion period is fenced; its index is adopted row by row, each conditional on the row and on the adopter's own incarnation. A fenced host drops its work and registers again.

--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
@@ -14,10 +15,25 @@
 from aspenbridge.batch import BatchRunner, Files, Jobs
 from aspenbridge.configuration import Authority, Follower, View
 from aspenbridge.lifecycle import load_chart
-from aspenbridge.membership import Members, Prober, register
-from aspenbridge.online import Calls, Coding, Generator
-from aspenbridge.peers import Ack, Probe
-from aspenbridge.ports import NoMetrics
+from aspenbridge.membership import (
+    CHUNK,
+    LEAVING,
+    REQUEST,
+    FailureDetector,
+    Members,
+    Prober,
+)
+from aspenbridge.online import Calls, Coding, CodingRuns, Generator
+from aspenbridge.peers import Ack, CancelNotice, Probe, ProbeVia
+from aspenbridge.ports import NoMetrics, PeerUnreachableError
+from aspenbridge.recovery import (
+    RECONCILE_INTERVAL_S,
+    HostSweep,
+    Reconciler,
+    Registration,
+    Takeover,
+    Worker,
+)
 from aspenbridge.scheduling import LocalAdmission
 from aspenbridge.store import GroupCommitter, Store
 
@@ -47,7 +63,9 @@
     from aspenbridge.settings import Settings
 
 logger = logging.getLogger(__name__)
-BATCH_IDLE_S = 0.5
+CANCEL_CHECK_S = 5.0
+NOTICE_LIMIT_S = 2.0
+HAND_OVER_LIMIT_S = 10.0
 ACCEPTING = frozenset({"ready", "leaving"})
 
 
@@ -73,9 +91,8 @@
     def __init__(self, settings: Settings, ports: Ports, peer: PeerAddress) -> None:
         self.settings = settings
         self.ports = ports
-        self._peer = peer
-        self._identity: Identity | None = None
         self._stack = AsyncExitStack()
+        self._notices: set[asyncio.Task[None]] = set()
         self.running = RunningWork()
         self.supervisor = Supervisor(ports.metrics)
         self._chart = load_chart("host")
@@ -98,8 +115,11 @@
         self.admission = LocalAdmission(clock, random)
         self.generator = Generator(self.view, self.admission, ports.engines, random)
         group = GroupCommitter(self.store, clock)
+        self.coding_runs = CodingRuns(
+            self.identity, self.store, group, self.generator, clock
+        )
         self.coding = Coding(
-            self.identity, self.store, group, self.generator, clock, random
+            self.identity, self.store, group, self.coding_runs, clock, random
         )
         self.calls = Calls(
             self.identity, self.view, self.store, ports.services, clock, random
@@ -116,11 +136,36 @@
             self.identity,
             self.store,
             ports.objects,
-            self.jobs,
             self.generator,
             clock,
             random,
             settings.batch,
+            lambda: len(self.members.live()) + 1,
+        )
+        self.jobs.on_submitted = self.batch.wake
+        self.jobs.on_cancelled = self._spread_cancel
+        self.registration = Registration(self.store, clock, random, settings.host, peer)
+        self.prober.on_declared_dead = self.registration.notice_fenced
+        workers: dict[str, Worker] = {CHUNK: self.batch, REQUEST: self.coding_runs}
+        self.takeover = Takeover(
+            self.identity, self.store, self.members, clock, workers
+        )
+        self.reconciler = Reconciler(self.identity, self.store, workers)
+        self.sweep = HostSweep(
+            self.identity,
+            self.store,
+            self.members,
+            self.takeover,
+            self.registration.notice_fenced,
+        )
+        self.detector = FailureDetector(
+            self.prober,
+            self.members,
+            ports.peers,
+            clock,
+            random,
+            settings.membership,
+            self.takeover.start,
         )
 
     def identity(self) -> Identity:
@@ -129,9 +174,10 @@
 
         :raises StartError: before the host has registered one.
         """
-        if self._identity is None:
+        identity = self.registration.identity
+        if identity is None:
             raise StartError(f"host {self.settings.host.name!r} has not registered")
-        return self._identity
+        return identity
 
     @property
     def ready(self) -> bool:
@@ -154,6 +200,7 @@
         """
         limits = self.settings.limits
         self._event("stop")
+        self.prober.state = LEAVING
         await self._pause(limits.shutdown_notice_s)
         self._event("refuse")
         limit = asyncio.create_task(self._pause(limits.shutdown_limit_s))
@@ -162,6 +209,7 @@
         ended = idle.done()
         for task in (limit, idle):
             await _stop(task)
+        await self._hand_over()
         self._event("drained")
         return ended
 
@@ -174,11 +222,19 @@
         self._every(
             intervals.configuration.poll_interval_s, self._refresh_configuration
         )
-        self._every(intervals.membership.probe_interval_s, self.prober.probe_one)
+        self._every(intervals.membership.probe_interval_s, self.detector.tick)
         self._every(
             intervals.membership.host_list_interval_s, self.prober.read_host_list
         )
-        self._start(self._batch_loop())
+        self._every(CANCEL_CHECK_S, self.batch.check_cancelled)
+        self._every(RECONCILE_INTERVAL_S, self.reconciler.run)
+        self._start(self._sweep_loop())
+        self._start(
+            self.registration.watch((*self._work_stops(), self._forget_members))
+        )
+        self._start(self.batch.run(lambda: self.ready))
+        for stop in (self.takeover.aclose, self.calls.aclose, *self._work_stops()):
+            self._stack.push_async_callback(stop)
         return self
 
     async def __aexit__(
@@ -193,20 +249,18 @@
         """Answer a message of another host."""
         if isinstance(message, Probe):
             return self.prober.answer(message)
+        if isinstance(message, ProbeVia):
+            return await self.prober.answer_via(message)
+        if isinstance(message, CancelNotice):
+            self.batch.cancel(message.job)
+            return Ack()
         return Ack(ok=False, detail=f"{type(message).__name__} is not known here")
 
     async def _register(self) -> None:
-        registered = await register(
-            self.store,
-            self.ports.clock,
-            self.ports.random,
-            self.settings.host,
-            self._peer,
-        )
+        registered = await self.registration.register()
         if isinstance(registered, Failure):
             reason = registered.failure().reason
             raise StartError(f"the table service can't be reached: {reason}")
-        self._identity = registered.unwrap()
 
     async def _load_configuration(self) -> None:
         if not await self.follower.refresh():
@@ -223,10 +277,42 @@
         self.ports.metrics.count(f"host.state.{self.state}")
         logger.info("host %s is %s", self.settings.host.name, self.state)
 
-    async def _batch_loop(self) -> None:
+    async def _hand_over(self) -> None:
+        """Give open work to other hosts and end this incarnation."""
+        limit_s = self.ports.clock.now_s() + HAND_OVER_LIMIT_S
+        await self.batch.drain(limit_s)
+        await self.coding_runs.drain(limit_s)
+        await self.calls.drain(limit_s)
+        await self.takeover.leave()
+
+    def _work_stops(self) -> list[Callable[[], Awaitable[None]]]:
+        return [self.batch.drop, self.coding.aclose, self.coding_runs.aclose]
+
+    async def _forget_members(self) -> None:
+        self.members.clear()
+        self.detector.reset()
+
+    async def _sweep_loop(self) -> None:
         while True:
-            if not self.ready or not await self.batch.run_once():
-                await self._pause(BATCH_IDLE_S)
+            await self._pause(self.sweep.interval_s)
+            await self.sweep.run()
+
+    def _spread_cancel(self, job_id: str) -> None:
+        """Stop a job here and tell every other host."""
+        self.batch.cancel(job_id)
+        notice = CancelNotice(job_id)
+        for member in self.members.present():
+            self._start_notice(member.address, notice)
+
+    def _start_notice(self, address: PeerAddress, message: Any) -> None:
+        task = asyncio.ensure_future(self._notify(address, message))
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
+    async def _notify(self, address: PeerAddress, message: Any) -> None:
+        deadline_s = self.ports.clock.now_s() + NOTICE_LIMIT_S
+        with contextlib.suppress(PeerUnreachableError):
+            await self.ports.peers.call(address, message, deadline_s)
 
     def _every(self, interval_s: float, action: Callable[[], Awaitable[None]]) -> None:
         self._start(self._repeat(interval_s, action))
--- a/src/aspenbridge/membership/__init__.py
+++ b/src/aspenbridge/membership/__init__.py
@@ -2,18 +2,39 @@
 
 from __future__ import annotations
 
-from ._identity import HostRecord, Identity, host_key, register
-from ._members import Member, Members
+from ._detector import FailureDetector
+from ._identity import (
+    FENCED,
+    HOSTS_TABLE,
+    LIVE,
+    HostRecord,
+    Identity,
+    host_key,
+    register,
+)
+from ._members import LEAVING, Member, Members
+from ._owned import CHUNK, OWNED_TABLE, REQUEST, OwnedRecord, owned_key, owned_prefix
 from ._prober import Prober
 from ._rendezvous import rank, score
 
 __all__ = [
+    "CHUNK",
+    "FENCED",
+    "HOSTS_TABLE",
+    "LEAVING",
+    "LIVE",
+    "OWNED_TABLE",
+    "REQUEST",
+    "FailureDetector",
     "HostRecord",
     "Identity",
     "Member",
     "Members",
+    "OwnedRecord",
     "Prober",
     "host_key",
+    "owned_key",
+    "owned_prefix",
     "rank",
     "register",
     "score",
--- a/src/aspenbridge/membership/_identity.py
+++ b/src/aspenbridge/membership/_identity.py
@@ -11,6 +11,8 @@
 from aspenbridge.store import Changes
 from aspenbridge.work import new_id
 
+from ._owned import OwnedRecord, owned_key
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -21,7 +23,6 @@
 HOSTS_TABLE = "hosts"
 LIVE = "live"
 FENCED = "fenced"
-LEFT = "left"
 
 
 @attrs.frozen
@@ -53,6 +54,15 @@
         """Make changes fail once this incarnation has been fenced."""
         return changes.check(host_key(self.incarnation), self.version)
 
+    def own(self, changes: Changes, kind: str, name: str) -> Changes:
+        """Enter a piece of work that this incarnation takes on."""
+        key = owned_key(self.incarnation, kind, name)
+        return self.guard(changes).put(key, OwnedRecord(kind, name))
+
+    def disown(self, changes: Changes, kind: str, name: str) -> Changes:
+        """Remove a piece of work that has ended or was given away."""
+        return self.guard(changes).delete(owned_key(self.incarnation, kind, name))
+
 
 def host_key(incarnation: str) -> RowKey:
     """Return the row of an incarnation."""
--- a/src/aspenbridge/membership/_members.py
+++ b/src/aspenbridge/membership/_members.py
@@ -15,6 +15,7 @@
 LIVE = "live"
 LEAVING = "leaving"
 DEAD = "dead"
+DEAD_KEPT_S = 600.0
 
 
 @attrs.define
@@ -48,7 +49,12 @@
         if member is None:
             self._members[news.incarnation] = Member(news, now_s)
             return
-        if news.counter > member.news.counter:
+        if member.news.state == DEAD:
+            return
+        if news.state == DEAD:
+            member.news = attrs.evolve(member.news, state=DEAD)
+            member.heard_s = now_s
+        elif news.counter > member.news.counter:
             member.news = news
             member.heard_s = now_s
         elif direct:
@@ -59,6 +65,24 @@
         member = self._members.get(incarnation)
         if member is not None:
             member.news = attrs.evolve(member.news, state=DEAD)
+            member.heard_s = self._clock.now_s()
+
+    def forget_dead(self) -> None:
+        """Drop members that have been dead for long."""
+        limit_s = self._clock.now_s() - DEAD_KEPT_S
+        self._members = {
+            name: member
+            for name, member in self._members.items()
+            if member.news.state != DEAD or member.heard_s > limit_s
+        }
+
+    def clear(self) -> None:
+        """Forget every member."""
+        self._members.clear()
+
+    def present(self) -> list[Member]:
+        """Return the members that are not dead."""
+        return [item for item in self._members.values() if item.news.state != DEAD]
 
     def find(self, incarnation: str) -> Member | None:
         """Return a member, or None."""
--- a/src/aspenbridge/membership/_prober.py
+++ b/src/aspenbridge/membership/_prober.py
@@ -6,13 +6,16 @@
 
 from returns.result import Success
 
-from aspenbridge.peers import MemberNews, Probe, ProbeReply
+from aspenbridge.peers import Ack, MemberNews, Probe, ProbeReply
 from aspenbridge.ports import PeerAddress, PeerUnreachableError
 
+from ._members import DEAD, LIVE
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from aspenbridge.peers import ProbeVia
     from aspenbridge.ports import Clock, HostList, PeerTransport
     from aspenbridge.settings import MembershipSettings
 
@@ -45,7 +48,8 @@
         self._listed: tuple[PeerAddress, ...] = ()
         self._counter = 0
         self.revision: Callable[[], int] = lambda: 0
-        self.state = "live"
+        self.state = LIVE
+        self.on_declared_dead: Callable[[], None] = lambda: None
 
     def own_news(self) -> MemberNews:
         """Return the news of this host."""
@@ -72,22 +76,28 @@
                 if entry.address != own
             )
 
-    async def probe_one(self) -> None:
-        """Probe one peer chosen at random."""
-        known = {member.address for member in self._members.live()}
-        targets = sorted(known | set(self._listed))
-        if targets:
-            await self._probe(self._random.choice(targets))
+    def targets(self) -> list[PeerAddress]:
+        """Return the address of each peer that may be alive."""
+        known = {member.address for member in self._members.present()}
+        return sorted(known | set(self._listed))
 
-    async def _probe(self, target: PeerAddress) -> None:
+    async def probe(self, target: PeerAddress) -> str | None:
+        """Probe a peer and return the incarnation that answers, or None."""
         deadline_s = self._clock.now_s() + self._settings.probe_timeout_s
         probe = Probe(self.own_news(), self._some_news(), self.revision())
         try:
             reply = await self._peers.call(target, probe, deadline_s)
         except PeerUnreachableError:
-            return
-        if isinstance(reply, ProbeReply):
-            self._learn(reply)
+            return None
+        if not isinstance(reply, ProbeReply):
+            return None
+        self._learn(reply)
+        return reply.sender.incarnation
+
+    async def answer_via(self, request: ProbeVia) -> Ack:
+        """Probe a third host for a peer."""
+        answered = await self.probe(PeerAddress.parse(request.target))
+        return Ack(ok=answered is not None, detail=answered or "")
 
     def answer(self, probe: Probe) -> ProbeReply:
         """Answer a peer's probe and learn from it."""
@@ -100,6 +110,8 @@
         for news in message.news:
             if news.incarnation != own:
                 self._members.hear(news, direct=False)
+            elif news.state == DEAD:
+                self.on_declared_dead()
 
     def _some_news(self) -> tuple[MemberNews, ...]:
         news = self._members.news()
--- /dev/null
+++ b/src/aspenbridge/recovery/_registration.py
@@ -0,0 +1,83 @@
+"""Keeps this host registered; a fenced host starts over as a new one."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from aspenbridge.membership import host_key, register
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+    from random import Random
+
+    from aspenbridge.membership import Identity
+    from aspenbridge.ports import Clock, Conflict, PeerAddress, Unavailable
+    from aspenbridge.settings import HostSettings
+    from aspenbridge.store import Store
+
+logger = logging.getLogger(__name__)
+RETRY_S = 1.0
+
+
+class Registration:
+    """The incarnation of this host, replaced once it has been fenced."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        random: Random,
+        host: HostSettings,
+        peer: PeerAddress,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._host = host
+        self._peer = peer
+        self._fenced = asyncio.Event()
+        self.identity: Identity | None = None
+        self.renewals = 0
+        store.on_conflict = self.observe
+
+    async def register(self) -> Result[None, Unavailable]:
+        """Register a new incarnation."""
+        registered = await register(
+            self._store, self._clock, self._random, self._host, self._peer
+        )
+        if isinstance(registered, Failure):
+            return registered
+        self.identity = registered.unwrap()
+        return Success(None)
+
+    def observe(self, conflict: Conflict) -> None:
+        """Notice from a failed commit that this incarnation was fenced."""
+        if self.identity is None:
+            return
+        if host_key(self.identity.incarnation) in conflict.rows:
+            self.notice_fenced()
+
+    def notice_fenced(self) -> None:
+        """Have the host start over."""
+        self._fenced.set()
+
+    async def watch(self, drop_work: Sequence[Callable[[], Awaitable[None]]]) -> None:
+        """
+        Replace the incarnation each time that it has been fenced.
+
+        :param drop_work: stop the work of the fenced incarnation, which other
+            hosts take over.
+        """
+        while True:
+            await self._fenced.wait()
+            logger.warning("host %s was fenced and starts over", self._host.name)
+            for drop in drop_work:
+                await drop()
+            while isinstance(await self.register(), Failure):
+                await self._clock.sleep_until(self._clock.now_s() + RETRY_S)
+            self.renewals += 1
+            self._fenced.clear()
--- /dev/null
+++ b/tests/recovery/test_takeover.py
@@ -0,0 +1,179 @@
+"""The work of lost hosts is taken over, within the stated bound."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from aspenbridge.ports import PeerAddress, RowKey
+from tests.support.cluster import Cluster
+from tests.support.virtual_loop import run_virtual
+
+TAKEOVER_BOUND_S = 15.0
+SWEEP_BOUND_S = 40.0
+
+
+async def owned_rows(cluster, incarnation):
+    page = await cluster.fleet.table.scan("owned", f"{incarnation}/")
+    return len(page.unwrap().rows)
+
+
+async def row(cluster, incarnation):
+    return (await cluster.fleet.table.read([RowKey("hosts", incarnation)])).unwrap()[0]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_coding_request_ends_on_another_host_when_its_host_is_lost(seed) -> None:
+    async def scenario(clock):
+        async with Cluster(clock, seed) as cluster:
+            await cluster.start(1, 2, 3)
+            work = cluster.work(1, "code this", tokens=400)
+            submitted = asyncio.create_task(cluster.hosts[1].coding.submit(work, "k"))
+            await asyncio.sleep(0.3)
+            lost = await cluster.kill(1)
+            submitted.cancel()
+
+            async def ended():
+                read = await cluster.hosts[2].coding.read("kgotso", work.work_id)
+                return read.unwrap().ended
+
+            took_s = await cluster.until(ended)
+            again = cluster.work(3, "code this", tokens=400)
+            resent = (await cluster.hosts[3].coding.submit(again, "k")).unwrap()
+            assert await owned_rows(cluster, lost) == 0
+            assert await row(cluster, lost) is None
+            return took_s, resent, work.work_id
+
+    took_s, resent, request_id = run_virtual(scenario)
+    assert took_s < TAKEOVER_BOUND_S
+    assert resent.request_id == request_id
+    assert resent.state == "done"
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_job_counts_each_item_once_when_a_host_is_lost(seed) -> None:
+    async def scenario(clock):
+        async with Cluster(clock, seed, concurrency=4, flush_interval_s=1.0) as cluster:
+            await cluster.start(1, 2, 3)
+            job = await cluster.submit(1, 200, tokens=100)
+            await asyncio.sleep(1.5)
+            busy = max(cluster.hosts, key=lambda n: len(cluster.hosts[n].batch._runs))
+            lost = await cluster.kill(busy)
+            assert await owned_rows(cluster, lost) > 0
+            other = next(iter(cluster.hosts))
+            await cluster.until(lambda: cluster.job_ended(other, job))
+            outcomes = await cluster.hosts[other].jobs.outcomes("kgotso", job.job_id)
+            return outcomes.unwrap(), await owned_rows(cluster, lost)
+
+    outcomes, left = run_virtual(scenario)
+    assert len(outcomes) == len({outcome.custom_id for outcome in outcomes}) == 200
+    assert {outcome.code for outcome in outcomes} == {1000}
+    assert left == 0
+
+
+def test_paused_host_starts_over_when_it_was_fenced() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 4, concurrency=4) as cluster:
+            await cluster.start(1, 2, 3)
+            job = await cluster.submit(1, 100, tokens=100)
+            await asyncio.sleep(2.0)
+            before = cluster.hosts[1].identity().incarnation
+            cluster.pause(1)
+            await asyncio.sleep(30.0)
+            cluster.resume(1)
+            await cluster.until(lambda: cluster.job_ended(1, job))
+            await asyncio.sleep(15.0)
+            outcomes = await cluster.hosts[1].jobs.outcomes("kgotso", job.job_id)
+            host = cluster.hosts[1]
+            return outcomes.unwrap(), before, host.identity().incarnation, host
+
+    outcomes, before, after, host = run_virtual(scenario)
+    assert len(outcomes) == len({outcome.custom_id for outcome in outcomes}) == 100
+    assert before != after
+    assert host.registration.renewals == 1
+
+
+def test_nothing_is_lost_when_all_hosts_are_replaced_at_once() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 5, concurrency=4) as cluster:
+            await cluster.start(1, 2, 3)
+            job = await cluster.submit(1, 60, tokens=100)
+            work = cluster.work(2, "code this", tokens=400)
+            submitted = asyncio.create_task(cluster.hosts[2].coding.submit(work, "k"))
+            await asyncio.sleep(0.5)
+            for number in (1, 2, 3):
+                await cluster.kill(number)
+            submitted.cancel()
+            await asyncio.sleep(5.0)
+            for number in (4, 5, 6):
+                await cluster._start(number)
+
+            async def ended():
+                read = await cluster.hosts[4].coding.read("kgotso", work.work_id)
+                return read.unwrap().ended and await cluster.job_ended(5, job)
+
+            took_s = await cluster.until(ended)
+            outcomes = await cluster.hosts[6].jobs.outcomes("kgotso", job.job_id)
+            return took_s, outcomes.unwrap()
+
+    took_s, outcomes = run_virtual(scenario)
+    assert took_s < SWEEP_BOUND_S
+    assert len({outcome.custom_id for outcome in outcomes}) == len(outcomes) == 60
+
+
+def test_others_keep_their_incarnation_when_a_host_is_cut_off_from_them() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 8) as cluster:
+            await cluster.start(1, 2, 3)
+            hosts = cluster.hosts.items()
+            names = {number: host.identity().incarnation for number, host in hosts}
+            cluster.links[1].isolated = True
+            address = PeerAddress("127.0.0.1", 1)
+            handler = cluster.fleet.peers.handlers.pop(address)
+            await asyncio.sleep(120.0)
+            cluster.links[1].isolated = False
+            cluster.fleet.peers.handlers[address] = handler
+            await asyncio.sleep(60.0)
+            renewed = cluster.hosts[1].registration.renewals
+            kept = [hosts.identity().incarnation for hosts in cluster.hosts.values()]
+            return renewed, kept[1:], [names[2], names[3]]
+
+    renewed, kept, before = run_virtual(scenario)
+    assert renewed > 0
+    assert kept == before
+
+
+def test_live_host_keeps_its_work_when_only_its_own_probes_fail() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 6) as cluster:
+            await cluster.start(1, 2, 3)
+            names = {
+                n: host.identity().incarnation for n, host in cluster.hosts.items()
+            }
+            cluster.links[1].isolated = True
+            await asyncio.sleep(30.0)
+            kept = {
+                number: host.identity().incarnation == names[number]
+                for number, host in cluster.hosts.items()
+            }
+            return kept
+
+    assert run_virtual(scenario) == {1: True, 2: True, 3: True}
+
+
+def test_nothing_is_fenced_while_the_table_is_down() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 7) as cluster:
+            await cluster.start(1, 2, 3)
+            names = [host.identity().incarnation for host in cluster.hosts.values()]
+            for link in cluster.links.values():
+                link.down = True
+            await asyncio.sleep(60.0)
+            for link in cluster.links.values():
+                link.down = False
+            await asyncio.sleep(20.0)
+            return names, [h.identity().incarnation for h in cluster.hosts.values()]
+
+    before, after = run_virtual(scenario)
+    assert before == after
