Spread revisions between hosts and refuse work on an unknown one

A host cut off from the table learned of no change and kept serving on the revision it had. Probes now carry the revision and the age of the read that confirmed it; a host that lacks a change pulls it from the peer that told of it, and a host that can't know refuses new work. Changes conflict per object instead of per head. The first operator comes from the settings while none is configured.

--- a/src/aspenbridge/commands/__init__.py
+++ b/src/aspenbridge/commands/__init__.py
@@ -8,6 +8,7 @@
 
 from ._check_config import CheckConfigCommand
 from ._demo import DemoCommand
+from ._operator_keys import OperatorNewKeyCommand
 from ._serve import ServeCommand
 
 
@@ -17,6 +18,7 @@
     app.add(ServeCommand())
     app.add(CheckConfigCommand())
     app.add(DemoCommand())
+    app.add(OperatorNewKeyCommand())
     return app
 
 
--- a/src/aspenbridge/configuration/__init__.py
+++ b/src/aspenbridge/configuration/__init__.py
@@ -4,6 +4,7 @@
 
 from ._authority import Authority
 from ._follower import Follower
+from ._freshness import FreshnessPolicy, Knowledge, Verdict
 from ._objects import (
     Change,
     ConfigObject,
@@ -18,6 +19,7 @@
     ServiceSpec,
     spec_class,
 )
+from ._spread import Notified, Spread
 from ._view import View
 
 __all__ = [
@@ -28,12 +30,17 @@
     "DrainSpec",
     "EngineSpec",
     "Follower",
+    "FreshnessPolicy",
+    "Knowledge",
     "ModelSpec",
+    "Notified",
     "OperatorSpec",
     "RecallSpec",
     "Route",
     "SelectorSpec",
     "ServiceSpec",
+    "Spread",
+    "Verdict",
     "View",
     "spec_class",
 ]
--- a/src/aspenbridge/configuration/_authority.py
+++ b/src/aspenbridge/configuration/_authority.py
@@ -5,23 +5,25 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import msgspec
 from returns.result import Failure, Result, Success
 
 from aspenbridge.ports import Conflict, RowKey
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes
 
-from ._objects import Change, ConfigObject, Head, spec_class
+from ._objects import Change, ConfigObject, Head
+from ._validation import find_fault
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from aspenbridge.ports import Clock
-    from aspenbridge.store import Store
+    from aspenbridge.store import Store, Stored
 
 HEAD = RowKey("config", "head")
 REVISION_DIGITS = 12
+HEAD_ATTEMPTS = 5
+Removed = tuple[str, str]
 
 
 def change_key(revision: int) -> RowKey:
@@ -34,19 +36,45 @@
     return RowKey("config", f"object/{kind}/{name}")
 
 
+@attrs.frozen
+class _Draft:
+    """A change that an operator asks for."""
+
+    operator: str
+    base_revision: int
+    put: tuple[ConfigObject, ...]
+    removed: tuple[Removed, ...]
+
+    def keys(self) -> list[RowKey]:
+        """Return the rows of the objects that it touches."""
+        places = [(item.kind, item.name) for item in self.put]
+        return [object_key(*place) for place in (*places, *self.removed)]
+
+
 class Authority:
-    """Makes new revisions by compare-and-set on the head row."""
+    """
+    Makes new revisions by compare-and-set on the head row.
+
+    A change conflicts when another one touched one of its objects after the
+    operator's base revision; changes of other objects do not conflict.
+    """
 
-    def __init__(self, store: Store, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        reaches_majority: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._store = store
         self._clock = clock
+        self._reaches_majority = reaches_majority
 
     async def accept(
         self,
         operator: str,
         base_revision: int,
         put: Sequence[ConfigObject] = (),
-        removed: Sequence[tuple[str, str]] = (),
+        removed: Sequence[Removed] = (),
     ) -> Result[Change, Problem]:
         """
         Accept a change that an operator made on top of a revision.
@@ -54,63 +82,85 @@
         :param base_revision: the revision that the operator looked at.
         :return: the change with its new revision, or a numbered problem.
         """
-        invalid = _invalid(put)
-        if invalid is not None:
-            return Failure(invalid)
-        read = await self._store.get(HEAD, Head)
+        fault = find_fault(put, removed)
+        if fault is not None:
+            return Failure(fault)
+        if not self._reaches_majority():
+            detail = "this host is not in contact with most of the hosts"
+            return Failure(Problem(ResultCode.CONFIGURATION_UNKNOWN, detail))
+        draft = _Draft(operator, base_revision, tuple(put), tuple(removed))
+        for _ in range(HEAD_ATTEMPTS):
+            accepted = await self._accept_once(draft)
+            if accepted is not None:
+                return accepted
+        detail = f"the head changed during each of {HEAD_ATTEMPTS} attempts"
+        return Failure(Problem(ResultCode.REVISION_CONFLICT, detail))
+
+    async def _accept_once(self, draft: _Draft) -> Result[Change, Problem] | None:
+        """Try once; None when only the head had changed meanwhile."""
+        keys = draft.keys()
+        read_head = await self._store.get(HEAD, Head)
+        read = await self._store.get_many(keys, ConfigObject)
+        if isinstance(read_head, Failure):
+            return Failure(_unavailable(read_head.failure().reason))
         if isinstance(read, Failure):
             return Failure(_unavailable(read.failure().reason))
-        head = read.unwrap()
+        head, stored = read_head.unwrap(), read.unwrap()
         current = head.record.revision if head else 0
-        if current != base_revision:
-            return Failure(_superseded(base_revision, current))
-        change = self._change(operator, current + 1, put, removed)
-        changes = self._changes(change, head.version if head else 0)
+        conflict = _conflict(draft, current, stored)
+        if conflict is not None:
+            return Failure(conflict)
+        change = self._change(draft, current + 1)
+        changes = _changes(change, head.version if head else 0)
+        for key, row in zip(keys, stored, strict=True):
+            changes.check(key, row.version if row else 0)
         result = await self._store.commit(changes)
-        if isinstance(result, Failure):
-            error = result.failure()
-            if isinstance(error, Conflict):
-                return Failure(_superseded(base_revision, current + 1))
-            return Failure(_unavailable(error.reason))
-        return Success(change)
-
-    def _change(
-        self,
-        operator: str,
-        revision: int,
-        put: Sequence[ConfigObject],
-        removed: Sequence[tuple[str, str]],
-    ) -> Change:
+        if isinstance(result, Success):
+            return Success(change)
+        error = result.failure()
+        if isinstance(error, Conflict):
+            return None
+        return Failure(_unavailable(error.reason))
+
+    def _change(self, draft: _Draft, revision: int) -> Change:
         return Change(
             revision=revision,
-            operator=operator,
+            operator=draft.operator,
             wall_s=self._clock.wall_s(),
-            put=tuple(attrs.evolve(item, revision=revision) for item in put),
-            removed=tuple(removed),
+            put=tuple(attrs.evolve(item, revision=revision) for item in draft.put),
+            removed=draft.removed,
         )
 
-    def _changes(self, change: Change, head_version: int) -> Changes:
-        changes = Changes().check(HEAD, head_version)
-        changes.put(HEAD, Head(change.revision))
-        changes.put(change_key(change.revision), change)
-        for item in change.put:
-            changes.put(object_key(item.kind, item.name), item)
-        for kind, name in change.removed:
-            changes.delete(object_key(kind, name))
-        return changes
-
-
-def _invalid(put: Sequence[ConfigObject]) -> Problem | None:
-    for item in put:
-        place = f"{item.kind} {item.name!r}"
-        try:
-            msgspec.convert(item.spec, type=spec_class(item.kind))
-        except KeyError:
-            return Problem(
-                ResultCode.BAD_CONFIGURATION, f"{place}: there is no such kind"
+
+def _changes(change: Change, head_version: int) -> Changes:
+    changes = Changes().check(HEAD, head_version)
+    changes.put(HEAD, Head(change.revision))
+    changes.put(change_key(change.revision), change)
+    for item in change.put:
+        changes.put(object_key(item.kind, item.name), item)
+    for kind, name in change.removed:
+        changes.delete(object_key(kind, name))
+    return changes
+
+
+def _conflict(
+    draft: _Draft, current: int, stored: Sequence[Stored[ConfigObject] | None]
+) -> Problem | None:
+    if draft.base_revision > current:
+        detail = f"revision {draft.base_revision} does not exist; {current} is the head"
+        return Problem(ResultCode.REVISION_CONFLICT, detail)
+    for item, row in zip(draft.put, stored, strict=False):
+        if row is None and item.revision > 0:
+            return _superseded(item.kind, item.name, draft.base_revision, current)
+    for row in stored:
+        if row is not None and row.record.revision > draft.base_revision:
+            found = row.record
+            return _superseded(
+                found.kind, found.name, draft.base_revision, found.revision
             )
-        except msgspec.ValidationError as error:
-            return Problem(ResultCode.BAD_CONFIGURATION, f"{place}: {error}")
+    for (kind, name), row in zip(draft.removed, stored[len(draft.put) :], strict=True):
+        if row is None:
+            return Problem(ResultCode.NOT_FOUND, f"there is no {kind} {name!r}")
     return None
 
 
@@ -118,6 +168,9 @@
     return Problem(ResultCode.STORE_UNAVAILABLE, f"the change is not known: {reason}")
 
 
-def _superseded(base: int, current: int) -> Problem:
-    detail = f"the change was made on revision {base}, but {current} is in force"
+def _superseded(kind: str, name: str, base: int, winner: int) -> Problem:
+    detail = (
+        f"{kind} {name!r}: the change was made on revision {base}, "
+        f"but revision {winner} changed it"
+    )
     return Problem(ResultCode.REVISION_CONFLICT, detail)
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -11,11 +11,12 @@
 from returns.result import Failure
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
-from aspenbridge.configuration import Authority, Follower, View
+from aspenbridge.configuration import Authority, Follower, Spread, View
 from aspenbridge.lifecycle import load_chart
 from aspenbridge.membership import Members, Prober, register
 from aspenbridge.online import Calls, Coding, Generator
-from aspenbridge.peers import Ack, Probe
+from aspenbridge.peers import Ack, ChangesRequest, Probe, RevisionNotice
+from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.scheduling import LocalAdmission
 from aspenbridge.store import GroupCommitter, Store
 
@@ -26,6 +27,7 @@
     from random import Random
     from types import TracebackType
 
+    from aspenbridge.configuration import Notified
     from aspenbridge.membership import Identity
     from aspenbridge.ports import (
         Clock,
@@ -41,6 +43,7 @@
 
 logger = logging.getLogger(__name__)
 BATCH_IDLE_S = 0.5
+FRESHNESS_INTERVAL_S = 0.5
 
 
 @attrs.frozen
@@ -71,9 +74,12 @@
         clock, random = ports.clock, ports.random
         self.store = Store(ports.table, clock, random)
         self.view = View()
-        self.authority = Authority(self.store, clock)
-        self.follower = Follower(self.store, clock, self.view)
         self.members = Members(clock)
+        self.follower = Follower(self.store, clock, self.view, ports.peers)
+        self.spread = Spread(
+            self.follower, self.members, ports.peers, clock, settings.configuration
+        )
+        self.authority = Authority(self.store, clock, self.spread.reaches_majority)
         self.prober = Prober(
             self.identity,
             self.members,
@@ -83,6 +89,7 @@
             random,
             settings.membership,
         )
+        self.prober.spread = self.follower
         self.admission = LocalAdmission(clock, random)
         self.generator = Generator(self.view, self.admission, ports.engines, random)
         group = GroupCommitter(self.store, clock)
@@ -130,9 +137,8 @@
         await self._register()
         await self._load_configuration()
         intervals = self.settings
-        self._every(
-            intervals.configuration.poll_interval_s, self._refresh_configuration
-        )
+        self._start(self._follow_configuration())
+        self._every(FRESHNESS_INTERVAL_S, self._judge_configuration)
         self._every(intervals.membership.probe_interval_s, self.prober.probe_one)
         self._every(
             intervals.membership.host_list_interval_s, self.prober.read_host_list
@@ -152,6 +158,10 @@
         """Answer a message of another host."""
         if isinstance(message, Probe):
             return self.prober.answer(message)
+        if isinstance(message, ChangesRequest):
+            return self.follower.answer(message)
+        if isinstance(message, RevisionNotice):
+            return await self.spread.answer(message)
         return Ack(ok=False, detail=f"{type(message).__name__} is not known here")
 
     async def _register(self) -> None:
@@ -172,8 +182,27 @@
             raise StartError("the configuration can't be read")
         self._event("current")
 
-    async def _refresh_configuration(self) -> None:
-        await self.follower.refresh()
+    def refusal(self) -> Problem | None:
+        """Return why this host takes no new work, or None."""
+        if self.ready:
+            return None
+        if self.state in ("starting", "uncertain"):
+            detail = f"host {self.settings.host.name!r} is {self.state}"
+            return Problem(ResultCode.CONFIGURATION_UNKNOWN, detail)
+        detail = f"host {self.settings.host.name!r} is {self.state}"
+        return Problem(ResultCode.SHUTTING_DOWN, detail)
+
+    async def announce(self, revision: int) -> Notified:
+        """Bring an accepted revision into force here and tell the others."""
+        return await self.spread.announce(revision, str(self._peer))
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            await self.follower.refresh()
+            await self.spread.wait_for_poll(self.ports.random.uniform(0.9, 1.1))
+
+    async def _judge_configuration(self) -> None:
+        self._event("current" if self.spread.may_serve() else "unsure")
 
     def _event(self, event: str) -> None:
         if not self._chart.allows(self.state, event):
@@ -183,7 +212,7 @@
 
     async def _batch_loop(self) -> None:
         while True:
-            if not await self.batch.run_once():
+            if not self.ready or not await self.batch.run_once():
                 await self._pause(BATCH_IDLE_S)
 
     def _every(self, interval_s: float, action: Callable[[], Awaitable[None]]) -> None:
--- a/src/aspenbridge/http/__init__.py
+++ b/src/aspenbridge/http/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from ._app import make_app
+from ._auth import key_digest
 
-__all__ = ["make_app"]
+__all__ = ["key_digest", "make_app"]
--- a/src/aspenbridge/http/_customers.py
+++ b/src/aspenbridge/http/_customers.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result
 
 from aspenbridge.online import Generation
-from aspenbridge.result_codes import Problem, ProblemError, ResultCode
+from aspenbridge.result_codes import Problem, ProblemError
 from aspenbridge.work import Work, new_id
 
 from ._auth import authenticate
@@ -45,9 +45,9 @@
 
     def _customer(self, request: Request) -> str:
         caller = authenticate(request, self._host.view, "customer")
-        if not self._host.ready:
-            detail = f"this host is {self._host.state}"
-            raise Problem(ResultCode.SHUTTING_DOWN, detail).error()
+        refusal = self._host.refusal()
+        if refusal is not None:
+            raise refusal.error()
         return caller.name
 
     def _deadline_s(self) -> float:
--- a/src/aspenbridge/http/_operators.py
+++ b/src/aspenbridge/http/_operators.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import msgspec
 
 from aspenbridge.configuration import ConfigObject
+from aspenbridge.result_codes import Problem, ResultCode
 
 from ._auth import authenticate
-from ._bodies import read_body
 from ._customers import value_of
 from ._replies import json_reply
 
@@ -18,6 +20,8 @@
 
     from aspenbridge.host import HostCore
 
+    from ._auth import Caller
+
 
 @attrs.frozen
 class ChangeBody:
@@ -28,39 +32,72 @@
     removed: tuple[tuple[str, str], ...] = ()
 
 
+def read_change(body: bytes) -> ChangeBody:
+    """
+    Return a change, refusing names that stand twice in one object.
+
+    :raises ProblemError: when the body is not valid.
+    """
+    try:
+        value = json.loads(body, object_pairs_hook=_unique)
+        return msgspec.convert(value, type=ChangeBody)
+    except (ValueError, RecursionError) as error:
+        raise Problem(ResultCode.MALFORMED_BODY, str(error)).error() from error
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for name, value in pairs:
+        if name in found:
+            raise ValueError(f"{name!r} stands twice in one object")
+        found[name] = value
+    return found
+
+
 class OperatorRoutes:
     """Handlers of the operators' routes."""
 
     def __init__(self, host: HostCore) -> None:
         self._host = host
 
+    def _operator(self, request: Request) -> Caller:
+        bootstrap = self._host.settings.configuration.bootstrap_operator
+        return authenticate(request, self._host.view, "operator", bootstrap=bootstrap)
+
     async def change(self, request: Request) -> HTTPResponse:
         """Accept a configuration change."""
-        operator = authenticate(request, self._host.view, "operator")
-        body = read_body(request, ChangeBody)
+        operator = self._operator(request)
+        body = read_change(request.body)
         change = value_of(
             await self._host.authority.accept(
                 operator.name, body.base_revision, body.put, body.removed
             )
         )
-        await self._host.follower.refresh()
-        return json_reply({"revision": change.revision}, 201)
+        notified = await self._host.announce(change.revision)
+        reply = {
+            "revision": change.revision,
+            "in_force_hosts": notified.in_force,
+            "known_hosts": notified.known_hosts,
+        }
+        return json_reply(reply, 201)
 
     async def status(self, request: Request) -> HTTPResponse:
-        """Tell what this host knows."""
-        authenticate(request, self._host.view, "operator")
+        """Tell which revision is in force on which host."""
+        self._operator(request)
+        host = self._host
         return json_reply(
             {
-                "host": self._host.settings.host.name,
-                "state": self._host.state,
-                "revision": self._host.view.revision,
-                "members": [item.news for item in self._host.members.live()],
+                "host": host.settings.host.name,
+                "state": host.state,
+                "revision": host.view.revision,
+                "freshness": host.spread.verdict().value,
+                "members": [item.news for item in host.members.live()],
             }
         )
 
     async def objects(self, request: Request, kind: str) -> HTTPResponse:
         """List the objects of a kind."""
-        authenticate(request, self._host.view, "operator")
+        self._operator(request)
         return json_reply(self._host.view.all_of(kind))
 
 
--- a/src/aspenbridge/membership/_prober.py
+++ b/src/aspenbridge/membership/_prober.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from returns.result import Success
 
@@ -22,6 +22,31 @@
 NEWS_AT_ONCE = 8
 
 
+class RevisionSpread(Protocol):
+    """What probes carry about the configuration."""
+
+    @property
+    def revision(self) -> int:
+        """The revision in force on this host."""
+
+    @property
+    def confirmed_age_s(self) -> float:
+        """The age of the read that confirmed it; negative for none."""
+
+    def hear(self, peer: PeerAddress, revision: int, confirmed_s: float | None) -> None:
+        """Take in what a peer knows."""
+
+
+class _NoSpread:
+    """Carries nothing, until the host puts its follower here."""
+
+    revision = 0
+    confirmed_age_s = -1.0
+
+    def hear(self, peer: PeerAddress, revision: int, confirmed_s: float | None) -> None:
+        """Ignore what a peer knows."""
+
+
 class Prober:
     """Keeps the member list by probing peers in random order."""
 
@@ -44,7 +69,7 @@
         self._settings = settings
         self._listed: tuple[PeerAddress, ...] = ()
         self._counter = 0
-        self.revision: Callable[[], int] = lambda: 0
+        self.spread: RevisionSpread = _NoSpread()
         self.state = "live"
 
     def own_news(self) -> MemberNews:
@@ -58,6 +83,7 @@
             region=record.region,
             failure_domain=record.failure_domain,
             counter=self._counter,
+            revision=self.spread.revision,
         )
 
     async def read_host_list(self) -> None:
@@ -80,26 +106,44 @@
             await self._probe(self._random.choice(targets))
 
     async def _probe(self, target: PeerAddress) -> None:
-        deadline_s = self._clock.now_s() + self._settings.probe_timeout_s
-        probe = Probe(self.own_news(), self._some_news(), self.revision())
+        asked_s = self._clock.now_s()
+        deadline_s = asked_s + self._settings.probe_timeout_s
+        probe = Probe(
+            self.own_news(),
+            self._some_news(),
+            self.spread.revision,
+            self.spread.confirmed_age_s,
+        )
         try:
             reply = await self._peers.call(target, probe, deadline_s)
         except PeerUnreachableError:
             return
         if isinstance(reply, ProbeReply):
-            self._learn(reply)
+            self._learn(reply, asked_s)
 
     def answer(self, probe: Probe) -> ProbeReply:
         """Answer a peer's probe and learn from it."""
-        self._learn(probe)
-        return ProbeReply(self.own_news(), self._some_news(), self.revision())
+        sent_s = self._clock.now_s() - self._settings.probe_timeout_s  # at the latest
+        self._learn(probe, sent_s)
+        return ProbeReply(
+            self.own_news(),
+            self._some_news(),
+            self.spread.revision,
+            self.spread.confirmed_age_s,
+        )
 
-    def _learn(self, message: Probe | ProbeReply) -> None:
+    def _learn(self, message: Probe | ProbeReply, sent_s: float) -> None:
         own = self._identity().incarnation
+        age_s = message.confirmed_age_s
+        confirmed_s = sent_s - age_s if age_s >= 0 else None
+        peer = PeerAddress.parse(message.sender.address)
+        self.spread.hear(peer, message.revision, confirmed_s)
         self._members.hear(message.sender, direct=True)
         for news in message.news:
             if news.incarnation != own:
                 self._members.hear(news, direct=False)
+                address = PeerAddress.parse(news.address)
+                self.spread.hear(address, news.revision, None)
 
     def _some_news(self) -> tuple[MemberNews, ...]:
         news = self._members.news()
--- a/src/aspenbridge/peers/_messages.py
+++ b/src/aspenbridge/peers/_messages.py
@@ -15,6 +15,7 @@
     region: str = ""
     failure_domain: str = ""
     counter: int = 0
+    revision: int = 0
 
 
 @attrs.frozen
@@ -123,9 +124,10 @@
 
 @attrs.frozen
 class RevisionNotice:
-    """Tells that a newer configuration revision exists."""
+    """Tells that a newer configuration revision exists, and who has it."""
 
     revision: int
+    address: str
 
 
 @attrs.frozen
--- a/src/aspenbridge/peers/messages.capnp
+++ b/src/aspenbridge/peers/messages.capnp
@@ -9,6 +9,7 @@
   region @3 :Text;
   failureDomain @4 :Text;
   counter @5 :UInt64;
+  revision @6 :UInt64;
 }
 
 struct Probe {
@@ -87,6 +88,7 @@
 
 struct RevisionNotice {
   revision @0 :UInt64;
+  address @1 :Text;
 }
 
 struct ChangesRequest {
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -7,17 +7,24 @@
 import attrs
 
 
-def option(default: Any, description: str, *, choices: tuple[str, ...] = ()) -> Any:
+def option(
+    default: Any,
+    description: str,
+    *,
+    choices: tuple[str, ...] = (),
+    pattern: str = "",
+) -> Any:
     """
     Define one key of a section.
 
     :param default: the value when the file does not give one.
     :param description: one sentence for ``--help`` and the reference page.
     :param choices: the only values allowed; empty for any.
+    :param pattern: what the whole text must match; empty for any.
     """
     return attrs.field(
         default=default,
-        metadata={"description": description, "choices": choices},
+        metadata={"description": description, "choices": choices, "pattern": pattern},
     )
 
 
@@ -76,6 +83,11 @@
         "What to do with new work while the revision is unknown.",
         choices=("refuse", "serve"),
     )
+    bootstrap_operator: str = option(
+        "",
+        "First operator, as name:salt:digest; valid while no operator is configured.",
+        pattern=r"|[\w-]+:([0-9a-f]{2}){1,16}:[0-9a-f]{128}",
+    )
 
 
 @attrs.frozen
--- a/src/aspenbridge/settings/_loader.py
+++ b/src/aspenbridge/settings/_loader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import re
 from pathlib import Path
 from typing import Any
 
@@ -105,6 +106,9 @@
     choices = field.metadata["choices"]
     if choices and text not in choices:
         raise ValueError(f"{text!r} is not one of {', '.join(choices)}")
+    pattern = field.metadata["pattern"]
+    if pattern and not re.fullmatch(pattern, text):
+        raise ValueError(f"{text!r} does not match {pattern}")
     if isinstance(field.default, bool):
         return _boolean(text)
     if isinstance(field.default, str):
--- /dev/null
+++ b/tests/support/control_fleet.py
@@ -0,0 +1,125 @@
+"""A few hosts joined by fakes; each has its own way to the table."""
+
+from __future__ import annotations
+
+import random
+from contextlib import AsyncExitStack
+
+import attrs
+
+from aspenbridge.configuration import ConfigObject
+from aspenbridge.embedded import (
+    EmbeddedEngine,
+    EmbeddedEngines,
+    EmbeddedHostList,
+    EmbeddedServices,
+    EngineModel,
+    LocalPeers,
+    MemoryObjects,
+    MemoryTable,
+)
+from aspenbridge.host import HostCore, Ports
+from aspenbridge.ports import HostEntry, PeerAddress, PeerUnreachableError
+from aspenbridge.settings import ConfigurationSettings, HostSettings, Settings
+from aspenbridge_standins._faults import Faults, FaultyCalls
+from aspenbridge_standins._platform import FaultyTable
+
+
+@attrs.define
+class CuttablePeers:
+    """One host's way to its peers."""
+
+    own: PeerAddress
+    peers: LocalPeers
+    cut: set[PeerAddress]
+
+    async def call(self, address, message, deadline_s):
+        if {self.own, address} & self.cut:
+            raise PeerUnreachableError(address, "cut off", sent=False)
+        return await self.peers.call(address, message, deadline_s)
+
+
+class ControlFleet:
+    """Hosts of one test; entered hosts leave with the stack."""
+
+    def __init__(self, clock, seed=1, *, when_unknown="refuse"):
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.host_list = EmbeddedHostList()
+        self.peers = LocalPeers()
+        self.engines = EmbeddedEngines()
+        self.services = EmbeddedServices()
+        self.cut: set[PeerAddress] = set()
+        self.faults: list[Faults] = []
+        self.hosts: list[HostCore] = []
+        self.when_unknown = when_unknown
+
+    def make(self, number):
+        peer = PeerAddress("127.0.0.1", number)
+        faults = Faults()
+        calls = FaultyCalls(faults, self.clock, self.random)
+        ports = Ports(
+            clock=self.clock,
+            random=self.random,
+            table=FaultyTable(calls, self.table),
+            objects=self.objects,
+            host_list=self.host_list,
+            peers=CuttablePeers(peer, self.peers, self.cut),
+            engines=self.engines,
+            services=self.services,
+        )
+        settings = Settings(
+            host=HostSettings(name=f"host-{number}"),
+            configuration=ConfigurationSettings(when_unknown=self.when_unknown),
+        )
+        host = HostCore(settings, ports, peer)
+        self.peers.handlers[peer] = host
+        self.host_list.entries[str(peer)] = HostEntry(str(peer), "local", "local-a")
+        self.faults.append(faults)
+        self.hosts.append(host)
+        return host
+
+    async def start(self, stack: AsyncExitStack, count):
+        for number in range(1, count + 1):
+            await stack.enter_async_context(self.make(number))
+
+    def add_engine(self, name):
+        model = EngineModel(base_step_s=0.01)
+        self.engines.engines[name] = EmbeddedEngine(name, self.clock, model)
+
+    async def put(self, host, *objects, base=None):
+        revision = host.view.revision if base is None else base
+        return await host.authority.accept("operator", revision, objects)
+
+    async def pass_s(self, seconds):
+        await self.clock.sleep_until(self.clock.now_s() + seconds)
+
+    async def until(self, condition, limit_s=60.0):
+        """Wait until a condition holds; return how long that took."""
+        started_s = self.clock.now_s()
+        while not condition():
+            if self.clock.now_s() > started_s + limit_s:
+                raise AssertionError(f"not so after {limit_s} s")
+            await self.pass_s(0.05)
+        return self.clock.now_s() - started_s
+
+
+def engine(name, model="coder", version="1", adapters=(), **labels):
+    """Return the configuration of an engine."""
+    spec = {
+        "address": "127.0.0.1:1",
+        "region": "local",
+        "failure_domain": "local-a",
+        "model": model,
+        "version": version,
+        "adapters": list(adapters),
+    }
+    return ConfigObject("engine", name, spec, labels)
+
+
+def customer(name, **labels):
+    """Return the configuration of a customer."""
+    spec = {"key_salt": "00", "key_digest": ""}
+    return ConfigObject("customer", name, spec, labels)
