Measure state, processor time and platform calls over sizes

Ruled out: wall time (the machine is shared) and resident set deltas for small objects; processor time and traced allocations are used instead. Before: no figures.

--- /dev/null
+++ b/src/aspenbridge_bench/_commands.py
@@ -0,0 +1,14 @@
+"""The tool's command line."""
+
+from __future__ import annotations
+
+from cleo.application import Application
+
+from ._slopes_command import SlopesCommand
+
+
+def application() -> Application:
+    """Return the command line with all of its commands."""
+    app = Application("aspenbridge-bench")
+    app.add(SlopesCommand())
+    return app
--- /dev/null
+++ b/src/aspenbridge_bench/_fleet.py
@@ -0,0 +1,156 @@
+"""Hosts of one process whose calls to the platform and peers are counted."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from aspenbridge.embedded import (
+    EmbeddedEngine,
+    EmbeddedEngines,
+    EmbeddedHostList,
+    EmbeddedServices,
+    EngineModel,
+)
+from aspenbridge.host import HostCore, Ports
+from aspenbridge.peers._codec import SCHEMA, decode, encode
+from aspenbridge.ports import PeerAddress
+from aspenbridge_standins._faults import Faults, FaultyCalls
+from aspenbridge_standins._platform import FaultyObjects, FaultyTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aspenbridge.ports import Clock
+    from aspenbridge.settings import Settings
+
+UNLIMITED_PER_S = 1e9
+FAST_ENGINE = EngineModel(
+    base_step_s=0.0, step_per_sequence_s=0.0, prefill_per_token_s=0.0
+)
+
+
+class FastClock:
+    """A clock that runs a number of times faster than the machine's."""
+
+    def __init__(self, speed: float) -> None:
+        self._speed = speed
+        self._start_s = time.monotonic()
+
+    def now_s(self) -> float:
+        """Return monotonic seconds of this clock."""
+        return 1_000.0 + (time.monotonic() - self._start_s) * self._speed
+
+    def wall_s(self) -> float:
+        """Return seconds since the Unix epoch, on this clock."""
+        return 1_700_000_000.0 + self.now_s()
+
+    async def sleep_until(self, deadline_s: float) -> None:
+        """Return once the deadline has passed."""
+        await asyncio.sleep(max(0.0, deadline_s - self.now_s()) / self._speed)
+
+
+def to_wire(message: Any) -> bytes:
+    """Return the bytes of a message between hosts."""
+    encoded: bytes = SCHEMA.Envelope.new_message(**encode(message)).to_bytes()
+    return encoded
+
+
+def from_wire(body: bytes) -> Any:
+    """Return the message that the bytes hold."""
+    with SCHEMA.Envelope.from_bytes(body) as envelope:
+        return decode(envelope)
+
+
+@attrs.define
+class WirePeers:
+    """Hands messages to one answering function, through the codec."""
+
+    answer: Callable[[PeerAddress, Any], Any]
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    calls: int = 0
+
+    async def call(self, address: PeerAddress, message: Any, deadline_s: float) -> Any:
+        """Send a message and return the reply."""
+        request = to_wire(message)
+        reply = to_wire(self.answer(address, from_wire(request)))
+        self.calls += 1
+        self.sent_bytes += len(request)
+        self.received_bytes += len(reply)
+        return from_wire(reply)
+
+
+@attrs.define
+class CountedFleet:
+    """The platform and the engines of one process, with counters."""
+
+    clock: Clock
+    random: random.Random
+    peers: WirePeers
+    delay_s: float = 0.0
+    table: FaultyTable = attrs.field(init=False)
+    objects: FaultyObjects = attrs.field(init=False)
+    host_list: EmbeddedHostList = attrs.field(factory=EmbeddedHostList)
+    engines: EmbeddedEngines = attrs.field(factory=EmbeddedEngines)
+    services: EmbeddedServices = attrs.field(factory=EmbeddedServices)
+
+    def __attrs_post_init__(self) -> None:
+        self.table = FaultyTable(self._calls())
+        self.objects = FaultyObjects(self._calls())
+
+    def _calls(self) -> FaultyCalls:
+        faults = Faults(
+            delay_s=self.delay_s,
+            writes_per_s=UNLIMITED_PER_S,
+            reads_per_s=UNLIMITED_PER_S,
+        )
+        return FaultyCalls(faults, self.clock, self.random)
+
+    def add_engine(self, name: str) -> None:
+        """Start an engine whose steps take no time."""
+        self.engines.engines[name] = EmbeddedEngine(name, self.clock, FAST_ENGINE)
+
+    def host(self, settings: Settings, number: int = 1) -> HostCore:
+        """Return a host that is not running yet."""
+        ports = Ports(
+            clock=self.clock,
+            random=self.random,
+            table=self.table,
+            objects=self.objects,
+            host_list=self.host_list,
+            peers=self.peers,
+            engines=self.engines,
+            services=self.services,
+        )
+        return HostCore(settings, ports, PeerAddress("127.0.0.1", number))
+
+
+@attrs.frozen
+class Counts:
+    """Calls to the table service and the object store."""
+
+    table_reads: int
+    table_writes: int
+    object_reads: int
+    object_writes: int
+
+    @classmethod
+    def of(cls, fleet: CountedFleet) -> Counts:
+        """Return the counters of a fleet."""
+        table, objects = fleet.table.calls, fleet.objects.calls
+        return cls(
+            table.read_count,
+            table.write_count,
+            objects.read_count,
+            objects.write_count,
+        )
+
+    def since(self, earlier: Counts) -> Counts:
+        """Return what was counted after an earlier moment."""
+        pairs = zip(attrs.astuple(self), attrs.astuple(earlier), strict=True)
+        return Counts(*(now - then for now, then in pairs))
