Add a small faulty fleet, an oracle and random histories

Cause: the promises under failure had no proof. Ruled out: a cluster simulator; the hosts are real HostCore objects on the virtual loop and only their ports are wrapped.

--- /dev/null
+++ b/tests/fuzz/__main__.py
@@ -0,0 +1,65 @@
+"""Runs many histories: ``python -m tests.fuzz --histories 500 --seed 1``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from collections import Counter
+
+from tests.fuzz.actions import run_history
+from tests.fuzz.guards import GUARDS, without
+
+STEPS = 24
+SHOWN = 5
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m tests.fuzz")
+    parser.add_argument("--histories", type=int, default=200)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=STEPS)
+    parser.add_argument("--without", choices=sorted(GUARDS), help="remove a guard")
+    parser.add_argument("--show", action="store_true", help="print the steps")
+    parser.add_argument("--stop", action="store_true", help="end at a violation")
+    options = parser.parse_args()
+    return _run(options)
+
+
+def _run(options: argparse.Namespace) -> int:
+    started_s = time.monotonic()
+    faults: Counter[str] = Counter()
+    promises: Counter[str] = Counter()
+    broken: list[tuple[int, list[str]]] = []
+    ran = 0
+    for seed in range(options.seed, options.seed + options.histories):
+        with without(options.without):
+            history = run_history(seed, options.steps)
+            violations = history.oracle.violations
+            history.close()
+        ran += 1
+        faults += history.faults
+        if violations:
+            broken.append((seed, violations))
+            promises.update({text.split(":")[0] for text in violations})
+        if options.show:
+            _print(*history.steps, *violations)
+        if violations and options.stop:
+            break
+    for seed, violations in broken[:SHOWN]:
+        _print(f"seed {seed}:", *(f"  {text}" for text in violations[:3]))
+    _print(
+        f"histories run      {ran} (seeds from {options.seed})",
+        f"faults injected    {faults.total()}: {dict(sorted(faults.items()))}",
+        f"histories violated {len(broken)}: {[seed for seed, _ in broken][:20]}",
+        f"promises broken    {dict(promises)}",
+        f"time               {time.monotonic() - started_s:.1f} s",
+    )
+    return 1 if broken else 0
+
+
+def _print(*lines: str) -> None:
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+sys.exit(main())
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,250 @@
+"""A few hosts on one virtual loop, joined by fakes that fail on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from aspenbridge.configuration import ConfigObject
+from aspenbridge.embedded import (
+    BookingLedger,
+    EmbeddedEngine,
+    EmbeddedEngines,
+    EmbeddedHostList,
+    EmbeddedServices,
+    EngineModel,
+)
+from aspenbridge.host import HostCore, Ports, StartError
+from aspenbridge.ports import HostEntry, PeerAddress
+from aspenbridge.settings import BatchSettings, HostSettings, Settings
+from aspenbridge_standins._faults import Faults, FaultyCalls
+from aspenbridge_standins._platform import FaultyObjects, FaultyTable
+from tests.support.gates import (
+    EngineRun,
+    Gate,
+    HostClock,
+    HostEngines,
+    HostPeers,
+    HostServices,
+    HostStore,
+    Network,
+    ServiceFaults,
+)
+from tests.support.virtual_loop import ManualClock, VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+MODEL = "coder"
+SERVICE = "lending"
+SERVICE_ADDRESS = "127.0.0.1:9"
+ENGINES = (("engine-1", "1"), ("engine-2", "2"), ("engine-3", "2"))
+ENGINE_MODEL = EngineModel(base_step_s=0.1, step_per_sequence_s=0.001)
+STORE_DELAY_S = 0.004
+CHUNK_ITEMS = 4
+
+
+@attrs.define(eq=False)
+class FleetHost:
+    """One running host and the gate that its calls pass."""
+
+    core: HostCore
+    gate: Gate
+    engines: HostEngines
+    started: bool = False
+
+    @property
+    def usable(self) -> bool:
+        return self.started and not self.gate.dead
+
+
+class Lost:
+    """What a caller has when the connection to its host broke."""
+
+
+class Fleet:
+    """Hosts, back ends, platform; time passes only in ``advance``."""
+
+    def __init__(self, seed: int, hosts: int = 3) -> None:
+        self.loop = VirtualLoop()
+        self.clock = ManualClock(self.loop)
+        self.seed = seed
+        self.uncaught: list[str] = []
+        self.loop.set_exception_handler(self._uncaught)
+        self.faults = Faults(delay_s=STORE_DELAY_S)
+        calls = FaultyCalls(self.faults, self.clock, random.Random(seed))
+        self.table = FaultyTable(calls)
+        self.objects = FaultyObjects(calls)
+        self.store_calm_since_s = 0.0
+        self.service_faults = ServiceFaults()
+        self.ledger = BookingLedger()
+        self.services = EmbeddedServices()
+        self.services.ledgers[SERVICE_ADDRESS] = self.ledger
+        self.engines = EmbeddedEngines()
+        self.host_list = EmbeddedHostList()
+        self.network = Network(self.clock)
+        self.runs: list[EngineRun] = []
+        self.hosts: list[FleetHost] = []
+        self._cast: list[asyncio.Task[Any]] = []
+        self.run(self._begin(hosts))
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine to its end."""
+        return self.loop.run_until_complete(coroutine)
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(duration_s))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Begin a coroutine that goes on as time passes."""
+        task = self.loop.create_task(coroutine)
+        self._cast.append(task)
+        return task
+
+    async def ask(self, host: FleetHost, call: Coroutine[Any, Any, Any]) -> Any:
+        """Call a host as a caller does; ``Lost`` when it dies first."""
+        task = self.spawn(call)
+        died = asyncio.ensure_future(host.gate.died.wait())
+        await asyncio.wait({task, died}, return_when=asyncio.FIRST_COMPLETED)
+        if host.gate.dead or not task.done():
+            return Lost()
+        died.cancel()
+        return task.result()
+
+    def add_host(self) -> FleetHost:
+        """Begin a new host; it is usable once it has registered."""
+        number = len(self.hosts) + 1
+        gate = Gate(f"host-{number}", self.clock, calm_since_s=self.clock.now_s())
+        engines = HostEngines(gate, self.engines, self.runs)
+        ports = Ports(
+            clock=HostClock(gate, self.clock),
+            random=random.Random(self.seed * 1000 + number),
+            table=HostStore(gate, self.table),
+            objects=HostStore(gate, self.objects),
+            host_list=self.host_list,
+            peers=HostPeers(gate, self.network),
+            engines=engines,
+            services=HostServices(gate, self.services, self.service_faults),
+        )
+        peer = PeerAddress("127.0.0.1", number)
+        settings = Settings(
+            host=HostSettings(name=gate.name),
+            batch=BatchSettings(chunk_items=CHUNK_ITEMS),
+        )
+        host = FleetHost(HostCore(settings, ports, peer), gate, engines)
+        self.network.hosts[peer] = (gate, host.core)
+        self.host_list.entries[str(peer)] = HostEntry(str(peer), "local", "local-a")
+        self.hosts.append(host)
+        self.spawn(self._start(host))
+        return host
+
+    async def _start(self, host: FleetHost) -> None:
+        while not host.started:
+            try:
+                await host.core.__aenter__()
+            except StartError:
+                await asyncio.sleep(1.0)
+            else:
+                host.started = True
+
+    def kill(self, host: FleetHost) -> None:
+        """Lose a host at once: nothing of it runs any more."""
+        host.gate.died.set()
+        self.run(host.engines.disconnect())
+
+    def usable(self) -> list[FleetHost]:
+        """Return the hosts that callers can reach."""
+        return [host for host in self.hosts if host.usable]
+
+    def store(self, **faults: Any) -> None:
+        """Change what is wrong with the platform's store."""
+        for name, value in faults.items():
+            setattr(self.faults, name, value)
+        self.store_calm_since_s = self.clock.now_s()
+
+    @property
+    def store_calm(self) -> bool:
+        faults = self.faults
+        return not faults.down and faults.delay_s < 0.1 and not faults.lose_reply_share
+
+    def calm_since_s(self, host: FleetHost | Gate) -> float:
+        """Return since when neither the host nor the store was disturbed."""
+        gate = host.gate if isinstance(host, FleetHost) else host
+        if not (gate.calm and self.store_calm):
+            return float("inf")
+        return max(gate.calm_since_s, self.store_calm_since_s)
+
+    def heal(self) -> None:
+        """End every fault but the loss of hosts."""
+        self.store(down=False, delay_s=STORE_DELAY_S, lose_reply_share=0.0)
+        self.network.cuts.clear()
+        faults = self.service_faults
+        faults.refuse = faults.break_before = faults.break_after = False
+        for host in self.hosts:
+            host.gate.resume()
+            host.gate.cut_store(cut=False)
+
+    def close(self) -> None:
+        """End everything at once."""
+        for host in self.hosts:
+            host.gate.closing = True
+        self.loop.set_exception_handler(lambda *_: None)
+        for _ in range(5):
+            pending = asyncio.all_tasks(self.loop)
+            if not pending:
+                break
+            for task in pending:
+                task.cancel()
+            self.run(asyncio.wait(pending, timeout=1.0))
+        self.run(self.loop.shutdown_asyncgens())
+        self.loop.close()
+
+    async def _begin(self, hosts: int) -> None:
+        for name, _ in ENGINES:
+            self.engines.engines[name] = EmbeddedEngine(name, self.clock, ENGINE_MODEL)
+        for _ in range(hosts):
+            self.add_host()
+        while len(self.usable()) < hosts:
+            await asyncio.sleep(0.1)
+        core = self.hosts[0].core
+        accepted = await core.authority.accept("operator", 0, configuration())
+        accepted.unwrap()
+        for host in self.hosts:
+            await host.core.follower.refresh()
+
+    def _uncaught(self, loop: Any, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None:
+            self.uncaught.append(f"{context['message']}: {error!r}")
+
+
+def configuration() -> list[ConfigObject]:
+    """Return the configuration that each fleet begins with."""
+    objects = [
+        ConfigObject(
+            "engine",
+            name,
+            {
+                "address": f"127.0.0.1:{number}",
+                "region": "local",
+                "failure_domain": "local-a",
+                "model": MODEL,
+                "version": version,
+            },
+            labels={"pool": "coding"},
+        )
+        for number, (name, version) in enumerate(ENGINES, start=1)
+    ]
+    routes = [{"method": "POST", "path": "/bookings", "idempotent": False}]
+    service = {"address": SERVICE_ADDRESS, "routes": routes}
+    return [*objects, ConfigObject("service", SERVICE, service), marker("first")]
+
+
+def marker(value: str) -> ConfigObject:
+    """Return an object whose label shows which change is in force."""
+    spec = {"key_salt": "00", "key_digest": "00"}
+    return ConfigObject("customer", "marker", spec, labels={"value": value})
--- /dev/null
+++ b/tests/support/gates.py
@@ -0,0 +1,255 @@
+"""Wraps the ports of one host, so that it can be paused, cut off or lost."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from returns.result import Failure
+
+from aspenbridge.ports import (
+    CallOutcome,
+    PeerUnreachableError,
+    ServiceFailure,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from aspenbridge.ports import (
+        Clock,
+        Engine,
+        EngineClient,
+        Generate,
+        PeerAddress,
+        ServiceCall,
+        ServiceReply,
+    )
+
+SERVICE_DELAY_S = 0.05
+
+
+@attrs.define(eq=False)
+class Gate:
+    """What is wrong with one host at the moment; all its calls pass here."""
+
+    name: str
+    clock: Clock
+    running: asyncio.Event = attrs.field(factory=asyncio.Event)
+    died: asyncio.Event = attrs.field(factory=asyncio.Event)
+    closing: bool = False
+    store_cut: bool = False
+    calm_since_s: float = 0.0
+    resumed_s: float = -math.inf
+
+    def __attrs_post_init__(self) -> None:
+        self.running.set()
+
+    @property
+    def dead(self) -> bool:
+        return self.died.is_set()
+
+    @property
+    def calm(self) -> bool:
+        return self.running.is_set() and not self.dead and not self.store_cut
+
+    def pause(self) -> None:
+        self.running.clear()
+
+    def resume(self) -> None:
+        if not self.running.is_set():
+            self.running.set()
+            self.resumed_s = self.calm_since_s = self.clock.now_s()
+
+    def cut_store(self, *, cut: bool) -> None:
+        self.store_cut = cut
+        self.calm_since_s = self.clock.now_s()
+
+    async def passed(self) -> None:
+        """Hold the caller while the host is paused, or for ever once lost."""
+        while True:
+            if self.closing:
+                raise asyncio.CancelledError
+            if self.dead:
+                await asyncio.Event().wait()
+            if self.running.is_set():
+                return
+            await self.running.wait()
+
+
+class HostClock:
+    """The clock of one host; its timers are late while it is paused."""
+
+    def __init__(self, gate: Gate, clock: Clock) -> None:
+        self._gate = gate
+        self._clock = clock
+
+    def now_s(self) -> float:
+        return self._clock.now_s()
+
+    def wall_s(self) -> float:
+        return self._clock.wall_s()
+
+    async def sleep_until(self, deadline_s: float) -> None:
+        await self._clock.sleep_until(deadline_s)
+        await self._gate.passed()
+
+
+class HostStore:
+    """The table service or the object store as one host reaches it."""
+
+    def __init__(self, gate: Gate, store: Any) -> None:
+        self._gate = gate
+        self._store = store
+
+    def __getattr__(self, name: str) -> Any:
+        operation = getattr(self._store, name)
+
+        async def call(*values: Any, **options: Any) -> Any:
+            await self._gate.passed()
+            if self._gate.store_cut:
+                result = Failure(Unavailable("no route", maybe_applied=False))
+            else:
+                result = await operation(*values, **options)
+            if self._gate.store_cut and not isinstance(result, Failure):
+                result = Failure(Unavailable("the reply was lost", maybe_applied=True))
+            await self._gate.passed()
+            return result
+
+        return call
+
+
+@attrs.frozen
+class EngineRun:
+    """One generation that an engine began."""
+
+    started_s: float
+    gate: Gate
+    engine: Engine
+    prompt: str
+
+
+class HostEngines:
+    """The engines as one host calls them; records what they begin."""
+
+    def __init__(self, gate: Gate, engines: EngineClient, runs: list[EngineRun]):
+        self._gate = gate
+        self._engines = engines
+        self._runs = runs
+        self._open: dict[str, Engine] = {}
+
+    async def generate(self, engine: Engine, call: Generate) -> AsyncGenerator:
+        await self._gate.passed()
+        now_s = self._gate.clock.now_s()
+        self._runs.append(EngineRun(now_s, self._gate, engine, call.prompt))
+        self._open[call.attempt_id] = engine
+        try:
+            async for chunk in self._engines.generate(engine, call):
+                await self._gate.passed()
+                yield chunk
+        finally:
+            self._open.pop(call.attempt_id, None)
+
+    async def cancel(self, engine: Engine, attempt_id: str) -> None:
+        await self._gate.passed()
+        await self._engines.cancel(engine, attempt_id)
+
+    async def disconnect(self) -> None:
+        """Break every stream, as the operating system does for a lost host."""
+        for attempt_id, engine in tuple(self._open.items()):
+            await self._engines.cancel(engine, attempt_id)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._engines, name)
+
+
+@attrs.define
+class ServiceFaults:
+    """How the plain service's connections behave."""
+
+    refuse: bool = False
+    break_before: bool = False
+    break_after: bool = False
+
+
+class HostServices:
+    """The plain services as one host calls them."""
+
+    def __init__(self, gate: Gate, services: Any, faults: ServiceFaults) -> None:
+        self._gate = gate
+        self._services = services
+        self._faults = faults
+
+    async def call(self, call: ServiceCall, deadline_s: float) -> ServiceReply:
+        await self._gate.passed()
+        faults = self._faults
+        if faults.refuse:
+            raise ServiceFailure(call.address, CallOutcome.NOT_SENT, "refused")
+        await asyncio.sleep(SERVICE_DELAY_S)
+        if faults.break_before:
+            raise await self._broken(call)
+        reply: ServiceReply = await self._services.call(call, deadline_s)
+        await asyncio.sleep(SERVICE_DELAY_S)
+        if faults.break_after:
+            raise await self._broken(call)
+        await self._gate.passed()
+        return reply
+
+    async def _broken(self, call: ServiceCall) -> ServiceFailure:
+        await self._gate.passed()
+        return ServiceFailure(call.address, CallOutcome.BROKEN, "connection lost")
+
+
+class Network:
+    """Which hosts reach each other."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.hosts: dict[PeerAddress, tuple[Gate, Any]] = {}
+        self.cuts: set[frozenset[str]] = set()
+
+    async def deliver(
+        self, sender: Gate, address: PeerAddress, message: Any, deadline_s: float
+    ) -> Any:
+        """
+        Hand a message to a host and return the reply.
+
+        :raises PeerUnreachableError: when none came before the deadline.
+        """
+        gate, handler = self.hosts.get(address, (None, None))
+        if gate is None or gate.dead:
+            raise PeerUnreachableError(address, "refused", sent=False)
+        task = asyncio.ensure_future(self._handle(sender, gate, handler, message))
+        left_s = max(0.0, deadline_s - self._clock.now_s())
+        done, _ = await asyncio.wait({task}, timeout=left_s)
+        if not done:
+            raise PeerUnreachableError(address, "no answer in time", sent=True)
+        return task.result()
+
+    async def _handle(self, sender: Gate, gate: Gate, handler: Any, message: Any):
+        if frozenset((sender.name, gate.name)) in self.cuts:
+            await asyncio.Event().wait()
+        await gate.passed()
+        reply = await handler.handle(message)
+        await gate.passed()
+        if frozenset((sender.name, gate.name)) in self.cuts:
+            await asyncio.Event().wait()
+        return reply
+
+
+class HostPeers:
+    """The other hosts as one host reaches them."""
+
+    def __init__(self, gate: Gate, network: Network) -> None:
+        self._gate = gate
+        self._network = network
+
+    async def call(self, address: PeerAddress, message: Any, deadline_s: float) -> Any:
+        await self._gate.passed()
+        try:
+            return await self._network.deliver(self._gate, address, message, deadline_s)
+        finally:
+            await self._gate.passed()
