--- a/src/aspenbridge/configuration/_follower.py
+++ b/src/aspenbridge/configuration/_follower.py
@@ -30,7 +30,11 @@
     """Brings in the changes that the view lacks, from the table or a peer."""
 
     def __init__(
-        self, store: Store, clock: Clock, view: View, peers: PeerTransport
+        self,
+        store: Store,
+        clock: Clock,
+        view: View,
+        peers: PeerTransport | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -171,7 +175,7 @@
     async def _pull(self) -> bool:
         """Ask the peer that knows more; return whether it had all of it."""
         peer, wanted = self._informant, self.newest_heard
-        if peer is None or wanted <= self._view.revision:
+        if self._peers is None or peer is None or wanted <= self._view.revision:
             return False
         request = ChangesRequest(self._view.revision)
         deadline_s = self._clock.now_s() + PEER_TIMEOUT_S
