Ask the owner of a group for each place; revoke, resume, fall back

Cause: the owner's logic had no callers. Origins now ask over peer messages, hold grants, report them when an owner changes, and use a static share while the owner does not answer. A revoked generation resumes with its text and counts as no failure; engine failures resume within a retry budget; a caller that leaves cancels its stream.

Ruled out: clearing lost releases by empty reports alone; a place granted and released between two reports was then never mentioned and stayed in use (found by a test). Places now lapse 10 s after the last report.

--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -14,11 +14,12 @@
 from aspenbridge.batch import BatchRunner, Files, Jobs
 from aspenbridge.configuration import Authority, Follower, View
 from aspenbridge.lifecycle import load_chart
+from aspenbridge.limits import RetryBudget
 from aspenbridge.membership import Members, Prober, register
 from aspenbridge.online import Calls, Coding, Generator
-from aspenbridge.peers import Ack, Probe
+from aspenbridge.peers import Probe
 from aspenbridge.ports import NoMetrics
-from aspenbridge.scheduling import LocalAdmission
+from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
 
 from ._errors import StartError
@@ -95,8 +96,26 @@
             random,
             settings.membership,
         )
-        self.admission = LocalAdmission(clock, random)
-        self.generator = Generator(self.view, self.admission, ports.engines, random)
+        self.scheduler = Scheduler(
+            settings,
+            self.identity,
+            self.members,
+            lambda: self.prober.state != "live",
+            self.view,
+            ports.peers,
+            ports.engines,
+            clock,
+            random,
+        )
+        self.admission = self.scheduler.admission
+        self.generator = Generator(
+            self.view,
+            self.admission,
+            ports.engines,
+            clock,
+            random,
+            RetryBudget(settings.limits.retry_budget),
+        )
         group = GroupCommitter(self.store, clock)
         self.coding = Coding(
             self.identity, self.store, group, self.generator, clock, random
@@ -178,6 +197,8 @@
         self._every(
             intervals.membership.host_list_interval_s, self.prober.read_host_list
         )
+        for loop in self.scheduler.loops():
+            self._start(loop())
         self._start(self._batch_loop())
         return self
 
@@ -193,7 +214,7 @@
         """Answer a message of another host."""
         if isinstance(message, Probe):
             return self.prober.answer(message)
-        return Ack(ok=False, detail=f"{type(message).__name__} is not known here")
+        return await self.scheduler.handle(message)
 
     async def _register(self) -> None:
         registered = await register(
--- /dev/null
+++ b/src/aspenbridge/limits/__init__.py
@@ -0,0 +1,7 @@
+"""Limits that keep retries from outlasting the overload that caused them."""
+
+from __future__ import annotations
+
+from ._retry_budget import RetryBudget
+
+__all__ = ["RetryBudget"]
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -7,16 +7,19 @@
 
 import attrs
 
+from aspenbridge.limits import RetryBudget
 from aspenbridge.ports import CallOutcome, EngineFailure, Generate
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Execution, Problem, ResultCode
 from aspenbridge.work import new_id
 
+from ._watch import AttemptWatch
+
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
     from random import Random
 
     from aspenbridge.configuration import View
-    from aspenbridge.ports import EngineClient, GeneratedChunk
+    from aspenbridge.ports import Clock, EngineClient, GeneratedChunk
     from aspenbridge.work import Admission, Grant, Work
 
 ENGINE_ATTEMPTS = 3
@@ -29,14 +32,17 @@
     work: Work
     text: str = ""
     tokens: int = 0
+    cached_tokens: int = 0
     finish_reason: str | None = None
     served_by: list[str] = attrs.field(factory=list)
     failed_on: set[str] = attrs.field(factory=set)
+    revocations: int = 0
 
     def add(self, chunk: GeneratedChunk) -> None:
         """Take in the next chunk."""
         self.text += chunk.text
         self.tokens += chunk.tokens
+        self.cached_tokens += chunk.cached_tokens
         self.finish_reason = chunk.finish_reason
 
 
@@ -44,33 +50,50 @@
     """Finds an engine for each generation and resumes it after a failure."""
 
     def __init__(
-        self, view: View, admission: Admission, engines: EngineClient, random: Random
+        self,
+        view: View,
+        admission: Admission,
+        engines: EngineClient,
+        clock: Clock,
+        random: Random,
+        budget: RetryBudget,
     ) -> None:
         self._view = view
         self._admission = admission
         self._engines = engines
+        self._clock = clock
         self._random = random
+        self._budget = budget
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
         """
         Yield the chunks of a generation until it has finished.
 
+        A place that is taken back is no failure: the generation waits for
+        another one and goes on with what it has.
+
         :param generation: is filled as chunks come; a caller that goes on
             after a failure hands in the same one again.
         :raises ProblemError: when it can't be finished.
         """
+        self._budget.count_request()
         failures = 0
         while generation.finish_reason is None:
+            self._check_deadline(generation)
             grant = await self._place(generation)
             try:
                 async with aclosing(self._attempt(generation, grant)) as chunks:
                     async for chunk in chunks:
                         yield chunk
             except EngineFailure as failure:
+                if grant.revoked.is_set():
+                    generation.revocations += 1
+                    continue
+                self._check_deadline(generation)
                 failures += 1
                 generation.failed_on.add(failure.engine)
-                if failures >= ENGINE_ATTEMPTS:
-                    raise _problem(failure).error() from failure
+                if failures >= ENGINE_ATTEMPTS or not self._budget.take():
+                    raise _problem(failure, generation).error() from failure
 
     async def _place(self, generation: Generation) -> Grant:
         work = generation.work
@@ -91,31 +114,57 @@
     ) -> AsyncGenerator[GeneratedChunk, None]:
         work = generation.work
         engine = grant.engine
-        call = Generate(
-            attempt_id=new_id("attempt", self._random),
-            prompt=work.prompt,
-            max_tokens=work.max_tokens,
-            adapter=work.adapter,
-            resume_text=generation.text,
-            resume_tokens=generation.tokens,
-        )
+        call = self._call(generation)
         served = f"{engine.model}@{engine.version}"
         if served not in generation.served_by:
             generation.served_by.append(served)
-        failed = True
+        failed = False
         before = generation.tokens
+        watch = AttemptWatch(
+            self._engines, self._clock, grant, call.attempt_id, work.deadline_s
+        )
         try:
-            async with aclosing(self._engines.generate(engine, call)) as chunks:
-                async for chunk in chunks:
-                    generation.add(chunk)
-                    yield chunk
+            with watch:
+                async with aclosing(self._engines.generate(engine, call)) as chunks:
+                    async for chunk in chunks:
+                        generation.add(chunk)
+                        yield chunk
             if generation.finish_reason is None:
                 raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
-            failed = False
+        except EngineFailure:
+            failed = not (grant.revoked.is_set() or watch.expired)
+            raise
         finally:
-            used = generation.tokens - before
-            self._admission.release(grant, tokens=used, failed=failed)
+            if generation.finish_reason is None and not failed:
+                watch.abandon()
+            self._admission.release(
+                grant,
+                tokens=generation.tokens - before,
+                failed=failed,
+                cached_tokens=generation.cached_tokens,
+            )
+
+    def _call(self, generation: Generation) -> Generate:
+        work = generation.work
+        return Generate(
+            attempt_id=new_id("attempt", self._random),
+            prompt=work.prompt,
+            max_tokens=work.max_tokens,
+            adapter=work.adapter,
+            resume_text=generation.text,
+            resume_tokens=generation.tokens,
+        )
+
+    def _check_deadline(self, generation: Generation) -> None:
+        work = generation.work
+        if self._clock.now_s() < work.deadline_s:
+            return
+        execution = Execution.UNKNOWN if generation.tokens else Execution.NOT_RUN
+        detail = f"{work.work_id} had {generation.tokens} tokens at its deadline"
+        raise Problem(ResultCode.DEADLINE_EXCEEDED, detail, execution).error()
 
 
-def _problem(failure: EngineFailure) -> Problem:
+def _problem(failure: EngineFailure, generation: Generation) -> Problem:
+    if generation.tokens:
+        return Problem(ResultCode.STREAM_TRUNCATED, str(failure))
     return Problem(ResultCode.BACKEND_FAILED, str(failure))
--- a/src/aspenbridge/scheduling/_group.py
+++ b/src/aspenbridge/scheduling/_group.py
@@ -21,6 +21,7 @@
 REVOKE_TIME_S = 0.1
 GRACE_S = 1.5
 REPORT_IN_FLIGHT_S = 1.0
+HOLDING_LEASE_S = 10.0
 URGENT_S = 600.0
 URGENT_FACTOR = 4.0
 STARVED_S = 10.0
@@ -70,6 +71,7 @@
         self._releases = Rate(now_s)
         self._grace_until_s = now_s + grace_s
         self._batch_granted_s = now_s
+        self._heard_s: dict[str, float] = {}
         self.prefixes = PrefixIndex()
 
     @property
@@ -125,11 +127,12 @@
         holding = self._remove(grant)
         if holding is None:
             return None
-        self._releases.count(now_s)
-        state = self.engine(holding.engine)
         if not holding.revoked:
-            state.outcome(failed=failed, now_s=now_s)
-        if not failed:
+            self._releases.count(now_s)
+            if failed or tokens:
+                state = self.engine(holding.engine)
+                state.outcome(failed=failed, now_s=now_s)
+        if tokens:
             self.prefixes.learn(holding.engine, holding.prefix_hashes)
         if holding.charged:
             queue = self._queue(holding.online)
@@ -138,6 +141,7 @@
 
     def report(self, origin: str, grants: Iterable[RunningGrant], now_s: float) -> None:
         """Make the places of one host those that it says it holds."""
+        self._heard_s[origin] = now_s
         told = {item.grant: item for item in grants}
         settled_s = now_s - REPORT_IN_FLIGHT_S
         for holding in self._holdings():
@@ -164,6 +168,14 @@
             if holding.origin not in kept:
                 self._remove(holding.grant)
 
+    def drop_silent(self, now_s: float) -> None:
+        """Take back the places of hosts that report no more."""
+        limit_s = now_s - HOLDING_LEASE_S
+        for holding in self._holdings():
+            heard_s = self._heard_s.get(holding.origin, holding.granted_s)
+            if max(heard_s, holding.granted_s) < limit_s:
+                self._remove(holding.grant)
+
     def expected_wait_s(self, customer: str, now_s: float) -> float:
         """Return how long a new online request would wait."""
         ahead = self._online.ahead_of(customer)
--- a/src/aspenbridge/scheduling/_owner.py
+++ b/src/aspenbridge/scheduling/_owner.py
@@ -137,6 +137,12 @@
             else:
                 self._give_up(name)
 
+    def drop_silent(self) -> None:
+        """Take back places whose holders report no more."""
+        now_s = self._clock.now_s()
+        for group in self._groups.values():
+            group.drop_silent(now_s)
+
     def groups(self) -> dict[str, Group]:
         """Return the groups that are owned here."""
         return self._groups
--- a/src/aspenbridge/work/_admission.py
+++ b/src/aspenbridge/work/_admission.py
@@ -39,5 +39,13 @@
         :raises ProblemError: when there is no place before the deadline.
         """
 
-    def release(self, grant: Grant, *, tokens: int, failed: bool) -> None:
-        """Give a place back; never waits."""
+    def release(
+        self, grant: Grant, *, tokens: int, failed: bool, cached_tokens: int = 0
+    ) -> None:
+        """
+        Give a place back; never waits.
+
+        :param tokens: how many were generated there.
+        :param failed: whether the engine is to blame for an early end.
+        :param cached_tokens: prompt tokens that the engine did not read again.
+        """
--- /dev/null
+++ b/tests/limits/test_retry_budget.py
@@ -0,0 +1,14 @@
+"""Retries are bounded by new work."""
+
+from __future__ import annotations
+
+from aspenbridge.limits import RetryBudget
+
+
+def test_budget_allows_one_retry_when_ten_requests_came() -> None:
+    budget = RetryBudget(0.1, burst=2.0)
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    for _ in range(11):
+        budget.count_request()
+    assert [budget.take() for _ in range(2)] == [True, False]
+    assert budget.refused == 2
