--- a/src/aspenbridge/batch/_chunk_run.py
+++ b/src/aspenbridge/batch/_chunk_run.py
@@ -69,8 +69,15 @@
         self._oldest_s = 0.0
         self._part = 0
         self._progress = asyncio.Event()
+        self._loaded = False
         self.stopping = False
 
+    @property
+    def waiting(self) -> int:
+        """The number of items that have not started."""
+        chunk = self.claim.chunk
+        return len(self.pending) if self._loaded else chunk.items - chunk.counted
+
     @property
     def name(self) -> str:
         """The name of the chunk."""
@@ -138,6 +145,7 @@
             items = await self._read_items()
             if items is not None:
                 self.pending.extend(items)
+                self._loaded = True
                 return True
             await self._clock.sleep_until(self._clock.now_s() + RETRY_S)
         return False
--- a/src/aspenbridge/batch/_runner.py
+++ b/src/aspenbridge/batch/_runner.py
@@ -105,7 +105,7 @@
         return self._clock.now_s() >= self._polled_s + pause_s
 
     def _waiting(self) -> int:
-        return sum(len(run.pending) for run in self._runs.values())
+        return sum(run.waiting for run in self._runs.values())
 
     async def check_cancelled(self) -> None:
         """Stop chunks whose job was cancelled, should no notice have come."""
@@ -131,6 +131,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def aclose(self) -> None:
+        """Stop everything for good."""
+        self._draining = True
+        await self.drop()
+
     async def drain(self, deadline_s: float) -> None:
         """Keep what is done and give the rest of each chunk back."""
         self._draining = True
--- a/src/aspenbridge/membership/_members.py
+++ b/src/aspenbridge/membership/_members.py
@@ -76,10 +76,6 @@
             if member.news.state != DEAD or member.heard_s > limit_s
         }
 
-    def clear(self) -> None:
-        """Forget every member."""
-        self._members.clear()
-
     def present(self) -> list[Member]:
         """Return the members that are not dead."""
         return [item for item in self._members.values() if item.news.state != DEAD]
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -81,7 +81,11 @@
     async def call(self, address, message, deadline_s):
         if self.isolated or not self._open.is_set():
             raise PeerUnreachableError(address, "cut off", sent=False)
-        return await self._fleet.peers.call(address, message, deadline_s)
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await self._fleet.peers.call(address, message, deadline_s)
+        except TimeoutError as error:
+            raise PeerUnreachableError(address, "no answer", sent=True) from error
 
 
 class Cluster:
