Bound callers' requests and answer each with a numbered code

Bodies have limits of size and time, read before the handler runs; uploads check the key before they read.

Ruled out: the library's own request timeout, which ends with the header, so that a slow body held its handler for the response timeout.

--- a/src/aspenbridge/http/_app.py
+++ b/src/aspenbridge/http/_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 from sanic import HTTPResponse, Request, Sanic
@@ -13,27 +14,36 @@
 from ._customers import add_customer_routes
 from ._operators import add_operator_routes
 from ._replies import json_reply, problem_reply
+from ._requests import BodyLimits, BoundedRequest
 
 if TYPE_CHECKING:
     from aspenbridge.host import HostCore
     from aspenbridge.settings import ListenSettings
 
+logger = logging.getLogger(__name__)
 NOT_READY = 503
 CODES_BY_STATUS = {
     404: ResultCode.NOT_FOUND,
     405: ResultCode.NOT_FOUND,
+    408: ResultCode.BODY_TOO_SLOW,
     413: ResultCode.TOO_LARGE,
 }
+SERVER_ERROR = 500
 
 
 def make_app(host: HostCore) -> Sanic[Any, Any]:
     """Return the application that serves callers, operators and health."""
     settings = host.settings.listen
     app = Sanic(
-        f"aspenbridge-{id(host)}", config=_config(settings), configure_logging=False
+        f"aspenbridge-{id(host)}",
+        config=_config(settings),
+        configure_logging=False,
+        request_class=BoundedRequest,
     )
+    app.ctx.body_limits = BodyLimits.of(settings)
     app.error_handler.add(ProblemError, _problem)
     app.error_handler.add(SanicException, _library_error)
+    app.error_handler.add(Exception, _unexpected)
     add_customer_routes(app, host)
     add_operator_routes(app, host)
 
@@ -53,7 +63,7 @@
         {
             "MOTD": False,
             "ACCESS_LOG": False,
-            "REQUEST_MAX_SIZE": settings.max_file_bytes,
+            "REQUEST_MAX_SIZE": settings.max_body_bytes,
             "REQUEST_MAX_HEADER_SIZE": settings.max_header_bytes,
             "REQUEST_TIMEOUT": settings.read_timeout_s,
             "RESPONSE_TIMEOUT": 3600.0,
@@ -66,5 +76,14 @@
 
 
 async def _library_error(_: Request, error: SanicException) -> HTTPResponse:
-    code = CODES_BY_STATUS.get(error.status_code, ResultCode.MALFORMED_BODY)
+    usual = ResultCode.MALFORMED_BODY
+    if error.status_code >= SERVER_ERROR:
+        usual = ResultCode.INTERNAL_ERROR
+    code = CODES_BY_STATUS.get(error.status_code, usual)
     return problem_reply(Problem(code, str(error)))
+
+
+async def _unexpected(request: Request, error: Exception) -> HTTPResponse:
+    logger.error("%s %s failed", request.method, request.path, exc_info=error)
+    detail = f"the request failed: {type(error).__name__}"
+    return problem_reply(Problem(ResultCode.INTERNAL_ERROR, detail))
--- a/src/aspenbridge/http/_auth.py
+++ b/src/aspenbridge/http/_auth.py
@@ -15,8 +15,10 @@
 
     from aspenbridge.configuration import View
 
-SCHEME = "Bearer "
+SCHEME = "bearer "
 SEPARATOR = "."
+NO_SALT = "00"
+NO_DIGEST = "0" * 128  # as long as a real one, so that both take as long
 
 
 @attrs.frozen
@@ -29,7 +31,9 @@
 
 def key_digest(salt: str, secret: str) -> str:
     """Return the stored form of a random secret."""
-    digest = hashlib.blake2b(secret.encode(), salt=bytes.fromhex(salt))
+    digest = hashlib.blake2b(
+        secret.encode(errors="surrogateescape"), salt=bytes.fromhex(salt)
+    )
     return digest.hexdigest()
 
 
@@ -40,12 +44,14 @@
     :param kind: ``customer`` or ``operator``; keys read ``name.secret``.
     :raises ProblemError: when the key is missing or wrong.
     """
-    header = request.headers.get("authorization", "")
-    name, _, secret = header.removeprefix(SCHEME).partition(SEPARATOR)
+    header: str = request.headers.get("authorization", "")
+    scheme, token = header[: len(SCHEME)], header[len(SCHEME) :]
+    name, _, secret = token.strip().partition(SEPARATOR)
     item = view.find(kind, name)
-    salt = item.spec["key_salt"] if item else "00"
-    expected = item.spec["key_digest"] if item else ""
-    if not hmac.compare_digest(key_digest(salt, secret), expected):
+    salt = item.spec.get("key_salt", NO_SALT) if item else NO_SALT
+    expected = item.spec.get("key_digest", NO_DIGEST) if item else NO_DIGEST
+    matches = hmac.compare_digest(key_digest(salt, secret), expected)
+    if not matches or scheme.lower() != SCHEME:
         detail = f"the request carries no valid {kind} key"
         raise Problem(ResultCode.UNAUTHENTICATED, detail).error()
     return Caller(kind, name)
--- /dev/null
+++ b/src/aspenbridge/http/_endpoints.py
@@ -0,0 +1,93 @@
+"""Wraps each route: counting, timing, tracing and unexpected errors."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from opentelemetry.trace import SpanKind, use_span
+
+from aspenbridge.result_codes import Problem, ProblemError, ResultCode
+from aspenbridge.telemetry import TRACEPARENT, current_traceparent, parent_context
+
+from ._auth import authenticate
+from ._replies import problem_reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from sanic import HTTPResponse, Request, Sanic
+
+    from aspenbridge.host import HostCore
+
+    Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
+
+RETRY_AFTER_S = 1.0
+
+
+class Endpoints:
+    """Adds customers' routes to an application."""
+
+    def __init__(self, app: Sanic[Any, Any], host: HostCore) -> None:
+        self._app = app
+        self._host = host
+
+    def add(
+        self, handler: Handler, path: str, *methods: str, reads_itself: bool = False
+    ) -> None:
+        """
+        Add one route.
+
+        :param handler: is given the request, the customer's name and the
+            parameters of the path.
+        :param reads_itself: the handler reads the body after the key check.
+        """
+        name = path.replace("/", "_").replace("<", "").replace(">", "")
+        name = f"{name}_{methods[0].lower()}".replace(":", "_")
+        self._app.add_route(
+            self._wrapped(handler, f"{methods[0]} {path}", handler.__name__),
+            path,
+            methods=list(methods),
+            name=name,
+            stream=reads_itself,
+        )
+
+    def _wrapped(self, handler: Handler, span_name: str, metric: str) -> Handler:
+        ports = self._host.ports
+
+        async def endpoint(request: Request, **values: Any) -> HTTPResponse | None:
+            parent = parent_context(request.headers.get(TRACEPARENT))
+            span = ports.tracer.start_span(span_name, parent, SpanKind.SERVER)
+            started_s = time.perf_counter()
+            with self._host.running.one(), use_span(span, end_on_exit=True):
+                response = await self._answer(handler, request, values)
+                _pass_on_trace(response)
+            ports.metrics.time(f"http.{metric}", time.perf_counter() - started_s)
+            return response
+
+        return endpoint
+
+    async def _answer(
+        self, handler: Handler, request: Request, values: dict[str, Any]
+    ) -> HTTPResponse | None:
+        try:
+            return await handler(request, self._customer(request), **values)
+        except ProblemError as error:
+            self._host.ports.metrics.count(f"http.problem.{int(error.problem.code)}")
+            return problem_reply(error.problem)
+
+    def _customer(self, request: Request) -> str:
+        caller = authenticate(request, self._host.view, "customer")
+        if not self._host.accepting:
+            detail = f"this host is {self._host.state}"
+            problem = Problem(
+                ResultCode.SHUTTING_DOWN, detail, retry_after_s=RETRY_AFTER_S
+            )
+            raise problem.error()
+        return caller.name
+
+
+def _pass_on_trace(response: HTTPResponse | None) -> None:
+    traceparent = current_traceparent()
+    if response is not None and traceparent:
+        response.headers[TRACEPARENT] = traceparent
--- a/src/aspenbridge/http/_replies.py
+++ b/src/aspenbridge/http/_replies.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+from returns.result import Failure, Result
 from sanic import HTTPResponse
 
 from aspenbridge.result_codes import Problem, code_table
@@ -14,6 +15,17 @@
 JSON_TYPE = "application/json"
 
 
+def value_of(result: Result[Any, Problem]) -> Any:
+    """
+    Return the value of a result.
+
+    :raises ProblemError: when the result is a problem.
+    """
+    if isinstance(result, Failure):
+        raise result.failure().error()
+    return result.unwrap()
+
+
 def json_reply(value: Any, status: int = 200) -> HTTPResponse:
     """Return a JSON reply of an ``attrs`` object or plain values."""
     return HTTPResponse(msgspec.json.encode(value), status, content_type=JSON_TYPE)
--- a/src/aspenbridge/result_codes/_codes.py
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -30,6 +30,7 @@
     INVALID_PARAMETER = 2009
     REQUEST_CRASHES_ENGINES = 2010
     CANCELLED = 2011
+    BODY_TOO_SLOW = 2012
     OVERLOADED = 3001
     CUSTOMER_LIMIT = 3002
     DEADLINE_EXCEEDED = 3003
@@ -41,6 +42,7 @@
     SHUTTING_DOWN = 4005
     STREAM_TRUNCATED = 4006
     FENCED = 4007
+    INTERNAL_ERROR = 4008
     REVISION_CONFLICT = 5001
     BAD_SELECTOR = 5002
     BAD_CONFIGURATION = 5003
@@ -87,6 +89,7 @@
         Execution.RAN,
     ),
     _row(ResultCode.CANCELLED, 409, "The job was cancelled"),
+    _row(ResultCode.BODY_TOO_SLOW, 408, "The request came too slowly"),
     _row(ResultCode.OVERLOADED, 503, "The fleet is full"),
     _row(ResultCode.CUSTOMER_LIMIT, 429, "The customer is over its share"),
     _row(ResultCode.DEADLINE_EXCEEDED, 504, "The deadline passed"),
@@ -117,6 +120,12 @@
         Execution.UNKNOWN,
     ),
     _row(ResultCode.FENCED, 503, "The host lost its ownership of the work"),
+    _row(
+        ResultCode.INTERNAL_ERROR,
+        500,
+        "The host failed in a way it does not know",
+        Execution.UNKNOWN,
+    ),
     _row(ResultCode.REVISION_CONFLICT, 409, "Another change came first"),
     _row(ResultCode.BAD_SELECTOR, 400, "The selector can't be read"),
     _row(ResultCode.BAD_CONFIGURATION, 400, "The configuration is not valid"),
