--- a/src/aspenbridge/http/_customers.py
+++ b/src/aspenbridge/http/_customers.py
@@ -70,21 +70,21 @@
     chat, routes = ChatRoutes(host), CustomerRoutes(host)
     endpoints.add(chat.chat, "/v1/chat/completions", "POST")
     endpoints.add(routes.code, "/v1/coding", "POST")
-    endpoints.add(routes.read_code, "/v1/coding/<request_id>", "GET")
-    endpoints.add(routes.models, "/v1/models", "GET")
+    endpoints.add(routes.read_code, "/v1/coding/<request_id>", "GET", always=True)
+    endpoints.add(routes.models, "/v1/models", "GET", always=True)
     service = "/v1/services/<service>/<path:path>"
     endpoints.add(routes.call, service, "GET", "POST", "PUT", "DELETE")
     _add_batch_routes(endpoints, BatchRoutes(host))
 
 
 def _add_batch_routes(endpoints: Endpoints, routes: BatchRoutes) -> None:
-    endpoints.add(routes.upload, "/v1/files", "POST", reads_itself=True)
-    endpoints.add(routes.file, "/v1/files/<file_id>", "GET")
-    endpoints.add(routes.content, "/v1/files/<file_id>/content", "GET")
+    endpoints.add(routes.upload, "/v1/files", "POST", takes_file=True)
+    endpoints.add(routes.file, "/v1/files/<file_id>", "GET", always=True)
+    endpoints.add(routes.content, "/v1/files/<file_id>/content", "GET", always=True)
     endpoints.add(routes.submit, "/v1/batches", "POST")
-    endpoints.add(routes.job, "/v1/batches/<job_id>", "GET")
-    endpoints.add(routes.cancel, "/v1/batches/<job_id>/cancel", "POST")
-    endpoints.add(routes.results, "/v1/batches/<job_id>/results", "GET")
+    endpoints.add(routes.job, "/v1/batches/<job_id>", "GET", always=True)
+    endpoints.add(routes.cancel, "/v1/batches/<job_id>/cancel", "POST", always=True)
+    endpoints.add(routes.results, "/v1/batches/<job_id>/results", "GET", always=True)
 
 
 def _coding(record: CodingRecord) -> dict[str, Any]:
--- a/src/aspenbridge/http/_endpoints.py
+++ b/src/aspenbridge/http/_endpoints.py
@@ -7,7 +7,7 @@
 
 from opentelemetry.trace import SpanKind, use_span
 
-from aspenbridge.result_codes import Problem, ProblemError, ResultCode
+from aspenbridge.result_codes import ProblemError
 from aspenbridge.telemetry import TRACEPARENT, current_traceparent, parent_context
 
 from ._auth import authenticate
@@ -22,8 +22,6 @@
 
     Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
 
-RETRY_AFTER_S = 1.0
-
 
 class Endpoints:
     """Adds customers' routes to an application."""
@@ -33,57 +31,61 @@
         self._host = host
 
     def add(
-        self, handler: Handler, path: str, *methods: str, reads_itself: bool = False
+        self,
+        handler: Handler,
+        path: str,
+        *methods: str,
+        always: bool = False,
+        takes_file: bool = False,
     ) -> None:
         """
         Add one route.
 
         :param handler: is given the request, the customer's name and the
             parameters of the path.
-        :param reads_itself: the handler reads the body after the key check.
+        :param always: the route starts no work, so it is never refused.
+        :param takes_file: the handler reads the body after the key check.
         """
         name = path.replace("/", "_").replace("<", "").replace(">", "")
         name = f"{name}_{methods[0].lower()}".replace(":", "_")
         self._app.add_route(
-            self._wrapped(handler, f"{methods[0]} {path}", handler.__name__),
+            self._wrapped(handler, f"{methods[0]} {path}", always),
             path,
             methods=list(methods),
             name=name,
-            stream=reads_itself,
+            stream=takes_file,
         )
 
-    def _wrapped(self, handler: Handler, span_name: str, metric: str) -> Handler:
+    def _wrapped(self, handler: Handler, span_name: str, always: bool) -> Handler:
         ports = self._host.ports
+        metric = f"http.{handler.__name__}"
 
         async def endpoint(request: Request, **values: Any) -> HTTPResponse | None:
             parent = parent_context(request.headers.get(TRACEPARENT))
             span = ports.tracer.start_span(span_name, parent, SpanKind.SERVER)
             started_s = time.perf_counter()
             with self._host.running.one(), use_span(span, end_on_exit=True):
-                response = await self._answer(handler, request, values)
+                response = await self._answer(handler, request, values, always)
                 _pass_on_trace(response)
-            ports.metrics.time(f"http.{metric}", time.perf_counter() - started_s)
+            ports.metrics.time(metric, time.perf_counter() - started_s)
             return response
 
         return endpoint
 
     async def _answer(
-        self, handler: Handler, request: Request, values: dict[str, Any]
+        self, handler: Handler, request: Request, values: dict[str, Any], always: bool
     ) -> HTTPResponse | None:
         try:
-            return await handler(request, self._customer(request), **values)
+            return await handler(request, self._customer(request, always), **values)
         except ProblemError as error:
             self._host.ports.metrics.count(f"http.problem.{int(error.problem.code)}")
             return problem_reply(error.problem)
 
-    def _customer(self, request: Request) -> str:
+    def _customer(self, request: Request, always: bool) -> str:
         caller = authenticate(request, self._host.view, "customer")
-        if not self._host.accepting:
-            detail = f"this host is {self._host.state}"
-            problem = Problem(
-                ResultCode.SHUTTING_DOWN, detail, retry_after_s=RETRY_AFTER_S
-            )
-            raise problem.error()
+        refusal = None if always else self._host.refusal()
+        if refusal is not None:
+            raise refusal.error()
         return caller.name
 
 
