--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -12,13 +12,15 @@
 from returns.result import Failure
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
-from aspenbridge.configuration import Authority, Follower, View
+from aspenbridge.configuration import Authority, Follower, Spread, View
 from aspenbridge.lifecycle import load_chart
+from aspenbridge.limits import RetryBudget
 from aspenbridge.membership import Members, Prober, register
 from aspenbridge.online import Calls, Coding, Generator
-from aspenbridge.peers import Ack, Probe
+from aspenbridge.peers import ChangesRequest, Probe, RevisionNotice
 from aspenbridge.ports import NoMetrics
-from aspenbridge.scheduling import LocalAdmission
+from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
 
 from ._errors import StartError
@@ -32,6 +34,7 @@
 
     from opentelemetry.trace import Tracer
 
+    from aspenbridge.configuration import Notified
     from aspenbridge.membership import Identity
     from aspenbridge.ports import (
         Clock,
@@ -48,6 +51,7 @@
 
 logger = logging.getLogger(__name__)
 BATCH_IDLE_S = 0.5
+FRESHNESS_INTERVAL_S = 0.5
 ACCEPTING = frozenset({"ready", "leaving"})
 
 
@@ -83,9 +87,12 @@
         clock, random = ports.clock, ports.random
         self.store = Store(ports.table, clock, random)
         self.view = View()
-        self.authority = Authority(self.store, clock)
-        self.follower = Follower(self.store, clock, self.view)
         self.members = Members(clock)
+        self.follower = Follower(self.store, clock, self.view, ports.peers)
+        self.spread = Spread(
+            self.follower, self.members, ports.peers, clock, settings.configuration
+        )
+        self.authority = Authority(self.store, clock, self.spread.reaches_majority)
         self.prober = Prober(
             self.identity,
             self.members,
@@ -95,8 +102,27 @@
             random,
             settings.membership,
         )
-        self.admission = LocalAdmission(clock, random)
-        self.generator = Generator(self.view, self.admission, ports.engines, random)
+        self.prober.spread = self.follower
+        self.scheduler = Scheduler(
+            settings,
+            self.identity,
+            self.members,
+            lambda: self.prober.state != "live",
+            self.view,
+            ports.peers,
+            ports.engines,
+            clock,
+            random,
+        )
+        self.admission = self.scheduler.admission
+        self.generator = Generator(
+            self.view,
+            self.admission,
+            ports.engines,
+            clock,
+            random,
+            RetryBudget(settings.limits.retry_budget),
+        )
         group = GroupCommitter(self.store, clock)
         self.coding = Coding(
             self.identity, self.store, group, self.generator, clock, random
@@ -171,13 +197,14 @@
         await self._register()
         await self._load_configuration()
         intervals = self.settings
-        self._every(
-            intervals.configuration.poll_interval_s, self._refresh_configuration
-        )
+        self._start(self._follow_configuration())
+        self._every(FRESHNESS_INTERVAL_S, self._judge_configuration)
         self._every(intervals.membership.probe_interval_s, self.prober.probe_one)
         self._every(
             intervals.membership.host_list_interval_s, self.prober.read_host_list
         )
+        for loop in self.scheduler.loops():
+            self._start(loop())
         self._start(self._batch_loop())
         return self
 
@@ -193,7 +220,11 @@
         """Answer a message of another host."""
         if isinstance(message, Probe):
             return self.prober.answer(message)
-        return Ack(ok=False, detail=f"{type(message).__name__} is not known here")
+        if isinstance(message, ChangesRequest):
+            return self.follower.answer(message)
+        if isinstance(message, RevisionNotice):
+            return await self.spread.answer(message)
+        return await self.scheduler.handle(message)
 
     async def _register(self) -> None:
         registered = await register(
@@ -213,8 +244,27 @@
             raise StartError("the configuration can't be read")
         self._event("current")
 
-    async def _refresh_configuration(self) -> None:
-        await self.follower.refresh()
+    def refusal(self) -> Problem | None:
+        """Return why this host takes no new work, or None."""
+        detail = f"host {self.settings.host.name!r} is {self.state}"
+        unknown = self.state in ("starting", "uncertain")
+        if unknown or (self.accepting and not self.spread.may_serve()):
+            return Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=1.0)
+        if not self.accepting:
+            return Problem(ResultCode.SHUTTING_DOWN, detail, retry_after_s=1.0)
+        return None
+
+    async def announce(self, revision: int) -> Notified:
+        """Bring an accepted revision into force here and tell the others."""
+        return await self.spread.announce(revision, str(self._peer))
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            await self.follower.refresh()
+            await self.spread.wait_for_poll(self.ports.random.uniform(0.9, 1.1))
+
+    async def _judge_configuration(self) -> None:
+        self._event("current" if self.spread.may_serve() else "unsure")
 
     def _event(self, event: str) -> None:
         if not self._chart.allows(self.state, event):
