--- a/src/aspenbridge/online/_coding_runs.py
+++ b/src/aspenbridge/online/_coding_runs.py
@@ -45,6 +45,7 @@
         ResultCode.CONFIGURATION_UNKNOWN,
     }
 )
+REPEATED_CODES = frozenset({ResultCode.BACKEND_FAILED, ResultCode.STREAM_TRUNCATED})
 
 
 class CodingRuns:
@@ -224,7 +225,7 @@
 
 
 def _attempts(code: ResultCode) -> int:
-    return BACKEND_ATTEMPTS if code is ResultCode.BACKEND_FAILED else 1
+    return BACKEND_ATTEMPTS if code in REPEATED_CODES else 1
 
 
 def _done(record: CodingRecord, generation: Generation) -> CodingRecord:
--- /dev/null
+++ b/tests/online/test_calls.py
@@ -0,0 +1,166 @@
+"""A booking runs at most once and each loss is told truthfully."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from aspenbridge.ports import CallOutcome, ServiceFailure, ServiceReply
+from aspenbridge.result_codes import Execution, ResultCode
+from tests.online.test_coding import lost_reply
+from tests.support.cluster import Cluster
+from tests.support.virtual_loop import run_virtual
+
+
+class Service:
+    """Runs bookings slowly, or fails before or after their run."""
+
+    def __init__(self, cluster, *, takes_s=0.0, before=None, after=None, status=201):
+        self._ledger = cluster.fleet.ledger
+        self.takes_s = takes_s
+        self.before = before
+        self.after = after
+        self.status = status
+
+    async def call(self, call, deadline_s):
+        if self.before is not None:
+            raise ServiceFailure(call.address, self.before, "no byte went out")
+        reply = self._ledger.book(call)
+        await asyncio.sleep(self.takes_s)
+        if self.after is not None:
+            raise ServiceFailure(call.address, self.after, "the connection broke")
+        return attrs.evolve(reply, status=self.status)
+
+
+def use(cluster, number, service):
+    cluster.hosts[number].calls._services = service
+
+
+def test_resend_waits_for_the_first_call_when_it_is_in_flight() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 1) as cluster:
+            await cluster.start(1, 2)
+            use(cluster, 1, Service(cluster, takes_s=3.0))
+            first = asyncio.create_task(cluster.book(1))
+            await asyncio.sleep(0.5)
+            second = await cluster.book(2)
+            return (await first).unwrap(), second.unwrap(), cluster.bookings
+
+    first, second, runs = run_virtual(scenario)
+    assert first == second
+    assert runs == 1
+
+
+def test_resend_learns_unknown_when_the_host_died_after_journalling() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 2) as cluster:
+            await cluster.start(1, 2, 3)
+            use(cluster, 1, Service(cluster, takes_s=100.0))
+            first = asyncio.create_task(cluster.book(1))
+            await asyncio.sleep(0.5)
+            await cluster.kill(1)
+            first.cancel()
+            started_s = clock.now_s()
+            second = await cluster.book(2, limit_s=60.0)
+            waited_s = clock.now_s() - started_s
+            third = await cluster.book(3)
+            return second.failure(), third.failure(), waited_s, cluster.bookings
+
+    second, third, waited_s, runs = run_virtual(scenario)
+    assert second.code is third.code is ResultCode.OUTCOME_UNKNOWN
+    assert second.execution is Execution.UNKNOWN
+    assert waited_s < 15.0
+    assert runs == 1
+
+
+def test_resend_runs_when_no_byte_of_the_first_call_went_out() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 3) as cluster:
+            await cluster.start(1, 2)
+            use(cluster, 1, Service(cluster, before=CallOutcome.NOT_SENT))
+            first = await cluster.book(1)
+            second = await cluster.book(2)
+            third = await cluster.book(1)
+            return first.failure(), second.unwrap(), third.unwrap(), cluster.bookings
+
+    first, second, third, runs = run_virtual(scenario)
+    assert first.execution is Execution.NOT_RUN
+    assert second == third
+    assert runs == 1
+
+
+def test_answer_says_unknown_when_the_connection_broke_after_sending() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 4) as cluster:
+            await cluster.start(1, 2)
+            use(cluster, 1, Service(cluster, after=CallOutcome.BROKEN))
+            first = await cluster.book(1)
+            second = await cluster.book(2)
+            return first.failure(), second.failure(), cluster.bookings
+
+    first, second, runs = run_virtual(scenario)
+    assert first.code is second.code is ResultCode.OUTCOME_UNKNOWN
+    assert runs == 1
+
+
+@pytest.mark.parametrize("applied", [True, False])
+def test_not_run_is_true_when_the_journal_write_was_ambiguous(applied) -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 5) as cluster:
+            await cluster.start(1, 2)
+            link = cluster.links[1]
+            transact = link.transact
+            late = []
+
+            async def lose(transaction):
+                link.down = True
+                link.transact = transact
+                late.append(transaction)
+                if applied:
+                    await cluster.fleet.table.transact(transaction)
+                return lost_reply()
+
+            link.transact = lose
+            first = await cluster.book(1)
+            link.down = False
+            await asyncio.sleep(10.0)
+            await cluster.fleet.table.transact(late[0])
+            runs = cluster.bookings
+            second = await cluster.book(2)
+            return first.failure(), runs, second.unwrap(), cluster.bookings
+
+    first, runs, second, runs_after = run_virtual(scenario)
+    assert first.execution is Execution.NOT_RUN
+    assert (runs, runs_after) == (0, 1)
+    assert isinstance(second, ServiceReply)
+
+
+def test_reply_is_kept_when_the_store_is_down_after_the_call() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 6) as cluster:
+            await cluster.start(1, 2)
+            use(cluster, 1, Service(cluster, takes_s=2.0))
+            first = asyncio.create_task(cluster.book(1))
+            await asyncio.sleep(1.0)
+            cluster.links[1].down = True
+            answer = await first
+            await asyncio.sleep(60.0)
+            cluster.links[1].down = False
+            second = await cluster.book(2)
+            return answer.unwrap(), second.unwrap(), cluster.bookings
+
+    first, second, runs = run_virtual(scenario)
+    assert first == second
+    assert runs == 1
+
+
+def test_status_of_the_service_passes_through_when_it_refuses() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 7) as cluster:
+            await cluster.start(1)
+            use(cluster, 1, Service(cluster, status=409))
+            return [(await cluster.book(1)).unwrap().status for _ in range(2)]
+
+    assert run_virtual(scenario) == [409, 409]
--- /dev/null
+++ b/tests/online/test_coding.py
@@ -0,0 +1,161 @@
+"""Coding requests are answered once and told of truthfully."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from aspenbridge.result_codes import Execution, ResultCode
+from tests.support.cluster import Cluster
+from tests.support.virtual_loop import run_virtual
+
+DAY_S = 86_400.0
+
+
+async def read(cluster, number, request_id):
+    return (await cluster.hosts[number].coding.read("kgotso", request_id)).unwrap()
+
+
+async def ended(cluster, number, request_id):
+    return (await read(cluster, number, request_id)).ended
+
+
+def started(cluster):
+    return sum(engine.started for engine in cluster.fleet.engines.engines.values())
+
+
+def test_deadline_answer_says_unknown_when_the_request_still_runs() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 1) as cluster:
+            await cluster.start(1, 2)
+            work = cluster.work(1, "long", tokens=800, limit_s=0.5)
+            answer = await cluster.hosts[1].coding.submit(work, "k")
+            await cluster.until(lambda: ended(cluster, 2, work.work_id))
+            return answer.failure(), await read(cluster, 2, work.work_id)
+
+    problem, record = run_virtual(scenario)
+    assert problem.code is ResultCode.DEADLINE_EXCEEDED
+    assert problem.execution is Execution.UNKNOWN
+    assert record.state == "done"
+
+
+def test_refusal_is_true_when_the_store_is_down() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 2) as cluster:
+            await cluster.start(1, 2)
+            cluster.links[1].down = True
+            work = cluster.work(1, "refused")
+            answer = await cluster.hosts[1].coding.submit(work, "k")
+            cluster.links[1].down = False
+            await asyncio.sleep(60.0)
+            found = await cluster.hosts[2].coding.read("kgotso", work.work_id)
+            return answer.failure(), found.failure(), started(cluster)
+
+    problem, found, runs = run_virtual(scenario)
+    assert (problem.code, problem.execution) == (
+        ResultCode.STORE_UNAVAILABLE,
+        Execution.NOT_RUN,
+    )
+    assert found.code is ResultCode.NOT_FOUND
+    assert runs == 0
+
+
+@pytest.mark.parametrize("applied", [True, False])
+def test_ambiguous_acceptance_is_told_and_settles_when_the_store_is_back(
+    applied,
+) -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 3) as cluster:
+            await cluster.start(1, 2)
+            link = cluster.links[1]
+            transact = link.transact
+
+            async def lose(transaction):
+                link.down = True
+                link.transact = transact
+                if applied:
+                    await cluster.fleet.table.transact(transaction)
+                return lost_reply()
+
+            link.transact = lose
+            work = cluster.work(1, "ambiguous")
+            answer = await cluster.hosts[1].coding.submit(work, "k")
+            await asyncio.sleep(30.0)
+            link.down = False
+            await asyncio.sleep(15.0)
+            again = await cluster.hosts[2].coding.submit(
+                cluster.work(2, "ambiguous"), "k"
+            )
+            return answer.failure(), again.unwrap(), work.work_id, started(cluster)
+
+    problem, record, request_id, runs = run_virtual(scenario)
+    assert problem.code is ResultCode.OUTCOME_UNKNOWN
+    assert record.request_id == request_id
+    assert (record.state, runs) == ("done", 1)
+
+
+def lost_reply():
+    from returns.result import Failure
+
+    from aspenbridge.ports import Unavailable
+
+    return Failure(Unavailable("the reply was lost", maybe_applied=True))
+
+
+def test_answer_is_recorded_when_the_store_is_down_at_its_end() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 4) as cluster:
+            await cluster.start(1, 2)
+            work = cluster.work(1, "outage", tokens=200, limit_s=5.0)
+            submitted = asyncio.create_task(cluster.hosts[1].coding.submit(work, "k"))
+            await asyncio.sleep(0.2)
+            for link in cluster.links.values():
+                link.down = True
+            answer = await submitted
+            await asyncio.sleep(60.0)
+            for link in cluster.links.values():
+                link.down = False
+            took_s = await cluster.until(lambda: ended(cluster, 2, work.work_id))
+            return answer.failure().execution, took_s, started(cluster)
+
+    execution, took_s, runs = run_virtual(scenario)
+    assert execution is Execution.UNKNOWN
+    assert took_s < 10.0
+    assert runs == 1
+
+
+def test_resend_gets_the_first_answer_when_it_comes_a_day_later() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 5) as cluster:
+            await cluster.start(1)
+            first = await cluster.hosts[1].coding.submit(cluster.work(1, "a"), "k")
+            await cluster.kill(1)
+            await asyncio.sleep(DAY_S)
+            await cluster._start(2)
+            await asyncio.sleep(60.0)
+            again = await cluster.hosts[2].coding.submit(cluster.work(2, "a"), "k")
+            other = await cluster.hosts[2].coding.submit(cluster.work(2, "b"), "k")
+            return first.unwrap(), again.unwrap(), other.failure(), started(cluster)
+
+    first, again, other, runs = run_virtual(scenario)
+    assert first == again
+    assert other.code is ResultCode.IDEMPOTENCY_CONFLICT
+    assert runs == 1
+
+
+def test_resend_attaches_to_the_run_when_it_comes_by_another_host() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 6) as cluster:
+            await cluster.start(1, 2)
+            first = asyncio.create_task(
+                cluster.hosts[1].coding.submit(cluster.work(1, "a", tokens=300), "k")
+            )
+            await asyncio.sleep(0.2)
+            again = cluster.work(2, "a", tokens=300)
+            second = await cluster.hosts[2].coding.submit(again, "k")
+            return (await first).unwrap(), second.unwrap(), started(cluster)
+
+    first, second, runs = run_virtual(scenario)
+    assert first == second
+    assert runs == 1
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -10,7 +10,7 @@
 import attrs
 from returns.result import Failure
 
-from aspenbridge.demo._fleet import MODEL, Fleet, configuration
+from aspenbridge.demo._fleet import MODEL, SERVICE, Fleet, configuration
 from aspenbridge.host import HostCore
 from aspenbridge.ports import PeerAddress, PeerUnreachableError, Unavailable
 from aspenbridge.settings import BatchSettings, HostSettings, Settings
@@ -174,6 +174,26 @@
             await asyncio.sleep(0.1)
         return self.clock.now_s() - started_s
 
+    async def answers(self, number: int, job) -> list[str]:
+        """Return the custom_id of each counted result."""
+        read = await self.hosts[number].jobs.outcomes(job.customer, job.job_id)
+        return [outcome.custom_id for outcome in read.unwrap()]
+
+    async def book(self, number: int, key: str | None = "b", limit_s: float = 20.0):
+        return await self.hosts[number].calls.call(
+            "lainaamo",
+            SERVICE,
+            "POST",
+            "/bookings",
+            b'{"tool": "chainsaw"}',
+            key,
+            self.clock.now_s() + limit_s,
+        )
+
+    @property
+    def bookings(self) -> int:
+        return sum(self.fleet.ledger.runs.values())
+
     async def job_ended(self, number: int, job) -> bool:
         status = await self.hosts[number].jobs.status(job.customer, job.job_id)
         return status.unwrap().job.state == "completed"
