Report a span, a timer and a counter for each hop

Ports are wrapped only when a collector or statsd is set, so that decision logic knows nothing of telemetry. Spans go from a bounded queue to the collector on the host's own loop; an unreachable one costs only the spans, and they are counted. The SDK's batch processor and Resource.create() were ruled out: both start threads. Logs are JSON lines. Events that came together from an engine leave as one.

--- a/src/aspenbridge/backends/_engines.py
+++ b/src/aspenbridge/backends/_engines.py
@@ -13,6 +13,7 @@
     EngineLoad,
     GeneratedChunk,
 )
+from aspenbridge.telemetry import TRACEPARENT, current_traceparent
 
 from ._session import never_sent
 
@@ -24,6 +25,7 @@
 DATA = b"data: "
 STALL_LIMIT_S = 30.0
 CONTROL_LIMIT_S = 2.0
+EVENT_LIMIT_BYTES = 1_000_000
 OK = 200
 CONFLICT = 409
 _decoder = msgspec.json.Decoder(GeneratedChunk)
@@ -49,14 +51,13 @@
         body = msgspec.json.encode(call)
         try:
             async with self._session.post(
-                url, data=body, timeout=self._stream_timeout
+                url, data=body, headers=_trace(), timeout=self._stream_timeout
             ) as response:
                 if response.status != OK:
                     reason = f"status {response.status}"
                     raise EngineFailure(engine.name, CallOutcome.REFUSED, reason)
-                async for line in response.content:
-                    if line.startswith(DATA):
-                        yield _decoder.decode(line[len(DATA) :])
+                async for chunk in _chunks(response.content):
+                    yield chunk
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise _failure(engine, error) from error
 
@@ -102,6 +103,38 @@
             raise _failure(engine, error) from error
 
 
+async def _chunks(
+    content: aiohttp.StreamReader,
+) -> AsyncGenerator[GeneratedChunk, None]:
+    """Yield one chunk for all events that have come since the last one."""
+    rest = b""
+    async for data in content.iter_any():
+        *lines, rest = (rest + data).split(b"\n")
+        if len(rest) > EVENT_LIMIT_BYTES:
+            raise msgspec.DecodeError(f"an event has more than {len(rest)} bytes")
+        chunks = [
+            _decoder.decode(line[len(DATA) :])
+            for line in lines
+            if line.startswith(DATA)
+        ]
+        if chunks:
+            yield chunks[0] if len(chunks) == 1 else _joined(chunks)
+
+
+def _joined(chunks: list[GeneratedChunk]) -> GeneratedChunk:
+    return GeneratedChunk(
+        text="".join(chunk.text for chunk in chunks),
+        tokens=sum(chunk.tokens for chunk in chunks),
+        finish_reason=chunks[-1].finish_reason,
+        cached_tokens=max(chunk.cached_tokens for chunk in chunks),
+    )
+
+
+def _trace() -> dict[str, str]:
+    traceparent = current_traceparent()
+    return {TRACEPARENT: traceparent} if traceparent else {}
+
+
 def _failure(engine: Engine, error: Exception) -> EngineFailure:
     outcome = CallOutcome.NOT_SENT if never_sent(error) else CallOutcome.BROKEN
     return EngineFailure(engine.name, outcome, type(error).__name__)
--- a/src/aspenbridge/backends/_services.py
+++ b/src/aspenbridge/backends/_services.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from aspenbridge.ports import CallOutcome, ServiceFailure, ServiceReply
+from aspenbridge.telemetry import TRACEPARENT, current_traceparent
 
 from ._session import never_sent
 
@@ -35,7 +36,7 @@
                 call.method,
                 url,
                 data=call.body,
-                headers={**call.headers, "x-call-id": call.call_id},
+                headers=_headers(call),
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
@@ -45,3 +46,11 @@
             outcome = CallOutcome.NOT_SENT if never_sent(error) else CallOutcome.BROKEN
             reason = type(error).__name__
             raise ServiceFailure(call.address, outcome, reason) from error
+
+
+def _headers(call: ServiceCall) -> dict[str, str]:
+    headers = {**call.headers, "x-call-id": call.call_id}
+    traceparent = current_traceparent()
+    if traceparent:
+        headers[TRACEPARENT] = traceparent
+    return headers
--- a/src/aspenbridge/commands/_serve.py
+++ b/src/aspenbridge/commands/_serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import ClassVar
 
 from cleo.commands.command import Command
@@ -10,6 +9,7 @@
 from returns.result import Failure
 
 from aspenbridge.settings import load_settings
+from aspenbridge.telemetry import configure_logs
 
 from ._exit_codes import BAD_SETTINGS, UNREACHABLE
 
@@ -29,7 +29,7 @@
                 self.line_error(str(error))
             return BAD_SETTINGS
         settings = loaded.unwrap()
-        logging.basicConfig(level=settings.telemetry.log_level.upper())
+        configure_logs(settings.telemetry.log_level)
         from aspenbridge.host import StartError
         from aspenbridge.host.server import serve
         from aspenbridge.loop import run_on_loop
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -22,6 +22,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
+from aspenbridge.telemetry import Hops, MeasuredAdmission
 
 from ._errors import StartError
 from ._running import RunningWork
@@ -117,7 +118,7 @@
         self.admission = self.scheduler.admission
         self.generator = Generator(
             self.view,
-            self.admission,
+            MeasuredAdmission(self.admission, Hops(ports.tracer, ports.metrics)),
             ports.engines,
             clock,
             random,
--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -24,6 +24,7 @@
 from aspenbridge.loop import listening_socket
 from aspenbridge.peers.rpc import CapnpTransport, PeerServer
 from aspenbridge.ports import PeerAddress
+from aspenbridge.telemetry.setup import open_telemetry
 
 from ._core import HostCore, Ports
 
@@ -54,10 +55,14 @@
         peer = PeerAddress(settings.listen.ip, settings.listen.peer_port)
         clock = SystemClock()
         transport = await stack.enter_async_context(CapnpTransport(clock))
-        ports = _ports(settings, session, clock, transport)
+        telemetry = open_telemetry(stack, settings, session, clock)
+        ports = telemetry.measured(_ports(settings, session, clock, transport))
         host = HostCore(settings, ports, peer)
         await stack.enter_async_context(PeerServer(host, peer))
         await stack.enter_async_context(host)
+        if telemetry.sender is not None:
+            host.supervisor.start(telemetry.sender.run())
+            stack.push_async_callback(telemetry.sender.flush)
         await _listen(stack, host)
         logger.info("host %s listens", settings.host.name)
         faulty = await _stopped_or_faulty(stopping, host)
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -136,6 +136,7 @@
 
     statsd: str = option("", "Address of statsd; empty for none.")
     trace_endpoint: str = option("", "OTLP address of the collector; empty for none.")
+    trace_share: float = option(1.0, "Part of the traces that are recorded.")
     log_level: str = option(
         "info", "Lowest level logged.", choices=("debug", "info", "warning", "error")
     )
