--- a/src/aspenbridge/configuration/__init__.py
+++ b/src/aspenbridge/configuration/__init__.py
@@ -6,6 +6,7 @@
 from ._follower import Follower
 from ._freshness import FreshnessPolicy, Knowledge, Verdict
 from ._objects import (
+    AdapterSpec,
     Change,
     ConfigObject,
     CustomerSpec,
@@ -19,10 +20,12 @@
     ServiceSpec,
     spec_class,
 )
+from ._placement import Reason
 from ._spread import Notified, Spread
 from ._view import View
 
 __all__ = [
+    "AdapterSpec",
     "Authority",
     "Change",
     "ConfigObject",
@@ -35,6 +38,7 @@
     "ModelSpec",
     "Notified",
     "OperatorSpec",
+    "Reason",
     "RecallSpec",
     "Route",
     "SelectorSpec",
--- a/src/aspenbridge/configuration/_objects.py
+++ b/src/aspenbridge/configuration/_objects.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Literal
 
 import attrs
 
@@ -29,6 +29,13 @@
     version: str
 
 
+@attrs.frozen
+class AdapterSpec:
+    """An adapter, by the name that engines list it under."""
+
+    model: str
+
+
 @attrs.frozen
 class CustomerSpec:
     """A customer, its API keys as salted hashes and its weight."""
@@ -80,13 +87,18 @@
 
 @attrs.frozen
 class RecallSpec:
-    """Model versions or adapters taken out of use."""
+    """
+    Model versions or adapters taken out of use.
+
+    Running work is stopped and run again elsewhere, or left to finish.
+    """
 
     selector: str
-    running: str = "stop"
+    running: Literal["stop", "finish"] = "stop"
 
 
 _SPEC_CLASSES: dict[str, type] = {
+    "adapter": AdapterSpec,
     "customer": CustomerSpec,
     "drain": DrainSpec,
     "engine": EngineSpec,
--- a/src/aspenbridge/configuration/_validation.py
+++ b/src/aspenbridge/configuration/_validation.py
@@ -8,17 +8,18 @@
 
 import attrs
 import msgspec
+from returns.result import Failure
 
 from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.selectors import ENGINE, SERVED, WORK, Scope, parse_selector
 
-from ._objects import ConfigObject, spec_class
+from ._objects import ConfigObject, DrainSpec, RecallSpec, SelectorSpec, spec_class
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_.@+-]{0,127}")
 LABEL_VALUE_LIMIT = 128
-RUNNING_CHOICES = ("stop", "finish")
 
 
 def find_fault(
@@ -58,11 +59,28 @@
     if unknown:
         return _bad(place, f"there is no field {unknown[0]!r}")
     try:
-        msgspec.convert(item.spec, type=known)
+        spec: object = msgspec.convert(item.spec, type=known)
     except msgspec.ValidationError as error:
         return _bad(place, str(error))
+    for scope, text in _selectors(spec):
+        parsed = parse_selector(text, scope)
+        if isinstance(parsed, Failure):
+            detail = f"{place}: {parsed.failure()}"
+            return Problem(ResultCode.BAD_SELECTOR, detail)
     return None
 
 
+def _selectors(spec: object) -> list[tuple[Scope, str]]:
+    match spec:
+        case SelectorSpec():
+            return [(WORK, spec.work), (ENGINE, spec.engines)]
+        case DrainSpec():
+            return [(ENGINE, spec.engines)]
+        case RecallSpec():
+            return [(SERVED, spec.selector)]
+        case _:
+            return []
+
+
 def _bad(place: str, reason: str) -> Problem:
     return Problem(ResultCode.BAD_CONFIGURATION, f"{place}: {reason}")
--- a/src/aspenbridge/configuration/_view.py
+++ b/src/aspenbridge/configuration/_view.py
@@ -6,20 +6,16 @@
 
 import msgspec
 
-from aspenbridge.ports import Engine
-
-from ._objects import (
-    Change,
-    ConfigObject,
-    CustomerSpec,
-    EngineSpec,
-    RecallSpec,
-    ServiceSpec,
-    spec_class,
-)
+from ._objects import Change, ConfigObject, CustomerSpec, ServiceSpec, spec_class
+from ._placement import Placement
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
+
+    from aspenbridge.ports import Engine
+
+    from ._placement import Reason
+    from ._subjects import PlacedWork
 
 
 class View:
@@ -27,9 +23,18 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.placement = Placement()
         self._objects: dict[tuple[str, str], ConfigObject] = {}
         self._specs: dict[tuple[str, str], Any] = {}
-        self._engines: dict[str, Engine] = {}
+        self._watchers: list[Callable[[], None]] = []
+
+    @property
+    def _engines(self) -> dict[str, Engine]:
+        return self.placement.engines
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Call a function after each move to a higher revision."""
+        self._watchers.append(watcher)
 
     def replace(self, revision: int, objects: Iterable[ConfigObject]) -> bool:
         """Take over a whole snapshot; return False when it is not newer."""
@@ -37,10 +42,10 @@
             return False
         self._objects.clear()
         self._specs.clear()
-        self._engines.clear()
+        self.placement.clear()
         for item in objects:
             self._put(item)
-        self.revision = revision
+        self._moved_to(revision)
         return True
 
     def apply(self, change: Change) -> bool:
@@ -51,7 +56,7 @@
             self._remove(kind, name)
         for item in change.put:
             self._put(item)
-        self.revision = change.revision
+        self._moved_to(change.revision)
         return True
 
     def find(self, kind: str, name: str) -> ConfigObject | None:
@@ -82,51 +87,63 @@
 
     def recalled(self, engine: Engine) -> bool:
         """Return whether the engine's model version is recalled."""
-        served = f"{engine.model}@{engine.version}"
-        recalls = (
-            spec for spec in self._specs.values() if isinstance(spec, RecallSpec)
-        )
-        return any(spec.selector == served for spec in recalls)
+        return bool(self.placement.recalls_of(engine.serving(None)))
 
     def eligible(self, model: str, adapter: str | None) -> tuple[Engine, ...]:
-        """Return the engines that may run a model, recalled ones left out."""
-        return tuple(
-            engine
-            for engine in self._engines.values()
-            if engine.model == model
-            and (adapter is None or adapter in engine.adapters)
-            and not self.recalled(engine)
-        )
+        """Return the engines that may run a model, whatever the work is."""
+        return self._running(model, adapter, frozenset())
+
+    def eligible_for(self, work: PlacedWork) -> tuple[Engine, ...]:
+        """Return the engines that may run a piece of work."""
+        rules = self.placement.rules_for(work)
+        return self._running(work.model, work.adapter, rules)
+
+    def reasons_against(self, work: PlacedWork, engine: Engine) -> list[Reason]:
+        """Return why an engine may not run a piece of work."""
+        return self.placement.reasons(work, engine)
+
+    def allows(self, work: PlacedWork, engine: Engine) -> bool:
+        """Return whether an engine may begin a piece of work."""
+        return any(item.name == engine.name for item in self.eligible_for(work))
+
+    def must_stop(self, work: PlacedWork, engine: Engine) -> bool:
+        """
+        Return whether work that runs on an engine has to leave it.
+
+        A drain lets running work end; so does a recall that says so.
+        """
+        placement = self.placement
+        if placement.withdrawn(engine.serving(work.adapter)):
+            return True
+        return bool(placement.forbidding_rules(placement.rules_for(work), engine))
 
     def has_model(self, model: str) -> bool:
         """Return whether any version of the model is configured."""
-        return any(engine.model == model for engine in self._engines.values())
+        return bool(self.placement.carriers(model, None))
+
+    def _running(
+        self, model: str, adapter: str | None, rules: frozenset[str]
+    ) -> tuple[Engine, ...]:
+        allowed = self.placement.allowed(model, adapter, rules)
+        if not self.placement.has_recalls:
+            return allowed
+        if adapter is not None and self.placement.recalls_of(adapter):
+            return ()
+        return tuple(engine for engine in allowed if not self.recalled(engine))
+
+    def _moved_to(self, revision: int) -> None:
+        self.revision = revision
+        for watcher in self._watchers:
+            watcher()
 
     def _put(self, item: ConfigObject) -> None:
         place = (item.kind, item.name)
         spec: Any = msgspec.convert(item.spec, type=spec_class(item.kind))
         self._objects[place] = item
         self._specs[place] = spec
-        if isinstance(spec, EngineSpec):
-            self._engines[item.name] = _engine(item, spec)
+        self.placement.put(item, spec)
 
     def _remove(self, kind: str, name: str) -> None:
         self._objects.pop((kind, name), None)
         self._specs.pop((kind, name), None)
-        if kind == "engine":
-            self._engines.pop(name, None)
-
-
-def _engine(item: ConfigObject, spec: EngineSpec) -> Engine:
-    return Engine(
-        name=item.name,
-        address=spec.address,
-        region=spec.region,
-        failure_domain=spec.failure_domain,
-        model=spec.model,
-        version=spec.version,
-        adapters=spec.adapters,
-        fenced_orders=spec.fenced_orders,
-        max_sequences=spec.max_sequences,
-        labels=item.labels,
-    )
+        self.placement.remove(kind, name)
--- a/src/aspenbridge/http/_customers.py
+++ b/src/aspenbridge/http/_customers.py
@@ -82,7 +82,7 @@
         return json_reply(_completion(generation))
 
     async def _stream(self, request: Request, work: Work) -> None:
-        generation = Generation(work)
+        generation = Generation(work, streamed=True)
         chunks = self._host.generator.run(generation)
         first = await anext(chunks)
         response = await request.respond(content_type=EVENT_STREAM)
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -9,6 +9,7 @@
 
 from aspenbridge.limits import RetryBudget
 from aspenbridge.ports import CallOutcome, EngineFailure, Generate
+from aspenbridge.recall import PlacedGrants
 from aspenbridge.result_codes import Execution, Problem, ResultCode
 from aspenbridge.work import new_id
 
@@ -37,6 +38,13 @@
     served_by: list[str] = attrs.field(factory=list)
     failed_on: set[str] = attrs.field(factory=set)
     revocations: int = 0
+    streamed: bool = False
+
+    def restart(self) -> None:
+        """Forget what was produced so far."""
+        self.text = ""
+        self.tokens = 0
+        self.served_by.clear()
 
     def add(self, chunk: GeneratedChunk) -> None:
         """Take in the next chunk."""
@@ -64,6 +72,7 @@
         self._clock = clock
         self._random = random
         self._budget = budget
+        self._placed = PlacedGrants(view)
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
         """
@@ -83,8 +92,9 @@
             grant = await self._place(generation)
             try:
                 async with aclosing(self._attempt(generation, grant)) as chunks:
-                    async for chunk in chunks:
-                        yield chunk
+                    with self._placed.hold(generation.work, grant):
+                        async for chunk in chunks:
+                            yield chunk
             except EngineFailure as failure:
                 if grant.revoked.is_set():
                     generation.revocations += 1
@@ -97,11 +107,34 @@
 
     async def _place(self, generation: Generation) -> Grant:
         work = generation.work
-        engines = self._view.eligible(work.model, work.adapter)
-        if not engines:
-            raise self._nowhere(work).error()
         avoid = frozenset(generation.failed_on)
-        return await self._admission.acquire(work, engines, avoid=avoid)
+        while True:
+            engines = self._view.eligible_for(work)
+            if not engines:
+                raise self._nowhere(work).error()
+            grant = await self._admission.acquire(work, engines, avoid=avoid)
+            problem = self._withdraw(generation)
+            if problem is None and self._view.allows(work, grant.engine):
+                return grant
+            self._admission.release(grant, tokens=0, failed=False)
+            if problem is not None:
+                raise problem.error()
+
+    def _withdraw(self, generation: Generation) -> Problem | None:
+        """
+        Drop what a model version produced that was recalled since.
+
+        :return: a problem when the caller has already received it.
+        """
+        placement = self._view.placement
+        recalled = [name for name in generation.served_by if placement.withdrawn(name)]
+        if not recalled:
+            return None
+        if generation.streamed and generation.tokens:
+            detail = f"{recalled[0]} was recalled while it answered"
+            return Problem(ResultCode.STREAM_TRUNCATED, detail)
+        generation.restart()
+        return None
 
     def _nowhere(self, work: Work) -> Problem:
         if self._view.has_model(work.model):
@@ -115,7 +148,7 @@
         work = generation.work
         engine = grant.engine
         call = self._call(generation)
-        served = f"{engine.model}@{engine.version}"
+        served = engine.serving(work.adapter)
         if served not in generation.served_by:
             generation.served_by.append(served)
         failed = False
--- a/src/aspenbridge/ports/__init__.py
+++ b/src/aspenbridge/ports/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._backends import (
+    ADAPTER_MARK,
     CallOutcome,
     Engine,
     EngineClient,
@@ -36,6 +37,7 @@
 from ._telemetry import Metrics, NoMetrics
 
 __all__ = [
+    "ADAPTER_MARK",
     "CallOutcome",
     "Check",
     "Clock",
--- a/src/aspenbridge/ports/_backends.py
+++ b/src/aspenbridge/ports/_backends.py
@@ -11,6 +11,9 @@
     from collections.abc import AsyncGenerator
 
 
+ADAPTER_MARK = "#"
+
+
 @attrs.frozen
 class Engine:
     """A model engine as the configuration describes it."""
@@ -26,6 +29,11 @@
     max_sequences: int = 32
     labels: dict[str, str] = attrs.field(factory=dict)
 
+    def serving(self, adapter: str | None) -> str:
+        """Return the model version, and the adapter if one is used."""
+        version = f"{self.model}@{self.version}"
+        return version if adapter is None else f"{version}{ADAPTER_MARK}{adapter}"
+
 
 @attrs.frozen
 class Generate:
