--- a/src/aspenbridge/selectors/_parser.py
+++ b/src/aspenbridge/selectors/_parser.py
@@ -110,5 +110,8 @@
 
 
 def _column(error: UnexpectedInput, text: str) -> int:
+    token = getattr(error, "token", None)
+    if token is not None and token.type == "$END":
+        return len(text) + 1
     column = getattr(error, "column", -1)
     return column if isinstance(column, int) and column > 0 else len(text) + 1
