--- a/src/aspenbridge/http/_chat.py
+++ b/src/aspenbridge/http/_chat.py
@@ -85,7 +85,7 @@
     async def chat(self, request: Request, customer: str) -> HTTPResponse | None:
         """Answer a chat completion."""
         work, body = chat_work(self._host, request, customer, "chat")
-        generation = Generation(work)
+        generation = Generation(work, streamed=bool(body.stream))
         async with aclosing(self._host.generator.run(generation)) as chunks:
             if body.stream:
                 await self._stream(request, work, chunks)
