Stop requests that crash engines after three crashes in the fleet

Cause: a request that crashed its engine was run again on the next one, and a resend under a new key by another host started anew.

Each request on an engine at its crash becomes a suspect, by a fingerprint of customer, model, adapter and prompt. Notices reach all peers at once and a durable row follows, through outages. A suspect runs alone among suspects on its engine and in one copy; completing clears it, the third crash convicts it. Unsuspected work costs no read and no write.

Ruled out: counting each copy of a prompt that ran on one engine, which would convict an innocent answer such as 'yes' by a single crash.

--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -32,6 +32,7 @@
     Probe,
     ProbeVia,
     RevisionNotice,
+    SuspectNotice,
 )
 from aspenbridge.ports import NoMetrics, PeerUnreachableError
 from aspenbridge.recovery import (
@@ -45,6 +46,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
+from aspenbridge.suspects import Suspects
 from aspenbridge.telemetry import Hops, MeasuredAdmission
 
 from ._errors import StartError
@@ -177,6 +179,14 @@
             settings.batch,
             lambda: len(self.members.live()) + 1,
         )
+        self.suspects = Suspects(
+            self.identity,
+            self.store,
+            clock,
+            self._broadcast,
+            lambda: len(self.members.live()) + 1,
+        )
+        self.generator.suspects = self.suspects
         self.jobs.on_submitted = self.batch.wake
         self.jobs.on_cancelled = self._spread_cancel
         self.registration = Registration(self.store, clock, random, settings.host, peer)
@@ -265,9 +275,11 @@
         self._every(CANCEL_CHECK_S, self.batch.check_cancelled)
         self._every(RECONCILE_INTERVAL_S, self.reconciler.run)
         self._start(self._sweep_loop())
+        self._start(self._suspects_loop())
         drops = (*self._work_stops(), self._forget_suspicions)
         self._start(self.registration.watch(drops))
         self._start(self.batch.run(lambda: self.ready))
+        self._stack.push_async_callback(self.suspects.aclose)
         for owner in (self.coding_runs, self.coding, self.calls, self.batch):
             self._stack.push_async_callback(owner.aclose)
         self._stack.push_async_callback(self.takeover.aclose)
@@ -290,6 +302,9 @@
         if isinstance(message, CancelNotice):
             self.batch.cancel(message.job)
             return Ack()
+        if isinstance(message, SuspectNotice):
+            self.suspects.hear(message)
+            return Ack()
         if isinstance(message, ChangesRequest):
             return self.follower.answer(message)
         if isinstance(message, RevisionNotice):
@@ -350,6 +365,11 @@
     async def _forget_suspicions(self) -> None:
         self.detector.reset()
 
+    async def _suspects_loop(self) -> None:
+        while True:
+            await self.suspects.refresh()
+            await self._pause(self.suspects.refresh_interval_s)
+
     async def _sweep_loop(self) -> None:
         while True:
             await self._pause(self.sweep.interval_s)
@@ -358,9 +378,11 @@
     def _spread_cancel(self, job_id: str) -> None:
         """Stop a job here and tell every other host."""
         self.batch.cancel(job_id)
-        notice = CancelNotice(job_id)
+        self._broadcast(CancelNotice(job_id))
+
+    def _broadcast(self, message: Any) -> None:
         for member in self.members.present():
-            self._start_notice(member.address, notice)
+            self._start_notice(member.address, message)
 
     def _start_notice(self, address: PeerAddress, message: Any) -> None:
         task = asyncio.ensure_future(self._notify(address, message))
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -13,6 +13,7 @@
 from aspenbridge.result_codes import Execution, Problem, ResultCode
 from aspenbridge.work import new_id
 
+from ._crash_guard import CrashGuard, NoGuard
 from ._watch import AttemptWatch
 
 if TYPE_CHECKING:
@@ -73,6 +74,7 @@
         self._random = random
         self._budget = budget
         self._placed = PlacedGrants(view)
+        self.suspects: CrashGuard = NoGuard()
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
         """
@@ -157,6 +159,7 @@
             self._engines, self._clock, grant, call.attempt_id, work.deadline_s
         )
         try:
+            await self.suspects.before(work, engine.name)
             with watch:
                 async with aclosing(self._engines.generate(engine, call)) as chunks:
                     async for chunk in chunks:
@@ -164,10 +167,13 @@
                         yield chunk
             if generation.finish_reason is None:
                 raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
-        except EngineFailure:
+        except EngineFailure as failure:
             failed = not (grant.revoked.is_set() or watch.expired)
+            if failed and failure.outcome is CallOutcome.BROKEN:
+                await self.suspects.crashed(work, engine.name)
             raise
         finally:
+            self._end_attempt(generation)
             if generation.finish_reason is None and not failed:
                 watch.abandon()
             self._admission.release(
@@ -177,6 +183,11 @@
                 cached_tokens=generation.cached_tokens,
             )
 
+    def _end_attempt(self, generation: Generation) -> None:
+        if generation.finish_reason is not None:
+            self.suspects.finished(generation.work)
+        self.suspects.ended(generation.work)
+
     def _call(self, generation: Generation) -> Generate:
         work = generation.work
         return Generate(
