Stop revoked work at its engine from the owner; keep places from floods

The owner now cancels at the engine itself, by the grant's id, and a customer beyond its share leaves a tenth of the places free.

Ruled out: a floor of service that only rises; refunds of unused tokens then put a returning customer behind the one that floods.

--- a/src/aspenbridge/embedded/_engine.py
+++ b/src/aspenbridge/embedded/_engine.py
@@ -14,6 +14,7 @@
     GeneratedChunk,
 )
 
+from ._prefix_cache import PrefixCache
 from ._text import token_text
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     step_per_sequence_s: float = 0.0005
     prefill_per_token_s: float = 0.0001
     kv_limit_tokens: int = 200_000
+    cache_limit_tokens: int = 50_000
 
 
 @attrs.define(eq=False)
@@ -38,6 +40,7 @@
     chunks: asyncio.Queue[GeneratedChunk | EngineFailure]
     next_index: int
     prefill_tokens: int
+    cached_tokens: int
 
 
 class EmbeddedEngine:
@@ -49,16 +52,19 @@
         self._model = model
         self._running: dict[str, _Sequence] = {}
         self._stepper: asyncio.Task[None] | None = None
+        self._cache = PrefixCache(model.cache_limit_tokens)
         self.started = 0
 
     async def generate(self, call: Generate) -> AsyncGenerator[GeneratedChunk, None]:
         """Admit a sequence at once and yield its tokens."""
         self.started += 1
+        prompt_tokens, cached_tokens = self._cache.read(call.prompt, call.adapter)
         sequence = _Sequence(
             call=call,
             chunks=asyncio.Queue(),
             next_index=call.resume_tokens,
-            prefill_tokens=len(call.prompt.split()) + call.resume_tokens,
+            prefill_tokens=prompt_tokens - cached_tokens + call.resume_tokens,
+            cached_tokens=cached_tokens,
         )
         self._running[call.attempt_id] = sequence
         if self._stepper is None:
@@ -85,6 +91,7 @@
         for sequence in self._running.values():
             self._fail(sequence, "the engine crashed")
         self._running.clear()
+        self._cache.clear()
 
     def report(self) -> EngineLoad:
         """Return the load of this moment."""
@@ -123,5 +130,7 @@
         sequence.next_index += 1
         done = sequence.next_index >= call.max_tokens
         reason = "stop" if done else None
-        sequence.chunks.put_nowait(GeneratedChunk(text, 1, reason))
+        cached = sequence.cached_tokens
+        sequence.cached_tokens = 0
+        sequence.chunks.put_nowait(GeneratedChunk(text, 1, reason, cached))
         return done
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,6 @@
 from aspenbridge.limits import RetryBudget
 from aspenbridge.ports import CallOutcome, EngineFailure, Generate
 from aspenbridge.result_codes import Execution, Problem, ResultCode
-from aspenbridge.work import new_id
 
 from ._watch import AttemptWatch
 
@@ -23,6 +23,7 @@
     from aspenbridge.work import Admission, Grant, Work
 
 ENGINE_ATTEMPTS = 3
+REVOKE_NOTICE_S = 0.1
 
 
 @attrs.define
@@ -114,7 +115,7 @@
     ) -> AsyncGenerator[GeneratedChunk, None]:
         work = generation.work
         engine = grant.engine
-        call = self._call(generation)
+        call = self._call(generation, grant)
         served = f"{engine.model}@{engine.version}"
         if served not in generation.served_by:
             generation.served_by.append(served)
@@ -132,7 +133,7 @@
             if generation.finish_reason is None:
                 raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
         except EngineFailure:
-            failed = not (grant.revoked.is_set() or watch.expired)
+            failed = not (watch.expired or await _was_revoked(work, grant))
             raise
         finally:
             if generation.finish_reason is None and not failed:
@@ -144,10 +145,10 @@
                 cached_tokens=generation.cached_tokens,
             )
 
-    def _call(self, generation: Generation) -> Generate:
+    def _call(self, generation: Generation, grant: Grant) -> Generate:
         work = generation.work
         return Generate(
-            attempt_id=new_id("attempt", self._random),
+            attempt_id=grant.grant_id,
             prompt=work.prompt,
             max_tokens=work.max_tokens,
             adapter=work.adapter,
@@ -164,6 +165,17 @@
         raise Problem(ResultCode.DEADLINE_EXCEEDED, detail, execution).error()
 
 
+async def _was_revoked(work: Work, grant: Grant) -> bool:
+    """Wait a little: the owner stops the engine and notifies at one time."""
+    if not work.online and not grant.revoked.is_set():
+        try:
+            async with asyncio.timeout(REVOKE_NOTICE_S):
+                await grant.revoked.wait()
+        except TimeoutError:
+            return False
+    return grant.revoked.is_set()
+
+
 def _problem(failure: EngineFailure, generation: Generation) -> Problem:
     if generation.tokens:
         return Problem(ResultCode.STREAM_TRUNCATED, str(failure))
--- a/src/aspenbridge/scheduling/_engine_state.py
+++ b/src/aspenbridge/scheduling/_engine_state.py
@@ -17,8 +17,11 @@
 FAILURES_TO_EJECT = 3
 EJECTED_FIRST_S = 2.0
 EJECTED_MOST_S = 60.0
-BATCH_PREFILL_TOKENS_PER_S = 6_000.0
+PREFILL_TOKENS_PER_S = 10_000.0
+STEP_PER_SEQUENCE_S = 0.0005
 OVERCOMMIT = 0.25
+GROWTH_PART = 0.25
+LENT_PART = 0.1
 _CHART = load_chart("engine")
 
 
@@ -34,7 +37,9 @@
     granted_s: float
     charged: float = 0.0
     prefix_hashes: tuple[int, ...] = ()
+    prompt_tokens: int = 0
     revoked: bool = False
+    cancelled: bool = False
     protected: bool = False
 
     @property
@@ -52,6 +57,7 @@
     holdings: dict[str, Holding] = attrs.field(factory=dict)
     online: int = 0
     batch: int = 0
+    _cancelled: int = 0
     state: str = _CHART.initial
     _limit: float = attrs.field()
     _failures: int = 0
@@ -81,10 +87,19 @@
     def remove(self, grant: str) -> Holding | None:
         """Count a place as free again; None when it was already."""
         holding = self.holdings.pop(grant, None)
-        if holding is not None and not holding.revoked:
-            self._count(holding, -1)
+        if holding is not None:
+            self._cancelled -= holding.cancelled
+            if not holding.revoked:
+                self._count(holding, -1)
         return holding
 
+    def cancelled(self, grant: str) -> None:
+        """Take in that the engine has stopped the work of a revoked place."""
+        holding = self.holdings.get(grant)
+        if holding is not None and not holding.cancelled:
+            holding.cancelled = True
+            self._cancelled += 1
+
     def revoke(self, holding: Holding) -> None:
         """Stop counting a batch place whose holder is told to leave."""
         holding.revoked = True
@@ -98,7 +113,7 @@
     def overcommitted(self) -> bool:
         """Whether too many revoked places are still running."""
         most = self.limit + max(1, int(self.limit * OVERCOMMIT))
-        return len(self.holdings) >= most
+        return len(self.holdings) - self._cancelled >= most
 
     def usable(self, now_s: float) -> bool:
         """Whether new work may go here; one sequence tries a sick engine."""
@@ -111,17 +126,27 @@
     def batch_room(self, headroom: float, expected_online: float) -> int:
         """Return the room that online work will not need soon."""
         left = self.limit - self.online
-        reserve = max(int(headroom * left), math.ceil(expected_online))
+        growth = math.ceil(expected_online + GROWTH_PART * self.online)
+        reserve = max(int(headroom * left), growth)
         return left - self.batch - reserve
 
+    def lending_reserve(self) -> int:
+        """Return the places that no customer gets beyond its share."""
+        return max(1, int(LENT_PART * self.limit))
+
     def prefill_ready(self, now_s: float) -> bool:
-        """Whether the prompts of batch work sent here have been read."""
+        """Whether the prompts sent here have probably been read."""
         return now_s >= self._prefill_free_s
 
     def prefill(self, prompt_tokens: int, now_s: float) -> None:
-        """Keep the next batch prompt away until this one has been read."""
+        """Count a prompt as being read; one is read after the other."""
         start_s = max(now_s, self._prefill_free_s)
-        self._prefill_free_s = start_s + prompt_tokens / BATCH_PREFILL_TOKENS_PER_S
+        self._prefill_free_s = start_s + prompt_tokens / PREFILL_TOKENS_PER_S
+
+    def slowness_s(self, now_s: float) -> float:
+        """Return by how much running work delays a new first token."""
+        reading_s = max(0.0, self._prefill_free_s - now_s)
+        return reading_s + STEP_PER_SEQUENCE_S * (self.online + self.batch)
 
     def report(self, load: EngineLoad) -> None:
         """Bring the limit down while steps are slow, and up again after."""
--- a/src/aspenbridge/scheduling/_fair_queue.py
+++ b/src/aspenbridge/scheduling/_fair_queue.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
-from bisect import insort
+from bisect import bisect_left, insort
 from typing import TYPE_CHECKING
 
 import attrs
@@ -31,6 +32,9 @@
         return self.request.prompt_tokens + self.request.max_tokens
 
 
+_Entry = tuple[float, int, Waiter]
+
+
 class FairQueue:
     """
     Serves the customer that was given the fewest tokens for its weight.
@@ -42,17 +46,18 @@
     def __init__(self, weight: Callable[[str], float], *, fair: bool) -> None:
         self._weight = weight
         self._fair = fair
-        self._waiting: dict[str, list[tuple[float, int, Waiter]]] = {}
+        self._waiting: dict[str, list[_Entry]] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._expiry: list[tuple[float, str]] = []
         self._served: dict[str, float] = {}
         self._floor = 0.0
         self._order = itertools.count()
 
     def __len__(self) -> int:
-        return sum(len(waiting) for waiting in self._waiting.values())
+        return len(self._entries)
 
     def __iter__(self) -> Iterator[Waiter]:
-        for waiting in self._waiting.values():
-            yield from (item for _, _, item in waiting)
+        return (waiter for _, _, waiter in self._entries.values())
 
     def push(self, waiter: Waiter) -> None:
         """Add a request; those due first of one customer go first."""
@@ -62,6 +67,8 @@
             self._served[name] = max(self._served.get(name, 0.0), self._floor)
         entry = (waiter.due_s, next(self._order), waiter)
         insort(self._waiting[name], entry)
+        self._entries[waiter.request.grant] = entry
+        heapq.heappush(self._expiry, (waiter.expires_s, waiter.request.grant))
 
     def pop(
         self, place: Callable[[Waiter], str | None], urgency: Callable[[Waiter], float]
@@ -78,8 +85,8 @@
                 waiter = entry[2]
                 engine = place(waiter)
                 if engine is not None:
-                    self._floor = max(self._floor, self._served[ordered[0]])
-                    self._take(name, entry)
+                    self._floor = self._served[ordered[0]]
+                    self._take(entry)
                     charge = waiter.tokens / urgency(waiter)
                     self.charge(waiter.request.customer, charge)
                     return waiter, engine
@@ -93,18 +100,19 @@
 
     def remove(self, grant: str) -> Waiter | None:
         """Take out the request with this grant id, if it waits."""
-        for name, waiting in self._waiting.items():
-            for entry in waiting:
-                if entry[2].request.grant == grant:
-                    self._take(name, entry)
-                    return entry[2]
-        return None
+        entry = self._entries.get(grant)
+        if entry is None:
+            return None
+        self._take(entry)
+        return entry[2]
 
     def expire(self, now_s: float) -> list[Waiter]:
         """Take out the requests that have waited too long."""
-        late = [item for item in self if item.expires_s <= now_s]
-        for waiter in late:
-            self.remove(waiter.request.grant)
+        late = []
+        while self._expiry and self._expiry[0][0] <= now_s:
+            waiter = self.remove(heapq.heappop(self._expiry)[1])
+            if waiter is not None:
+                late.append(waiter)
         return late
 
     def ahead_of(self, customer: str) -> int:
@@ -122,7 +130,11 @@
     def _name(self, customer: str) -> str:
         return customer if self._fair else ""
 
-    def _take(self, name: str, entry: tuple[float, int, Waiter]) -> None:
-        self._waiting[name].remove(entry)
-        if not self._waiting[name]:
+    def _take(self, entry: _Entry) -> None:
+        request = entry[2].request
+        name = self._name(request.customer)
+        waiting = self._waiting[name]
+        del waiting[bisect_left(waiting, entry)]
+        del self._entries[request.grant]
+        if not waiting:
             del self._waiting[name]
--- a/src/aspenbridge/scheduling/_group.py
+++ b/src/aspenbridge/scheduling/_group.py
@@ -11,6 +11,7 @@
 from ._engine_state import EngineState, Holding
 from ._fair_queue import FairQueue, Waiter
 from ._rates import Rate
+from ._shares import Shares
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -67,6 +68,7 @@
         self._batch = batch if policy.isolation else self._online
         self._engines: dict[str, EngineState] = {}
         self._where: dict[str, str] = {}
+        self._shares = Shares(weight)
         self._arrivals = Rate(now_s)
         self._releases = Rate(now_s)
         self._grace_until_s = now_s + grace_s
@@ -104,6 +106,7 @@
         wait_s = request.wait_s
         if request.online:
             self._arrivals.count(now_s)
+            self._shares.seen(request.customer, now_s)
             wait_s = min(wait_s, ONLINE_WAIT_LIMIT_S)
         waiter = Waiter(request, now_s, now_s + wait_s, now_s + request.due_in_s)
         self._queue(request.online).push(waiter)
@@ -136,9 +139,14 @@
             self.prefixes.learn(holding.engine, holding.prefix_hashes)
         if holding.charged:
             queue = self._queue(holding.online)
-            queue.charge(holding.customer, tokens - holding.charged)
+            used = tokens + holding.prompt_tokens
+            queue.charge(holding.customer, used - holding.charged)
         return holding
 
+    def cancelled(self, holding: Holding) -> None:
+        """Take in that an engine has stopped the work of a revoked place."""
+        self.engine(holding.engine).cancelled(holding.grant)
+
     def report(self, origin: str, grants: Iterable[RunningGrant], now_s: float) -> None:
         """Make the places of one host those that it says it holds."""
         self._heard_s[origin] = now_s
@@ -223,6 +231,8 @@
     def _give_batch(self, settled: Settled, now_s: float) -> None:
         if now_s < self._grace_until_s or len(self._online):
             return
+        if not any(state.batch_room(0.0, 0.0) > 0 for state in self.engines()):
+            return
 
         def place(waiter: Waiter) -> str | None:
             return self._batch_place(waiter, now_s)
@@ -252,24 +262,32 @@
                 request.origin,
                 now_s,
                 charged=waiter.tokens,
+                prompt_tokens=request.prompt_tokens,
                 prefix_hashes=request.prefix_hashes,
                 protected=protected,
             )
         )
         if not request.online:
             self._batch_granted_s = now_s
-            self.engine(engine).prefill(request.prompt_tokens, now_s)
+        self.engine(engine).prefill(request.prompt_tokens, now_s)
         settled.granted.append((waiter, engine))
 
     def _online_place(self, waiter: Waiter, now_s: float) -> str | None:
         grace = now_s < self._grace_until_s
 
+        lent = self._policy.fairness and self._beyond_share(waiter, now_s)
+
         def room(state: EngineState) -> bool:
-            free = state.free - (state.limit // 2 if grace else 0)
-            return free > 0 and not state.overcommitted()
+            kept = state.limit // 2 if grace else 0
+            kept += state.lending_reserve() if lent else 0
+            return state.free > kept and not state.overcommitted()
 
         return self._choose(waiter, room, now_s)
 
+    def _beyond_share(self, waiter: Waiter, now_s: float) -> bool:
+        places = sum(state.limit for state in self.engines())
+        return self._shares.beyond(waiter.request.customer, places, now_s)
+
     def _batch_place(self, waiter: Waiter, now_s: float) -> str | None:
         headroom = 0.0 if _urgent(waiter, now_s) else self._policy.online_headroom
         per_engine = self._arrivals.per_s(now_s) / max(1, len(self._engines))
@@ -293,19 +311,19 @@
         if self._policy.affinity and waiter.request.prefix_hashes:
             bound = 1 + LOAD_BOUND * sum(used.values()) / len(used)
             near = [item for item in open_ if used[item.name] <= bound]
-            return min(near or open_, key=self._distance(waiter, used)).name
-        return min(open_, key=lambda item: (used[item.name], item.name)).name
+            open_ = near or open_
 
-    def _distance(
-        self, waiter: Waiter, used: dict[str, int]
-    ) -> Callable[[EngineState], tuple[int, int, str]]:
-        hashes = waiter.request.prefix_hashes
+        def cost(state: EngineState) -> tuple[int, float, int, str]:
+            held = self._held(state, waiter)
+            return -held, state.slowness_s(now_s), state.online, state.name
 
-        def distance(state: EngineState) -> tuple[int, int, str]:
-            held = self.prefixes.held(state.name, hashes)
-            return -held, used[state.name], state.name
+        return min(open_, key=cost).name
 
-        return distance
+    def _held(self, state: EngineState, waiter: Waiter) -> int:
+        """Return how many blocks of the prompt the engine may hold."""
+        if not self._policy.affinity:
+            return 0
+        return self.prefixes.held(state.name, waiter.request.prefix_hashes)
 
     def _revoke(self, waiter: Waiter, settled: Settled, now_s: float) -> str | None:
         """Take the newest batch place back and return its engine."""
@@ -318,11 +336,15 @@
         ]
         if not found:
             return None
-        holding = max(found, key=lambda item: item.granted_s)
+        holding = min(found, key=self._revoke_cost)
         self.engine(holding.engine).revoke(holding)
         settled.revoked.append(holding)
         return holding.engine
 
+    def _revoke_cost(self, holding: Holding) -> tuple[int, float]:
+        """Prefer the engine with least online work, then the newest place."""
+        return self.engine(holding.engine).online, -holding.granted_s
+
     def _refuse_excess(self, settled: Settled) -> None:
         while len(self._online) > self._policy.queue_limit:
             waiter = self._online.newest_of_largest()
@@ -344,11 +366,16 @@
 
     def _add(self, holding: Holding) -> None:
         self._where[holding.grant] = holding.engine
+        if holding.online:
+            self._shares.hold(holding.customer, 1)
         self.engine(holding.engine).add(holding)
 
     def _remove(self, grant: str) -> Holding | None:
         name = self._where.pop(grant, None)
-        return None if name is None else self.engine(name).remove(grant)
+        holding = None if name is None else self.engine(name).remove(grant)
+        if holding is not None and holding.online:
+            self._shares.hold(holding.customer, -1)
+        return holding
 
 
 def _urgent(waiter: Waiter, now_s: float) -> bool:
--- a/src/aspenbridge/scheduling/_owner.py
+++ b/src/aspenbridge/scheduling/_owner.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from aspenbridge.peers import GrantReply
+from aspenbridge.ports import EngineFailure
 from aspenbridge.result_codes import ResultCode
 
 from ._group import ONLINE_WAIT_LIMIT_S, Group, Settled
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from aspenbridge.peers import GrantRelease, GrantRequest, RunningReport
     from aspenbridge.ports import Clock, EngineLoad
@@ -48,6 +49,7 @@
         capacity: Callable[[str], int],
         weight: Callable[[str], float],
         revoke: Callable[[list[Holding]], None],
+        cancel: Callable[[Holding], Coroutine[Any, Any, None]],
     ) -> None:
         self._clock = clock
         self._policy = policy
@@ -56,6 +58,8 @@
         self._capacity = capacity
         self._weight = weight
         self._revoke = revoke
+        self._cancel = cancel
+        self._tasks: set[asyncio.Task[None]] = set()
         self._groups: dict[str, Group] = {}
         self._answers: dict[str, asyncio.Future[str]] = {}
         self.counters = OwnerCounters()
@@ -181,6 +185,19 @@
         if settled.revoked:
             self.counters.revoked += len(settled.revoked)
             self._revoke(settled.revoked)
+            for holding in settled.revoked:
+                task = asyncio.ensure_future(self._stop(group, holding))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _stop(self, group: Group, holding: Holding) -> None:
+        """Stop revoked work at the engine, before its origin can."""
+        try:
+            await self._cancel(holding)
+        except EngineFailure:
+            return  # the origin's release makes up for it
+        group.cancelled(holding)
+        self._settle(group)
 
     def _answer(self, grant: str, engine: str) -> None:
         answer = self._answers.get(grant)
--- a/src/aspenbridge/scheduling/_scheduler.py
+++ b/src/aspenbridge/scheduling/_scheduler.py
@@ -26,6 +26,8 @@
     from aspenbridge.settings import Settings
     from aspenbridge.work import Admission
 
+    from ._engine_state import Holding
+
 DEFAULT_SEQUENCES = 1
 
 
@@ -45,6 +47,7 @@
         random: Random,
     ) -> None:
         self._view = view
+        self._engines = engines
         self.ownership = Ownership(identity, members, leaving)
         self.holdings = Holdings()
         self.owner = Owner(
@@ -55,6 +58,7 @@
             self._capacity,
             self._weight,
             lambda holdings: self.links.revoke(holdings),
+            self._cancel,
         )
         self.links = OwnerLinks(clock, peers, self.ownership, self.owner, self.holdings)
         self._loops: tuple[Callable[[], Coroutine[Any, Any, None]], ...]
@@ -91,6 +95,11 @@
             return await self.links.handle(message)
         return Ack(ok=False, detail="this host does not hand out places")
 
+    async def _cancel(self, holding: Holding) -> None:
+        engine = self._find(holding.engine)
+        if engine is not None:
+            await self._engines.cancel(engine, holding.grant)
+
     def _find(self, name: str) -> Engine | None:
         found = (item for item in self._view.engines() if item.name == name)
         return next(found, None)
