--- a/src/aspenbridge/configuration/__init__.py
+++ b/src/aspenbridge/configuration/__init__.py
@@ -4,7 +4,9 @@
 
 from ._authority import Authority
 from ._follower import Follower
+from ._freshness import FreshnessPolicy, Knowledge, Verdict
 from ._objects import (
+    AdapterSpec,
     Change,
     ConfigObject,
     CustomerSpec,
@@ -18,9 +20,12 @@
     ServiceSpec,
     spec_class,
 )
+from ._placement import Reason
+from ._spread import Notified, Spread
 from ._view import View
 
 __all__ = [
+    "AdapterSpec",
     "Authority",
     "Change",
     "ConfigObject",
@@ -28,12 +33,18 @@
     "DrainSpec",
     "EngineSpec",
     "Follower",
+    "FreshnessPolicy",
+    "Knowledge",
     "ModelSpec",
+    "Notified",
     "OperatorSpec",
+    "Reason",
     "RecallSpec",
     "Route",
     "SelectorSpec",
     "ServiceSpec",
+    "Spread",
+    "Verdict",
     "View",
     "spec_class",
 ]
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -7,17 +7,24 @@
 import attrs
 
 
-def option(default: Any, description: str, *, choices: tuple[str, ...] = ()) -> Any:
+def option(
+    default: Any,
+    description: str,
+    *,
+    choices: tuple[str, ...] = (),
+    pattern: str = "",
+) -> Any:
     """
     Define one key of a section.
 
     :param default: the value when the file does not give one.
     :param description: one sentence for ``--help`` and the reference page.
     :param choices: the only values allowed; empty for any.
+    :param pattern: what the whole text must match; empty for any.
     """
     return attrs.field(
         default=default,
-        metadata={"description": description, "choices": choices},
+        metadata={"description": description, "choices": choices, "pattern": pattern},
     )
 
 
@@ -76,6 +83,11 @@
         "What to do with new work while the revision is unknown.",
         choices=("refuse", "serve"),
     )
+    bootstrap_operator: str = option(
+        "",
+        "First operator, as name:salt:digest; valid while no operator is configured.",
+        pattern=r"|[\w-]+:([0-9a-f]{2}){1,16}:[0-9a-f]{128}",
+    )
 
 
 @attrs.frozen
@@ -102,6 +114,7 @@
     chunk_items: int = option(500, "Items in one chunk of a job.")
     item_attempts: int = option(3, "Attempts before an item counts as failed.")
     flush_interval_s: float = option(5.0, "Longest time a result waits to be durable.")
+    flush_bytes: int = option(1_000_000, "Results that are made durable at once.")
     concurrency: int = option(64, "Items that one host runs at once.")
 
 
@@ -124,6 +137,7 @@
 
     statsd: str = option("", "Address of statsd; empty for none.")
     trace_endpoint: str = option("", "OTLP address of the collector; empty for none.")
+    trace_share: float = option(1.0, "Part of the traces that are recorded.")
     log_level: str = option(
         "info", "Lowest level logged.", choices=("debug", "info", "warning", "error")
     )
--- a/src/aspenbridge_bench/_slopes_batch.py
+++ b/src/aspenbridge_bench/_slopes_batch.py
@@ -15,8 +15,9 @@
 from aspenbridge.settings import BatchSettings, HostSettings, Settings
 from aspenbridge.store import Changes
 
+from ._clocks import FastClock
 from ._fit import Point, Slope, fit
-from ._fleet import CountedFleet, Counts, FastClock, WirePeers
+from ._fleet import CountedFleet, Counts, WirePeers
 from ._measure import async_cpu_s, cpu_s, peak_bytes
 from ._slopes_hosts import FleetAnswers
 
@@ -63,6 +64,7 @@
         state="running",
         created_wall_s=0.0,
         due_wall_s=0.0,
+        chunk_items=500,
         labels={"kind": "summary"},
     )
 
