--- /dev/null
+++ b/src/aspenbridge_bench/_capacity.py
@@ -0,0 +1,264 @@
+"""The two-year size, worked out from measured slopes."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+HOSTS = 420
+ENGINES = 2_600
+CUSTOMERS = 9_600
+MODELS = 7
+REGIONS = 4
+FAILURE_DOMAINS = 11
+REQUESTS_PER_S = 19_000
+TOKENS_PER_S = 6_400_000
+ITEMS_PER_S = 45_000_000 / 86_400
+JOBS = 1_800
+LARGEST_JOB_ITEMS = 260_000
+CHANGES_PER_S = 2_400 / 86_400
+OBJECTS = ENGINES + CUSTOMERS
+GROUP_ENGINES = 16
+CHUNK_ITEMS = 500
+TOKEN_GAP_S = 0.045
+BATCH_READS_PER_S = 2.0
+CONTROL_CPU_SHARE = 0.019
+CONTROL_BYTES_PER_S = 3_000
+CONTROL_STATE_BYTES = 32_000_000
+
+
+@attrs.frozen
+class Line:
+    """A straight line of the slopes' report."""
+
+    intercept: float
+    slope: float
+    last: float
+
+    def at(self, size: float) -> float:
+        """Return the value at a size."""
+        return self.intercept + self.slope * size
+
+
+@attrs.frozen
+class Figure:
+    """One figure at the target, with what it is measured against."""
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    limit: float | None = None
+
+    @property
+    def share(self) -> float | None:
+        """The value as a share of its limit."""
+        return None if self.limit is None else self.value / self.limit
+
+
+@attrs.frozen
+class Measured:
+    """The reports of the ``slopes`` and ``relay`` commands."""
+
+    lines: Mapping[tuple[str, str], Line]
+    idle: Mapping[str, float]
+    grant_bytes: int
+    relay: Line
+    stream_bytes: float
+
+    def at(self, name: str, unit: str, size: float) -> float:
+        """Return the value of a line at a size."""
+        return self.lines[name, unit].at(size)
+
+
+def read_reports(slopes: dict[str, object], relay: dict[str, object]) -> Measured:
+    """Return what the two reports hold."""
+    entries: list[dict[str, object]] = slopes["slopes"]  # type: ignore[assignment]
+    lines = {(str(e["name"]), str(e["unit"])): _line(e) for e in entries}
+    idle: list[dict[str, object]] = slopes["idle_hosts"]  # type: ignore[assignment]
+    grant: dict[str, int] = slopes["grant_message_bytes"]  # type: ignore[assignment]
+    costs: list[dict[str, float]] = relay["costs"]  # type: ignore[assignment]
+    first, last = costs[0], costs[-1]
+    stream_bytes = (last["resident_bytes"] - first["resident_bytes"]) / (
+        last["streams"] - first["streams"]
+    )
+    largest = idle[-1]
+    counts: dict[str, float] = largest["counts_per_s"]  # type: ignore[assignment]
+    return Measured(
+        lines=lines,
+        idle={
+            "cpu_share": float(str(largest["cpu_share"])),
+            "bytes_per_s": float(str(largest["bytes_per_s"])),
+            **counts,
+        },
+        grant_bytes=sum(n for name, n in grant.items() if name != "all_packed"),
+        relay=_line(relay["slope"]),
+        stream_bytes=stream_bytes,
+    )
+
+
+def _line(entry: object) -> Line:
+    fields: dict[str, object] = entry  # type: ignore[assignment]
+    points: list[dict[str, float]] = fields["points"]  # type: ignore[assignment]
+    intercept, slope = float(str(fields["intercept"])), float(str(fields["slope"]))
+    return Line(intercept, slope, points[-1]["value"])
+
+
+def figures(measured: Measured) -> list[Figure]:
+    """Return the figures of each role at the target."""
+    return [
+        *_relay(measured),
+        *_owner(measured),
+        *_configuration(measured),
+        *_batch(measured),
+        *_control(measured),
+    ]
+
+
+def _relay(measured: Measured) -> list[Figure]:
+    tokens = TOKENS_PER_S / HOSTS
+    requests = REQUESTS_PER_S / HOSTS
+    streams = tokens * TOKEN_GAP_S
+    lookup_s = measured.lines["engines of a model found", "s"].last
+    key_s = measured.at("API keys checked", "s", requests)
+    return [
+        Figure("relay", "requests", requests, "1/s"),
+        Figure("relay", "tokens", tokens, "1/s"),
+        Figure("relay", "open streams", streams, ""),
+        Figure("relay", "token relay", measured.relay.at(tokens), "cores", 1.0),
+        Figure("relay", "engine lookups", requests * lookup_s, "cores", 1.0),
+        Figure("relay", "API keys", key_s, "cores", 1.0),
+        Figure("relay", "state of streams", streams * measured.stream_bytes, "bytes"),
+    ]
+
+
+def _owner(measured: Measured) -> list[Figure]:
+    pools = MODELS * REGIONS
+    groups = pools * math.ceil(ENGINES / pools / GROUP_ENGINES)
+    grants = (REQUESTS_PER_S + ITEMS_PER_S) / groups
+    place_s = measured.at("place given and released", "s", 512)
+    call_s = measured.lines["grant call, both ends", "s"].slope
+    node_bytes = 2 * (REQUESTS_PER_S + ITEMS_PER_S) / HOSTS * measured.grant_bytes
+    return [
+        Figure("group owner", "groups", groups, ""),
+        Figure("group owner", "places of one group", grants, "1/s"),
+        Figure("group owner", "one group", grants * (place_s + call_s), "cores", 1.0),
+        Figure(
+            "group owner", "state", measured.at("group state", "bytes", 512), "bytes"
+        ),
+        Figure(
+            "group owner",
+            "settling a full queue once",
+            measured.at("full group settled", "s", 256),
+            "s",
+        ),
+        Figure(
+            "group owner", "grant messages", node_bytes, "bytes/s", CONTROL_BYTES_PER_S
+        ),
+    ]
+
+
+def _configuration(measured: Measured) -> list[Figure]:
+    view = measured.at("engines in the view", "bytes", ENGINES) + measured.at(
+        "customers in the view", "bytes", CUSTOMERS
+    )
+    rows = measured.at("engines in the table", "bytes", ENGINES) + measured.at(
+        "customers in the table", "bytes", CUSTOMERS
+    )
+    change_s = measured.lines["changes followed", "s"].at(1)
+    return [
+        Figure("follower", "view", view, "bytes", CONTROL_STATE_BYTES),
+        Figure("follower", "rows in the table", rows, "bytes"),
+        Figure("follower", "changes", CHANGES_PER_S, "1/s"),
+        Figure("follower", "changes followed", change_s * CHANGES_PER_S, "cores"),
+        Figure(
+            "follower",
+            "snapshot loaded",
+            measured.at("snapshot loaded", "s", OBJECTS),
+            "s",
+        ),
+        Figure(
+            "follower",
+            "snapshot loaded",
+            measured.at("snapshot loaded", "table reads", OBJECTS),
+            "reads",
+        ),
+    ]
+
+
+def _batch(measured: Measured) -> list[Figure]:
+    chunks_per_s = ITEMS_PER_S / CHUNK_ITEMS
+    table_writes = measured.lines["job run", "table writes"].slope * chunks_per_s
+    object_writes = measured.lines["job run", "object writes"].slope * chunks_per_s
+    segment_s = measured.lines["segment encoded", "s"].slope * ITEMS_PER_S / HOSTS
+    return [
+        Figure("chunk runner", "items", ITEMS_PER_S / HOSTS, "1/s"),
+        Figure("chunk runner", "segments encoded", segment_s, "cores"),
+        Figure(
+            "chunk runner",
+            "largest file taken in",
+            measured.at("file uploaded", "s", LARGEST_JOB_ITEMS),
+            "s",
+        ),
+        Figure(
+            "chunk runner",
+            "largest file taken in",
+            measured.at("file parsed, peak", "bytes", LARGEST_JOB_ITEMS),
+            "bytes",
+        ),
+        Figure(
+            "chunk runner",
+            "active jobs scanned once",
+            measured.at("active jobs scanned", "s", JOBS),
+            "s",
+        ),
+        Figure("table", "writes of chunks", table_writes, "1/s", 500),
+        Figure("object store", "writes of chunks", object_writes, "1/s", 500),
+    ]
+
+
+def _control(measured: Measured) -> list[Figure]:
+    reads = measured.idle["table_reads"] * HOSTS
+    grants = (REQUESTS_PER_S + ITEMS_PER_S) / HOSTS
+    call_s = measured.lines["grant call, both ends", "s"].slope
+    grant_s = 2 * call_s + measured.at("place given and released", "s", 512)
+    scan_reads = measured.at("active jobs scanned", "table reads", JOBS)
+    coding_writes = 2 * REQUESTS_PER_S
+    return [
+        Figure(
+            "node",
+            "idle loops",
+            measured.idle["cpu_share"],
+            "cores",
+            CONTROL_CPU_SHARE,
+        ),
+        Figure("node", "grants", grants * grant_s, "cores", CONTROL_CPU_SHARE),
+        Figure(
+            "node",
+            "probes, both ways",
+            measured.idle["bytes_per_s"],
+            "bytes/s",
+            CONTROL_BYTES_PER_S,
+        ),
+        Figure(
+            "node",
+            "member state",
+            measured.at("member state", "bytes", HOSTS),
+            "bytes",
+            CONTROL_STATE_BYTES,
+        ),
+        Figure("table", "reads of idle hosts", reads, "1/s", 2_000),
+        Figure("table", "reads of one scan of the jobs", scan_reads, "reads"),
+        Figure(
+            "table",
+            "writes if each request were a coding request",
+            coding_writes,
+            "1/s",
+            500,
+        ),
+    ]
--- a/src/aspenbridge_bench/_slopes_command.py
+++ b/src/aspenbridge_bench/_slopes_command.py
@@ -17,6 +17,7 @@
 from ._slopes_configuration import configuration_slopes
 from ._slopes_hosts import grant_messages, host_slopes
 from ._slopes_online import online_slopes
+from ._slopes_rpc import rpc_slope
 from ._slopes_scheduling import scheduling_slopes
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
             *await batch_slopes(seed),
             *await online_slopes(seed),
             *scheduling_slopes(),
+            await rpc_slope(),
         ]
         self._print(slopes)
         report = {
--- a/src/aspenbridge_bench/_slopes_hosts.py
+++ b/src/aspenbridge_bench/_slopes_hosts.py
@@ -132,6 +132,7 @@
     """Run one host among others that answer, on a clock that jumps."""
     clock = JumpClock()
     fleet, answers = _fleet(size, seed, clock)
+    await clock.run_for(1.0)  # lets the rate limits of the stand-ins fill
     async with fleet.host(_settings()) as host:
         accepted = await host.authority.accept("bench", 0, _one_engine())
         accepted.unwrap()
--- /dev/null
+++ b/src/aspenbridge_bench/_slopes_rpc.py
@@ -0,0 +1,47 @@
+"""What a call between two hosts costs over TCP on loopback."""
+
+from __future__ import annotations
+
+import time
+from contextlib import AsyncExitStack
+from typing import Any
+
+import capnp
+
+from aspenbridge.clock import SystemClock
+from aspenbridge.peers import GrantReply, GrantRequest
+from aspenbridge.peers.rpc import CapnpTransport, PeerServer
+from aspenbridge.ports import PeerAddress
+
+from ._fit import Point, Slope, fit
+from ._processes import LOOPBACK, Processes
+
+FIRST_PORT = 27900
+CALLS = (100, 400, 1600)
+
+
+class _Owner:
+    """Grants everything."""
+
+    async def handle(self, message: Any) -> Any:
+        """Answer a request for a place."""
+        return GrantReply(True, "engine-00042", f"host-005-{5:024x}")
+
+
+async def rpc_slope() -> Slope:
+    """Return the processor time of calls, both ends in one process."""
+    clock = SystemClock()
+    request = GrantRequest(f"grant-{7:024x}", "model-1/region-0/03", True, "c", 9, 9)
+    points = []
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(capnp.kj_loop())
+        processes = stack.enter_context(Processes(FIRST_PORT))
+        address = PeerAddress(LOOPBACK, processes.port())
+        await stack.enter_async_context(PeerServer(_Owner(), address))
+        transport = await stack.enter_async_context(CapnpTransport(clock))
+        for calls in CALLS:
+            cpu = time.process_time()
+            for _ in range(calls):
+                await transport.call(address, request, clock.now_s() + 5.0)
+            points.append(Point(calls, time.process_time() - cpu))
+    return fit("grant call, both ends", "s", "calls", points)
