--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -114,6 +114,7 @@
     chunk_items: int = option(500, "Items in one chunk of a job.")
     item_attempts: int = option(3, "Attempts before an item counts as failed.")
     flush_interval_s: float = option(5.0, "Longest time a result waits to be durable.")
+    flush_bytes: int = option(1_000_000, "Results that are made durable at once.")
     concurrency: int = option(64, "Items that one host runs at once.")
 
 
@@ -136,6 +137,7 @@
 
     statsd: str = option("", "Address of statsd; empty for none.")
     trace_endpoint: str = option("", "OTLP address of the collector; empty for none.")
+    trace_share: float = option(1.0, "Part of the traces that are recorded.")
     log_level: str = option(
         "info", "Lowest level logged.", choices=("debug", "info", "warning", "error")
     )
--- a/src/aspenbridge_bench/_slopes_batch.py
+++ b/src/aspenbridge_bench/_slopes_batch.py
@@ -64,6 +64,7 @@
         state="running",
         created_wall_s=0.0,
         due_wall_s=0.0,
+        chunk_items=500,
         labels={"kind": "summary"},
     )
 
--- a/src/aspenbridge_bench/_slopes_hosts.py
+++ b/src/aspenbridge_bench/_slopes_hosts.py
@@ -105,7 +105,7 @@
     fleet, answers = _fleet(size, seed, FastClock(0.001))
     async with fleet.host(_settings()) as host:
         _fill(host, size)
-        spent_s = await async_cpu_s(host.prober.probe_one, PROBES)
+        spent_s = await async_cpu_s(host.detector.tick, PROBES)
         peers = fleet.peers
         exchanged = peers.sent_bytes + peers.received_bytes
         answers.probe()
