Add operator commands, dry run, explain and the re-run of recalled results

Operators had three routes and no command. They can now see which revision is in force where, try a change before it is applied, ask why work may not run, follow a request over all hosts, list what came from a recall and run it again. Affected batch results are found by the versions on each segment, so that no index row is written per result.

--- a/src/aspenbridge/batch/__init__.py
+++ b/src/aspenbridge/batch/__init__.py
@@ -5,7 +5,16 @@
 from ._claims import Claims
 from ._files import Files
 from ._jobs import Jobs, JobStatus
-from ._records import ChunkRecord, FileRecord, Item, JobRecord, Outcome, Segment
+from ._records import (
+    ChunkRecord,
+    FileRecord,
+    Item,
+    JobRecord,
+    Outcome,
+    Segment,
+    input_name,
+    job_key,
+)
 from ._runner import BatchRunner
 
 __all__ = [
@@ -20,4 +29,6 @@
     "Jobs",
     "Outcome",
     "Segment",
+    "input_name",
+    "job_key",
 ]
--- a/src/aspenbridge/commands/__init__.py
+++ b/src/aspenbridge/commands/__init__.py
@@ -8,9 +8,40 @@
 
 from ._check_config import CheckConfigCommand
 from ._demo import DemoCommand
+from ._operator_changes import (
+    ApplyCommand,
+    DrainCommand,
+    DryRunCommand,
+    LabelsCommand,
+    RecallCommand,
+    RemoveCommand,
+    UndrainCommand,
+)
 from ._operator_keys import OperatorNewKeyCommand
+from ._operator_queries import (
+    CustomersCommand,
+    ExplainCommand,
+    RecalledCommand,
+    RerunCommand,
+    StatusCommand,
+)
 from ._serve import ServeCommand
 
+OPERATOR_COMMANDS = (
+    StatusCommand,
+    LabelsCommand,
+    ApplyCommand,
+    RemoveCommand,
+    DrainCommand,
+    UndrainCommand,
+    RecallCommand,
+    RecalledCommand,
+    RerunCommand,
+    CustomersCommand,
+    DryRunCommand,
+    ExplainCommand,
+)
+
 
 def application() -> Application:
     """Return the command line with all of its commands."""
@@ -19,6 +50,8 @@
     app.add(CheckConfigCommand())
     app.add(DemoCommand())
     app.add(OperatorNewKeyCommand())
+    for command in OPERATOR_COMMANDS:
+        app.add(command())
     return app
 
 
--- /dev/null
+++ b/src/aspenbridge/commands/_operator_client.py
@@ -0,0 +1,157 @@
+"""Calls a host on behalf of an operator."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING, Any, ClassVar
+
+import attrs
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from aspenbridge.result_codes import ResultCode
+
+from ._exit_codes import CONFLICT, DONE, REFUSED, UNREACHABLE
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+URL_VARIABLE = "ASPENBRIDGE_URL"
+KEY_VARIABLE = "ASPENBRIDGE_KEY"
+DEFAULT_URL = "http://127.0.0.1:8080"
+CALL_TIMEOUT_S = 30.0
+FIRST_ERROR_STATUS = 400
+
+
+@attrs.frozen
+class HostReply:
+    """The status and the JSON body of one reply."""
+
+    status: int
+    body: Any
+
+    @property
+    def refused(self) -> bool:
+        """Whether the host refused the call."""
+        return self.status >= FIRST_ERROR_STATUS
+
+
+class RefusedError(Exception):
+    """The host refused a call with a numbered problem."""
+
+    def __init__(self, problem: Any) -> None:
+        detail = problem.get("detail", "") if isinstance(problem, dict) else problem
+        self.code = problem.get("code", 0) if isinstance(problem, dict) else 0
+        super().__init__(f"{self.code}: {detail}")
+
+
+class OperatorClient:
+    """One session with one host."""
+
+    def __init__(self, session: Any, url: str, key: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._headers = {"authorization": f"Bearer {key}"}
+
+    async def call(self, method: str, path: str, body: object = None) -> Any:
+        """
+        Make one call and return the JSON body of the reply.
+
+        :raises RefusedError: when the host refused it.
+        """
+        data = None if body is None else msgspec.json.encode(body)
+        url = f"{self._url}/admin/v1/{path}"
+        async with self._session.request(
+            method, url, data=data, headers=self._headers
+        ) as response:
+            content = await response.read()
+        reply = HostReply(response.status, _decoded(content))
+        if reply.refused:
+            raise RefusedError(reply.body)
+        return reply.body
+
+    async def revision(self) -> int:
+        """Return the revision in force on the host."""
+        status = await self.call("GET", "status")
+        return int(status["revision"])
+
+    async def find(self, kind: str, name: str) -> dict[str, Any]:
+        """
+        Return one object.
+
+        :raises RefusedError: when there is none.
+        """
+        for item in await self.call("GET", f"objects/{kind}"):
+            if item["name"] == name:
+                found: dict[str, Any] = item
+                return found
+        raise RefusedError(
+            {"code": int(ResultCode.NOT_FOUND), "detail": f"there is no {kind} {name}"}
+        )
+
+    async def change(
+        self,
+        base_revision: int,
+        put: list[dict[str, Any]],
+        removed: list[tuple[str, str]] | None = None,
+    ) -> Any:
+        """Ask for a change and return what the host says of it."""
+        body = {"base_revision": base_revision, "put": put, "removed": removed or []}
+        return await self.call("POST", "changes", body)
+
+
+class OperatorCommand(Command):
+    """A command that calls a host as an operator."""
+
+    options: ClassVar[list[Option]] = [
+        option("json", None, "Print JSON."),
+        option("url", None, f"Host to call; else ${URL_VARIABLE}.", flag=False),
+        option("key", None, f"Operator's key; else ${KEY_VARIABLE}.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        from aspenbridge.loop import run_on_loop
+
+        return run_on_loop(self._run())
+
+    async def act(self, client: OperatorClient) -> Any:
+        """Make the calls of the command and return what to print."""
+        raise NotImplementedError
+
+    def show(self, found: Any) -> None:
+        """Print what was found, for people."""
+        for name, value in found.items():
+            self.line(f"{name}: {value}")
+
+    async def _run(self) -> int:
+        import aiohttp
+
+        url = self.option("url") or os.environ.get(URL_VARIABLE, DEFAULT_URL)
+        key = self.option("key") or os.environ.get(KEY_VARIABLE, "")
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                found = await self.act(OperatorClient(session, url, key))
+        except RefusedError as error:
+            self.line_error(str(error))
+            return CONFLICT if error.code == ResultCode.REVISION_CONFLICT else REFUSED
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.line_error(f"{url}: {type(error).__name__}: {error}")
+            return UNREACHABLE
+        self._print(found)
+        return DONE
+
+    def _print(self, found: Any) -> None:
+        if self.option("json"):
+            self.line(msgspec.json.encode(found).decode())
+        else:
+            self.show(found)
+
+
+def _decoded(content: bytes) -> Any:
+    try:
+        return msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        return content.decode(errors="replace")
--- a/src/aspenbridge/configuration/__init__.py
+++ b/src/aspenbridge/configuration/__init__.py
@@ -22,6 +22,8 @@
 )
 from ._placement import Reason
 from ._spread import Notified, Spread
+from ._subjects import work_subject
+from ._validation import find_fault
 from ._view import View
 
 __all__ = [
@@ -46,5 +48,7 @@
     "Spread",
     "Verdict",
     "View",
+    "find_fault",
     "spec_class",
+    "work_subject",
 ]
--- a/src/aspenbridge/configuration/_placement.py
+++ b/src/aspenbridge/configuration/_placement.py
@@ -66,6 +66,7 @@
         self._served_index = SelectorIndex()
         self._work_selectors: dict[str, Selector] = {}
         self._recalls: dict[str, RecallSpec] = {}
+        self._recalled: dict[str, Selector] = {}
         self._rules: dict[str, dict[Any, Rules]] = {}
         self._eligible: dict[tuple[str, str | None, Rules], tuple[Engine, ...]] = {}
 
@@ -95,6 +96,7 @@
                 selector = parse_selector(spec.selector, SERVED).unwrap()
                 self._served_index.put_selector(item.name, selector)
                 self._recalls[item.name] = spec
+                self._recalled[item.name] = selector
                 self._eligible.clear()
             case SelectorSpec():
                 self._put_rule(item.name, spec)
@@ -114,6 +116,7 @@
             case "recall":
                 self._served_index.drop_selector(name)
                 self._recalls.pop(name, None)
+                self._recalled.pop(name, None)
             case "placement":
                 self._engine_index.drop_selector(f"placement/{name}")
                 self._work_selectors.pop(name, None)
@@ -137,6 +140,18 @@
         names = {name for part in parts for name in self.recalls_of(part)}
         return any(self._recalls[name].running == STOP for name in names)
 
+    def covers(self, recall: str, served: str) -> bool:
+        """Return whether a recall covers what a result was served by."""
+        selector = self._recalled.get(recall)
+        if selector is None:
+            return False
+        version, _, adapter = served.partition(ADAPTER_MARK)
+        subject = version_subject(version, self._objects.get(("model", version)))
+        if selector.matches(subject):
+            return True
+        labelled = self._objects.get(("adapter", adapter))
+        return bool(adapter) and selector.matches(adapter_subject(adapter, labelled))
+
     def drains_of(self, engine: str) -> list[str]:
         """Return the drains that cover an engine."""
         keys = self._engine_index.matchers(engine)
@@ -240,7 +255,7 @@
         labelled = [adapter for adapter in named.values() if adapter is not None]
         subject = engine_subject(engine, model, labelled)
         self._engine_index.put_object(engine.name, subject)
-        self._served_index.put_object(served, version_subject(engine, model))
+        self._served_index.put_object(served, version_subject(served, model))
         for name, adapter in named.items():
             self._served_index.put_object(name, adapter_subject(name, adapter))
 
--- a/src/aspenbridge/configuration/_subjects.py
+++ b/src/aspenbridge/configuration/_subjects.py
@@ -14,6 +14,7 @@
 
 ONLINE = "online"
 BATCH = "batch"
+VERSION_MARK = "@"
 
 
 class PlacedWork(Protocol):
@@ -60,13 +61,13 @@
     return subject
 
 
-def version_subject(engine: Engine, model: ConfigObject | None) -> Subject:
-    """Return the model version that an engine carries."""
-    served = engine.serving(None)
+def version_subject(served: str, model: ConfigObject | None) -> Subject:
+    """Return a model version, by its name."""
+    name, _, version = served.rpartition(VERSION_MARK)
     subject = {
         "name": _one(served),
-        "model": _one(engine.model),
-        "version": _one(engine.version),
+        "model": _one(name),
+        "version": _one(version),
         "model_version": _one(served),
     }
     _add_labels(subject, "model.labels.", model.labels if model else {})
--- a/src/aspenbridge/configuration/_view.py
+++ b/src/aspenbridge/configuration/_view.py
@@ -117,6 +117,10 @@
             return True
         return bool(placement.forbidding_rules(placement.rules_for(work), engine))
 
+    def models(self) -> set[str]:
+        """Return the names of all models."""
+        return {engine.model for engine in self._engines.values()}
+
     def has_model(self, model: str) -> bool:
         """Return whether any version of the model is configured."""
         return bool(self.placement.carriers(model, None))
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -14,6 +14,7 @@
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
 from aspenbridge.configuration import Authority, Follower, Spread, View
+from aspenbridge.explain import Decisions
 from aspenbridge.lifecycle import load_chart
 from aspenbridge.limits import RetryBudget
 from aspenbridge.membership import (
@@ -29,11 +30,13 @@
     Ack,
     CancelNotice,
     ChangesRequest,
+    ExplainRequest,
     Probe,
     ProbeVia,
     RevisionNotice,
 )
 from aspenbridge.ports import NoMetrics, PeerUnreachableError
+from aspenbridge.recall.results import RecalledResults
 from aspenbridge.recovery import (
     RECONCILE_INTERVAL_S,
     HostSweep,
@@ -148,6 +151,8 @@
             random,
             RetryBudget(settings.limits.retry_budget),
         )
+        self.decisions = Decisions(settings.host.name, clock, self.members, ports.peers)
+        self.generator.on_step = self.decisions.note
         group = GroupCommitter(self.store, clock)
         self.coding_runs = CodingRuns(
             self.identity, self.store, group, self.generator, clock
@@ -166,6 +171,15 @@
             settings.listen.max_item_bytes,
         )
         self.jobs = Jobs(self.store, ports.objects, clock, random)
+        self.recalled_results = RecalledResults(
+            self.view,
+            ports.table,
+            self.store,
+            ports.objects,
+            self.files,
+            self.jobs,
+            clock,
+        )
         self.batch = BatchRunner(
             self.identity,
             self.store,
@@ -293,6 +307,8 @@
             return self.follower.answer(message)
         if isinstance(message, RevisionNotice):
             return await self.spread.answer(message)
+        if isinstance(message, ExplainRequest):
+            return self.decisions.answer(message)
         return await self.scheduler.handle(message)
 
     async def _register(self) -> None:
--- a/src/aspenbridge/http/_operators.py
+++ b/src/aspenbridge/http/_operators.py
@@ -9,11 +9,12 @@
 import msgspec
 
 from aspenbridge.configuration import ConfigObject
+from aspenbridge.explain import DryRun
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._auth import authenticate
-from ._customers import value_of
-from ._replies import json_reply
+from ._bodies import read_body
+from ._replies import json_reply, value_of
 
 if TYPE_CHECKING:
     from sanic import HTTPResponse, Request, Sanic
@@ -32,6 +33,17 @@
     removed: tuple[tuple[str, str], ...] = ()
 
 
+@attrs.frozen
+class ImaginedWork:
+    """Work that an operator asks about."""
+
+    customer: str
+    model: str
+    online: bool = True
+    adapter: str | None = None
+    labels: dict[str, str] = attrs.field(factory=dict)
+
+
 def read_change(body: bytes) -> ChangeBody:
     """
     Return a change, refusing names that stand twice in one object.
@@ -100,6 +112,51 @@
         self._operator(request)
         return json_reply(self._host.view.all_of(kind))
 
+    async def dry_run(self, request: Request) -> HTTPResponse:
+        """Tell what a change would match, applying nothing."""
+        self._operator(request)
+        body = read_change(request.body)
+        matches = await DryRun(self._host.view).check(body.put, body.removed)
+        return json_reply(value_of(matches))
+
+    async def explain(self, request: Request, request_id: str) -> HTTPResponse:
+        """Tell where a request went, and why."""
+        self._operator(request)
+        steps = await self._host.decisions.explain(request_id)
+        if not steps:
+            detail = f"no host remembers request {request_id!r}"
+            raise Problem(ResultCode.NOT_FOUND, detail).error()
+        return json_reply({"request": request_id, "steps": steps})
+
+    async def explain_work(self, request: Request) -> HTTPResponse:
+        """Tell which engines may run some work, and why others may not."""
+        self._operator(request)
+        work = read_body(request, ImaginedWork)
+        view = self._host.view
+        engines = view.placement.carriers(work.model, work.adapter)
+        reasons = {
+            engine.name: [str(item) for item in view.reasons_against(work, engine)]
+            for engine in engines
+        }
+        return json_reply({"revision": view.revision, "engines": reasons})
+
+    async def recalled(self, request: Request, recall: str) -> HTTPResponse:
+        """List a page of completed results that came from a recall."""
+        self._operator(request)
+        if self._host.view.find("recall", recall) is None:
+            detail = f"there is no recall {recall!r}"
+            raise Problem(ResultCode.NOT_FOUND, detail).error()
+        results = self._host.recalled_results
+        of_coding = request.args.get("of") == "coding"
+        page = results.coding_page if of_coding else results.batch_page
+        return json_reply(value_of(await page(recall, request.args.get("after", ""))))
+
+    async def rerun(self, request: Request, recall: str, job_id: str) -> HTTPResponse:
+        """Run the affected items of a job again, as a new job."""
+        self._operator(request)
+        results = self._host.recalled_results
+        return json_reply(value_of(await results.rerun(recall, job_id)), 201)
+
 
 def add_operator_routes(app: Sanic[Any, Any], host: HostCore) -> None:
     """Add the operators' routes to an application."""
@@ -107,3 +164,12 @@
     app.add_route(routes.change, "/admin/v1/changes", methods=["POST"])
     app.add_route(routes.status, "/admin/v1/status", methods=["GET"])
     app.add_route(routes.objects, "/admin/v1/objects/<kind>", methods=["GET"])
+    app.add_route(routes.dry_run, "/admin/v1/dry-run", methods=["POST"])
+    app.add_route(routes.explain_work, "/admin/v1/explain", methods=["POST"])
+    app.add_route(routes.explain, "/admin/v1/explain/<request_id>", methods=["GET"])
+    app.add_route(
+        routes.recalled, "/admin/v1/recalls/<recall>/results", methods=["GET"]
+    )
+    app.add_route(
+        routes.rerun, "/admin/v1/recalls/<recall>/rerun/<job_id>", methods=["POST"]
+    )
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -16,7 +16,7 @@
 from ._watch import AttemptWatch
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
     from random import Random
 
     from aspenbridge.configuration import View
@@ -24,6 +24,7 @@
     from aspenbridge.work import Admission, Grant, Work
 
 ENGINE_ATTEMPTS = 3
+ENGINES_EXPLAINED = 10
 
 
 @attrs.define
@@ -73,6 +74,7 @@
         self._random = random
         self._budget = budget
         self._placed = PlacedGrants(view)
+        self.on_step: Callable[[str, str], None] = lambda request, step: None
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
         """
@@ -96,6 +98,7 @@
                         async for chunk in chunks:
                             yield chunk
             except EngineFailure as failure:
+                self.on_step(generation.work.work_id, _ended(failure, grant))
                 if grant.revoked.is_set():
                     generation.revocations += 1
                     continue
@@ -111,15 +114,26 @@
         while True:
             engines = self._view.eligible_for(work)
             if not engines:
+                self.on_step(work.work_id, f"refused: {self._why_not(work)}")
                 raise self._nowhere(work).error()
             grant = await self._admission.acquire(work, engines, avoid=avoid)
             problem = self._withdraw(generation)
             if problem is None and self._view.allows(work, grant.engine):
+                self.on_step(work.work_id, _placed(work, grant, len(engines)))
                 return grant
             self._admission.release(grant, tokens=0, failed=False)
             if problem is not None:
                 raise problem.error()
 
+    def _why_not(self, work: Work) -> str:
+        carriers = self._view.placement.carriers(work.model, work.adapter)
+        reasons = [
+            f"{engine.name}: {reason}"
+            for engine in carriers[:ENGINES_EXPLAINED]
+            for reason in self._view.reasons_against(work, engine)
+        ]
+        return "; ".join(reasons) or f"no engine carries model {work.model!r}"
+
     def _withdraw(self, generation: Generation) -> Problem | None:
         """
         Drop what a model version produced that was recalled since.
@@ -201,3 +215,14 @@
     if generation.tokens:
         return Problem(ResultCode.STREAM_TRUNCATED, str(failure))
     return Problem(ResultCode.BACKEND_FAILED, str(failure))
+
+
+def _placed(work: Work, grant: Grant, eligible: int) -> str:
+    served = grant.engine.serving(work.adapter)
+    return f"placed on engine {grant.engine.name} ({served}), 1 of {eligible} eligible"
+
+
+def _ended(failure: EngineFailure, grant: Grant) -> str:
+    if grant.revoked.is_set():
+        return f"place on engine {failure.engine} was revoked"
+    return f"failed: {failure}"
