--- /dev/null
+++ b/tests/fuzz/scripts.py
@@ -0,0 +1,86 @@
+"""Short histories in which one guard each decides the outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from tests.fuzz.history import History
+from tests.support.fleet import STORE_DELAY_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HALF_A_CALL_S = STORE_DELAY_S / 2
+
+
+def booking_resent_to_another_host(history: History) -> None:
+    first, second, _ = history.fleet.usable()
+    history.submit_booking(first)
+    history.advance(1.0)
+    history.submit_booking(second, history.booking_keys()[0])
+    history.advance(1.0)
+
+
+def job_resent_to_another_host(history: History) -> None:
+    first, second, _ = history.fleet.usable()
+    history.submit_job(first)
+    history.advance(1.0)
+    history.submit_job(second, history.job_keys()[0])
+    history.advance(1.0)
+
+
+def reply_lost_after_a_change(history: History) -> None:
+    """Lose the reply to the write that makes the new revision."""
+    first = history.fleet.usable()[0]
+    history.change(first)
+    history.fleet.store(lose_reply_share=0.0)
+    history.advance(STORE_DELAY_S + HALF_A_CALL_S)  # the head is read
+    history.fleet.store(lose_reply_share=1.0)
+    history.advance(STORE_DELAY_S)
+    history.fleet.store(lose_reply_share=0.0)
+    history.advance(3.0)
+
+
+def late_reply_to_a_follower(history: History) -> None:
+    """Let a slow read of one change return after a newer one is in force."""
+    first, second, _ = history.fleet.usable()
+    history.change(second)
+    history.advance(3 * STORE_DELAY_S)
+    history.fleet.spawn(first.core.follower.refresh())
+    history.advance(HALF_A_CALL_S)
+    history.fleet.store(delay_s=3.0)
+    history.advance(STORE_DELAY_S)
+    history.fleet.store(delay_s=STORE_DELAY_S)
+    history.fleet.spawn(second.core.follower.refresh())
+    history.advance(3 * STORE_DELAY_S)
+    history.change(second)
+    history.advance(3 * STORE_DELAY_S)
+    history.fleet.spawn(first.core.follower.refresh())
+    history.advance(5.0)
+
+
+def work_after_a_recall(history: History) -> None:
+    first = history.fleet.usable()[0]
+    history.recall(first)
+    history.advance(20.0)
+    for _ in range(6):
+        history.submit_chat(first)
+    history.advance(2.0)
+
+
+SCRIPTS: dict[str, tuple[Callable[[History], None], str]] = {
+    "booking journal": (booking_resent_to_another_host, "at most once"),
+    "idempotency key": (job_resent_to_another_host, "one job"),
+    "write token": (reply_lost_after_a_change, "truthful refusal"),
+    "revision check": (late_reply_to_a_follower, "never reverts"),
+    "recall filter": (work_after_a_recall, "recall"),
+}
+
+
+def play(script: Callable[[History], Any], seed: int = 1) -> set[str]:
+    """Return the promises that a scripted history breaks."""
+    history = History(seed)
+    script(history)
+    history.finish()
+    history.close()
+    return {text.split(":")[0] for text in history.oracle.violations}
