--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import sys
 import time
 from collections import Counter
@@ -27,6 +28,7 @@
 
 
 def _run(options: argparse.Namespace) -> int:
+    logging.disable(logging.CRITICAL)
     started_s = time.monotonic()
     faults: Counter[str] = Counter()
     promises: Counter[str] = Counter()
--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -218,6 +218,9 @@
     def job_keys(self) -> list[str]:
         return list(self._job_items)
 
+    def items_of(self, key: str) -> dict[str, str]:
+        return self._job_items[key]
+
     def _work(self, prompt: str, work_id: str) -> Work:
         return Work(
             work_id=work_id,
--- /dev/null
+++ b/tests/scenarios/membership.feature
@@ -0,0 +1,62 @@
+Feature: Hosts come and go, and nothing accepted is lost
+
+  Background:
+    Given hosts A, B and C before three engines
+
+  Scenario: The host list shows a lost host as live
+    When a supervisor submits job J1 by host A
+    And host A runs items of job J1
+    And host A is lost
+    And interviewers open 6 chats by host B
+    And 60 seconds pass
+    Then job J1 has each item once
+    And every promise holds
+
+  Scenario: All hosts are replaced at once
+    When a supervisor submits job J1 by host A
+    And an interviewer sends coding request Q1 by host B
+    And host A runs items of job J1
+    And host A is lost
+    And host B is lost
+    And host C is lost
+    And a host starts
+    And 90 seconds pass
+    Then job J1 has each item once
+    And every promise holds
+
+  Scenario: All hosts are replaced one after another
+    When a supervisor submits job J1 by host A
+    And host A runs items of job J1
+    And host A is lost
+    And a host starts
+    And 5 seconds pass
+    And host B is lost
+    And a host starts
+    And 5 seconds pass
+    And host C is lost
+    And 90 seconds pass
+    Then job J1 has each item once
+    And every promise holds
+
+  Scenario: A host is lost during an outage of the store
+    When a supervisor submits job J1 by host A
+    And an interviewer sends coding request Q1 by host A
+    And host A runs items of job J1
+    And the store is down
+    And host A is lost
+    And 60 seconds pass
+    And the store is well
+    And 60 seconds pass
+    Then job J1 has each item once
+    And every promise holds
+
+  Scenario: A host is paused while an operator recalls a version
+    When a supervisor submits job J1 by host A
+    And host A runs items of job J1
+    And host A is paused
+    And version 1 is recalled by host B
+    And 40 seconds pass
+    And host A is resumed
+    And 60 seconds pass
+    Then job J1 has each item once
+    And every promise holds
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -85,7 +85,7 @@
         self.services.ledgers[SERVICE_ADDRESS] = self.ledger
         self.engines = EmbeddedEngines()
         self.host_list = EmbeddedHostList()
-        self.network = Network(self.clock)
+        self.network = Network(self.clock, self.uncaught)
         self.runs: list[EngineRun] = []
         self.hosts: list[FleetHost] = []
         self._cast: list[asyncio.Task[Any]] = []
@@ -136,19 +136,19 @@
             batch=BatchSettings(chunk_items=CHUNK_ITEMS),
         )
         host = FleetHost(HostCore(settings, ports, peer), gate, engines)
-        self.network.hosts[peer] = (gate, host.core)
         self.host_list.entries[str(peer)] = HostEntry(str(peer), "local", "local-a")
         self.hosts.append(host)
-        self.spawn(self._start(host))
+        self.spawn(self._start(host, peer))
         return host
 
-    async def _start(self, host: FleetHost) -> None:
+    async def _start(self, host: FleetHost, peer: PeerAddress) -> None:
         while not host.started:
             try:
                 await host.core.__aenter__()
             except StartError:
                 await asyncio.sleep(1.0)
             else:
+                self.network.hosts[peer] = (host.gate, host.core)
                 host.started = True
 
     def kill(self, host: FleetHost) -> None:
--- a/tests/support/gates.py
+++ b/tests/support/gates.py
@@ -206,8 +206,9 @@
 class Network:
     """Which hosts reach each other."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, uncaught: list[str]) -> None:
         self._clock = clock
+        self._uncaught = uncaught
         self.hosts: dict[PeerAddress, tuple[Gate, Any]] = {}
         self.cuts: set[frozenset[str]] = set()
 
@@ -227,6 +228,10 @@
         done, _ = await asyncio.wait({task}, timeout=left_s)
         if not done:
             raise PeerUnreachableError(address, "no answer in time", sent=True)
+        error = task.exception()
+        if error is not None:
+            self._uncaught.append(f"{type(message).__name__}: {error!r}")
+            raise PeerUnreachableError(address, "the handler failed", sent=True)
         return task.result()
 
     async def _handle(self, sender: Gate, gate: Gate, handler: Any, message: Any):
