--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -9,8 +10,8 @@
 
 from aspenbridge.limits import RetryBudget
 from aspenbridge.ports import CallOutcome, EngineFailure, Generate
+from aspenbridge.recall import PlacedGrants
 from aspenbridge.result_codes import Execution, Problem, ResultCode
-from aspenbridge.work import new_id
 
 from ._watch import AttemptWatch
 
@@ -23,6 +24,7 @@
     from aspenbridge.work import Admission, Grant, Work
 
 ENGINE_ATTEMPTS = 3
+REVOKE_NOTICE_S = 0.1
 
 
 @attrs.define
@@ -37,6 +39,13 @@
     served_by: list[str] = attrs.field(factory=list)
     failed_on: set[str] = attrs.field(factory=set)
     revocations: int = 0
+    streamed: bool = False
+
+    def restart(self) -> None:
+        """Forget what was produced so far."""
+        self.text = ""
+        self.tokens = 0
+        self.served_by.clear()
 
     def add(self, chunk: GeneratedChunk) -> None:
         """Take in the next chunk."""
@@ -64,6 +73,7 @@
         self._clock = clock
         self._random = random
         self._budget = budget
+        self._placed = PlacedGrants(view)
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
         """
@@ -83,8 +93,9 @@
             grant = await self._place(generation)
             try:
                 async with aclosing(self._attempt(generation, grant)) as chunks:
-                    async for chunk in chunks:
-                        yield chunk
+                    with self._placed.hold(generation.work, grant):
+                        async for chunk in chunks:
+                            yield chunk
             except EngineFailure as failure:
                 if grant.revoked.is_set():
                     generation.revocations += 1
@@ -97,11 +108,34 @@
 
     async def _place(self, generation: Generation) -> Grant:
         work = generation.work
-        engines = self._view.eligible(work.model, work.adapter)
-        if not engines:
-            raise self._nowhere(work).error()
         avoid = frozenset(generation.failed_on)
-        return await self._admission.acquire(work, engines, avoid=avoid)
+        while True:
+            engines = self._view.eligible_for(work)
+            if not engines:
+                raise self._nowhere(work).error()
+            grant = await self._admission.acquire(work, engines, avoid=avoid)
+            problem = self._withdraw(generation)
+            if problem is None and self._view.allows(work, grant.engine):
+                return grant
+            self._admission.release(grant, tokens=0, failed=False)
+            if problem is not None:
+                raise problem.error()
+
+    def _withdraw(self, generation: Generation) -> Problem | None:
+        """
+        Drop what a model version produced that was recalled since.
+
+        :return: a problem when the caller has already received it.
+        """
+        placement = self._view.placement
+        recalled = [name for name in generation.served_by if placement.withdrawn(name)]
+        if not recalled:
+            return None
+        if generation.streamed and generation.tokens:
+            detail = f"{recalled[0]} was recalled while it answered"
+            return Problem(ResultCode.STREAM_TRUNCATED, detail)
+        generation.restart()
+        return None
 
     def _nowhere(self, work: Work) -> Problem:
         if self._view.has_model(work.model):
@@ -114,8 +148,8 @@
     ) -> AsyncGenerator[GeneratedChunk, None]:
         work = generation.work
         engine = grant.engine
-        call = self._call(generation)
-        served = f"{engine.model}@{engine.version}"
+        call = self._call(generation, grant)
+        served = engine.serving(work.adapter)
         if served not in generation.served_by:
             generation.served_by.append(served)
         failed = False
@@ -132,7 +166,7 @@
             if generation.finish_reason is None:
                 raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
         except EngineFailure:
-            failed = not (grant.revoked.is_set() or watch.expired)
+            failed = not (watch.expired or await _was_revoked(work, grant))
             raise
         finally:
             if generation.finish_reason is None and not failed:
@@ -144,10 +178,10 @@
                 cached_tokens=generation.cached_tokens,
             )
 
-    def _call(self, generation: Generation) -> Generate:
+    def _call(self, generation: Generation, grant: Grant) -> Generate:
         work = generation.work
         return Generate(
-            attempt_id=new_id("attempt", self._random),
+            attempt_id=grant.grant_id,
             prompt=work.prompt,
             max_tokens=work.max_tokens,
             adapter=work.adapter,
@@ -164,6 +198,17 @@
         raise Problem(ResultCode.DEADLINE_EXCEEDED, detail, execution).error()
 
 
+async def _was_revoked(work: Work, grant: Grant) -> bool:
+    """Wait a little: the owner stops the engine and notifies at one time."""
+    if not work.online and not grant.revoked.is_set():
+        try:
+            async with asyncio.timeout(REVOKE_NOTICE_S):
+                await grant.revoked.wait()
+        except TimeoutError:
+            return False
+    return grant.revoked.is_set()
+
+
 def _problem(failure: EngineFailure, generation: Generation) -> Problem:
     if generation.tokens:
         return Problem(ResultCode.STREAM_TRUNCATED, str(failure))
