--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+from returns.result import Failure
 
 from aspenbridge.configuration import ConfigObject
 from aspenbridge.embedded import (
@@ -85,7 +86,7 @@
         self.services.ledgers[SERVICE_ADDRESS] = self.ledger
         self.engines = EmbeddedEngines()
         self.host_list = EmbeddedHostList()
-        self.network = Network(self.clock)
+        self.network = Network(self.clock, self.uncaught)
         self.runs: list[EngineRun] = []
         self.hosts: list[FleetHost] = []
         self._cast: list[asyncio.Task[Any]] = []
@@ -115,6 +116,10 @@
         died.cancel()
         return task.result()
 
+    async def enter(self, host: FleetHost, call: Coroutine[Any, Any, Any]) -> Any:
+        """Bring new work in by a host's front door, as its HTTP routes do."""
+        return await self.ask(host, _let_in(host, call))
+
     def add_host(self) -> FleetHost:
         """Begin a new host; it is usable once it has registered."""
         number = len(self.hosts) + 1
@@ -136,19 +141,19 @@
             batch=BatchSettings(chunk_items=CHUNK_ITEMS),
         )
         host = FleetHost(HostCore(settings, ports, peer), gate, engines)
-        self.network.hosts[peer] = (gate, host.core)
         self.host_list.entries[str(peer)] = HostEntry(str(peer), "local", "local-a")
         self.hosts.append(host)
-        self.spawn(self._start(host))
+        self.spawn(self._start(host, peer))
         return host
 
-    async def _start(self, host: FleetHost) -> None:
+    async def _start(self, host: FleetHost, peer: PeerAddress) -> None:
         while not host.started:
             try:
                 await host.core.__aenter__()
             except StartError:
                 await asyncio.sleep(1.0)
             else:
+                self.network.hosts[peer] = (host.gate, host.core)
                 host.started = True
 
     def kill(self, host: FleetHost) -> None:
@@ -222,6 +227,16 @@
             self.uncaught.append(f"{context['message']}: {error!r}")
 
 
+async def _let_in(host: FleetHost, call: Coroutine[Any, Any, Any]) -> Any:
+    await host.gate.passed()
+    refusal = host.core.refusal()
+    if refusal is not None:
+        call.close()
+        return Failure(refusal)
+    with host.core.running.one():
+        return await host.core.running.finish(call)
+
+
 def configuration() -> list[ConfigObject]:
     """Return the configuration that each fleet begins with."""
     objects = [
