Tell the truth about lost changes, and count listed hosts as known

Cause: a change whose commit may have taken effect was answered 'not run', and a host that was cut off right after its start knew of no other host, so that it counted itself as a majority and served on an old revision for ever. Ruled out: a fault in the freshness rule itself; its inputs were wrong. Before: both new tests fail. After: the problem says 'outcome unknown', and a host is in a majority of what it knows and of what the platform lists, and of nothing as long as it has not read the list.

--- a/src/aspenbridge/configuration/_authority.py
+++ b/src/aspenbridge/configuration/_authority.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from aspenbridge.ports import Conflict, RowKey
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Execution, Problem, ResultCode
 from aspenbridge.store import Changes
 
 from ._objects import Change, ConfigObject, Head
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from aspenbridge.ports import Clock
+    from aspenbridge.ports import Clock, Unavailable
     from aspenbridge.store import Store, Stored
 
 HEAD = RowKey("config", "head")
@@ -102,9 +102,9 @@
         read_head = await self._store.get(HEAD, Head)
         read = await self._store.get_many(keys, ConfigObject)
         if isinstance(read_head, Failure):
-            return Failure(_unavailable(read_head.failure().reason))
+            return Failure(_unavailable(read_head.failure()))
         if isinstance(read, Failure):
-            return Failure(_unavailable(read.failure().reason))
+            return Failure(_unavailable(read.failure()))
         head, stored = read_head.unwrap(), read.unwrap()
         current = head.record.revision if head else 0
         conflict = _conflict(draft, current, stored)
@@ -120,7 +120,7 @@
         error = result.failure()
         if isinstance(error, Conflict):
             return None
-        return Failure(_unavailable(error.reason))
+        return Failure(_unavailable(error))
 
     def _change(self, draft: _Draft, revision: int) -> Change:
         return Change(
@@ -164,8 +164,12 @@
     return None
 
 
-def _unavailable(reason: str) -> Problem:
-    return Problem(ResultCode.STORE_UNAVAILABLE, f"the change is not known: {reason}")
+def _unavailable(error: Unavailable) -> Problem:
+    if error.maybe_applied:
+        detail = f"the change may have been accepted: {error.reason}"
+        return Problem(ResultCode.STORE_UNAVAILABLE, detail, Execution.UNKNOWN)
+    detail = f"the change was not accepted: {error.reason}"
+    return Problem(ResultCode.STORE_UNAVAILABLE, detail)
 
 
 def _superseded(kind: str, name: str, base: int, winner: int) -> Problem:
--- a/src/aspenbridge/configuration/_freshness.py
+++ b/src/aspenbridge/configuration/_freshness.py
@@ -30,11 +30,12 @@
     confirmed_s: float | None
     reached_hosts: int
     known_hosts: int
+    list_was_read: bool = True
 
     @property
     def majority(self) -> bool:
         """Whether this host is in contact with most of the known hosts."""
-        return 2 * self.reached_hosts > self.known_hosts
+        return self.list_was_read and 2 * self.reached_hosts > self.known_hosts
 
 
 @attrs.frozen
--- a/src/aspenbridge/configuration/_spread.py
+++ b/src/aspenbridge/configuration/_spread.py
@@ -13,6 +13,8 @@
 from ._freshness import FreshnessPolicy, Knowledge, Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aspenbridge.membership import Member, Members
     from aspenbridge.ports import Clock, PeerTransport
     from aspenbridge.settings import ConfigurationSettings
@@ -40,7 +42,15 @@
         peers: PeerTransport,
         clock: Clock,
         settings: ConfigurationSettings,
+        listed_hosts: Callable[[], int | None] = lambda: None,
     ) -> None:
+        """
+        Keep what the freshness rule looks at.
+
+        :param listed_hosts: the hosts of the platform's list, this one
+            included, or None as long as it could not be read.
+        """
+        self._listed_hosts = listed_hosts
         self._follower = follower
         self._members = members
         self._peers = peers
@@ -60,7 +70,8 @@
             newest_heard=self._follower.newest_heard,
             confirmed_s=self._follower.confirmed_s,
             reached_hosts=len(reached) + 1,
-            known_hosts=len(known) + 1,
+            known_hosts=max(len(known) + 1, self._listed_hosts() or 0),
+            list_was_read=self._listed_hosts() is not None,
         )
 
     def verdict(self) -> Verdict:
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -116,7 +116,12 @@
         self.members = Members(clock)
         self.follower = Follower(self.store, clock, self.view, ports.peers)
         self.spread = Spread(
-            self.follower, self.members, ports.peers, clock, settings.configuration
+            self.follower,
+            self.members,
+            ports.peers,
+            clock,
+            settings.configuration,
+            lambda: self.prober.listed_hosts,
         )
         self.authority = Authority(self.store, clock, self.spread.reaches_majority)
         self.prober = Prober(
@@ -252,6 +257,7 @@
         self._stack.push_async_callback(self.supervisor.close)
         self._stack.push_async_callback(self.running.close)
         await self._register()
+        await self.prober.read_host_list()
         await self._load_configuration()
         intervals = self.settings
         self._start(self._follow_configuration())
--- a/src/aspenbridge/membership/_prober.py
+++ b/src/aspenbridge/membership/_prober.py
@@ -71,6 +71,7 @@
         self._random = random
         self._settings = settings
         self._listed: tuple[PeerAddress, ...] = ()
+        self.listed_hosts: int | None = None
         self._counter = 0
         self.spread: RevisionSpread = _NoSpread()
         self.state = LIVE
@@ -101,6 +102,7 @@
                 for entry in entries
                 if entry.address != own
             )
+            self.listed_hosts = len(self._listed) + 1
 
     def targets(self) -> list[PeerAddress]:
         """Return the address of each peer that may be alive."""
--- a/tests/configuration/test_authority.py
+++ b/tests/configuration/test_authority.py
@@ -10,7 +10,8 @@
 
 from aspenbridge.configuration import Authority, ConfigObject
 from aspenbridge.embedded import MemoryTable
-from aspenbridge.result_codes import ResultCode
+from aspenbridge.ports import Unavailable
+from aspenbridge.result_codes import Execution, ResultCode
 from aspenbridge.store import Store
 from tests.support.control_fleet import customer
 from tests.support.virtual_loop import run_virtual
@@ -68,3 +69,26 @@
     problem = run_virtual(scenario).failure()
     assert problem.code is ResultCode.BAD_CONFIGURATION
     assert reason in problem.detail
+
+
+class LosesCommitReplies(MemoryTable):
+    """Applies every transaction and answers none."""
+
+    async def transact(self, transaction):
+        await super().transact(transaction)
+        return Failure(Unavailable("reply lost", maybe_applied=True))
+
+    async def read(self, keys):
+        if self._version:
+            return Failure(Unavailable("down", maybe_applied=False))
+        return await super().read(keys)
+
+
+def test_accept_says_unknown_when_the_commit_may_have_taken_effect() -> None:
+    async def scenario(clock):
+        store = Store(LosesCommitReplies(), clock, random.Random(1))
+        return await Authority(store, clock).accept("x", 0, [customer("a")])
+
+    problem = run_virtual(scenario).failure()
+    assert problem.code is ResultCode.STORE_UNAVAILABLE
+    assert problem.execution is Execution.UNKNOWN
--- a/tests/configuration/test_freshness.py
+++ b/tests/configuration/test_freshness.py
@@ -28,6 +28,7 @@
         ({"confirmed_s": 80.0, "reached_hosts": 2, "known_hosts": 4}, Verdict.UNSURE),
         ({"confirmed_s": 80.0, "newest_heard": 8}, Verdict.UNSURE),
         ({"confirmed_s": None}, Verdict.UNSURE),
+        ({"confirmed_s": 80.0, "list_was_read": False}, Verdict.UNSURE),
     ],
 )
 def test_judge_follows_the_rule_when(changes, verdict) -> None:
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -99,3 +99,16 @@
     notified, revisions = fleet_test(4, scenario)
     assert (notified.in_force, notified.known_hosts) == (4, 4)
     assert revisions == [1, 1, 1]
+
+
+def test_host_refuses_when_it_is_cut_off_right_after_its_start() -> None:
+    async def main(clock):
+        fleet = ControlFleet(clock)
+        async with AsyncExitStack() as stack:
+            await fleet.start(stack, 3)
+            fleet.faults[2].down = True
+            fleet.cut.add(PeerAddress("127.0.0.1", 3))
+            await fleet.pass_s(14.0)
+            return fleet.hosts[2].refusal()
+
+    assert run_virtual(main).code is ResultCode.CONFIGURATION_UNKNOWN
