Refuse beyond a share early; bound the policy by seeded trials

A customer that holds its share is now refused when its predicted wait is over half of what it may wait; one that does not is queued.

The trials move whole fleets on the virtual loop; small ones run as tests.

--- a/src/aspenbridge/scheduling/_group.py
+++ b/src/aspenbridge/scheduling/_group.py
@@ -184,6 +184,11 @@
             if max(heard_s, holding.granted_s) < limit_s:
                 self._remove(holding.grant)
 
+    def beyond_share(self, customer: str, now_s: float) -> bool:
+        """Return whether a customer holds its share of the places."""
+        places = sum(state.limit for state in self.engines())
+        return self._shares.beyond(customer, places, now_s)
+
     def expected_wait_s(self, customer: str, now_s: float) -> float:
         """Return how long a new online request would wait."""
         ahead = self._online.ahead_of(customer)
@@ -275,7 +280,8 @@
     def _online_place(self, waiter: Waiter, now_s: float) -> str | None:
         grace = now_s < self._grace_until_s
 
-        lent = self._policy.fairness and self._beyond_share(waiter, now_s)
+        customer = waiter.request.customer
+        lent = self._policy.fairness and self.beyond_share(customer, now_s)
 
         def room(state: EngineState) -> bool:
             kept = state.limit // 2 if grace else 0
@@ -284,10 +290,6 @@
 
         return self._choose(waiter, room, now_s)
 
-    def _beyond_share(self, waiter: Waiter, now_s: float) -> bool:
-        places = sum(state.limit for state in self.engines())
-        return self._shares.beyond(waiter.request.customer, places, now_s)
-
     def _batch_place(self, waiter: Waiter, now_s: float) -> str | None:
         headroom = 0.0 if _urgent(waiter, now_s) else self._policy.online_headroom
         per_engine = self._arrivals.per_s(now_s) / max(1, len(self._engines))
--- a/src/aspenbridge/scheduling/_owner.py
+++ b/src/aspenbridge/scheduling/_owner.py
@@ -23,6 +23,7 @@
     from ._group import GroupPolicy
 
 SETTLE_INTERVAL_S = 0.02
+EARLY_PART = 0.5
 RETRY_AFTER_LEAST_S = 0.1
 RETRY_AFTER_MOST_S = 30.0
 
@@ -72,12 +73,17 @@
             return GrantReply(granted=False, owner=owner)
         now_s = self._clock.now_s()
         group = self._group(message.group)
-        if message.online:
-            wait_s = group.expected_wait_s(message.customer, now_s)
-            if wait_s > min(message.wait_s, ONLINE_WAIT_LIMIT_S):
-                return self._refusal(group, message.customer)
+        if message.online and self._hopeless(group, message, now_s):
+            return self._refusal(group, message.customer)
         return await self._queue(group, message, now_s)
 
+    def _hopeless(self, group: Group, message: GrantRequest, now_s: float) -> bool:
+        """Whether a customer with its share would wait too long for more."""
+        if not group.beyond_share(message.customer, now_s):
+            return False
+        wait_s = group.expected_wait_s(message.customer, now_s)
+        return wait_s > EARLY_PART * min(message.wait_s, ONLINE_WAIT_LIMIT_S)
+
     async def _queue(
         self, group: Group, message: GrantRequest, now_s: float
     ) -> GrantReply:
--- a/tests/trials/overload.py
+++ b/tests/trials/overload.py
@@ -12,17 +12,17 @@
 
 
 async def run_overload(
-    clock, seed, *, normal=NORMAL_RATE, peak=200.0, seconds=30.0, **settings
+    clock, seed, *, normal=NORMAL_RATE, peak=200.0, seconds=30.0, calm=12.0, **settings
 ) -> dict:
     """Normal load, then too much of it, then normal load again."""
     fleet = TrialFleet(clock, seed, **settings)
     load = Load(fleet, seed + 1)
     start_s = clock.now_s()
-    await load.online(normal, 10.0)
+    await load.online(normal, calm)
     over_s = clock.now_s()
     await load.online(peak, seconds)
     end_s = clock.now_s()
-    await load.online(normal, 12.0)
+    await load.online(normal, calm)
     await asyncio.sleep(4.0)
     usual = ttft_s(load.recorder.ok(start_s + 3.0, over_s))
     normal_p99_s = percentile(usual, 0.99)
@@ -40,6 +40,9 @@
         "refusal_p99_ms": round(
             1000 * percentile([x.end_s - x.arrived_s for x in refused], 0.99), 1
         ),
+        "refusal_p50_ms": round(
+            1000 * percentile([x.end_s - x.arrived_s for x in refused], 0.5), 1
+        ),
         "over_ttft_p99_ms": round(
             1000 * percentile(ttft_s(load.recorder.ok(over_s, end_s)), 0.99), 1
         ),
--- a/tests/trials/shares.py
+++ b/tests/trials/shares.py
@@ -43,13 +43,15 @@
     }
 
 
-async def run_batch_shares(clock, seed, *, seconds=40.0, **settings) -> dict:
+async def run_batch_shares(
+    clock, seed, *, per_host=8, seconds=40.0, **settings
+) -> dict:
     """Batch: five equal customers, one of them with ten times the items."""
     fleet = TrialFleet(clock, seed, **settings)
     load = Load(fleet, seed + 1)
     for name in OTHERS:
-        load.batch(per_host=8, customers=(name,))
-    load.batch(per_host=80, customers=("a",))
+        load.batch(per_host=per_host, customers=(name,))
+    load.batch(per_host=10 * per_host, customers=("a",))
     await asyncio.sleep(5.0)
     before = dict(load.recorder.batch_tokens)
     await asyncio.sleep(seconds)
