--- a/tests/support/gates.py
+++ b/tests/support/gates.py
@@ -42,6 +42,7 @@
     died: asyncio.Event = attrs.field(factory=asyncio.Event)
     closing: bool = False
     store_cut: bool = False
+    lose_reply_to: str = ""
     calm_since_s: float = 0.0
     resumed_s: float = -math.inf
 
@@ -114,13 +115,22 @@
                 result = Failure(Unavailable("no route", maybe_applied=False))
             else:
                 result = await operation(*values, **options)
-            if self._gate.store_cut and not isinstance(result, Failure):
+            if self._loses_reply(values) and not isinstance(result, Failure):
                 result = Failure(Unavailable("the reply was lost", maybe_applied=True))
             await self._gate.passed()
             return result
 
         return call
 
+    def _loses_reply(self, values: tuple[Any, ...]) -> bool:
+        """Whether this reply is lost; one to a named table is lost once."""
+        gate = self._gate
+        puts = getattr(values[0], "puts", ()) if values else ()
+        if any(put.key.table == gate.lose_reply_to for put in puts):
+            gate.lose_reply_to = ""
+            return True
+        return gate.store_cut
+
 
 @attrs.frozen
 class EngineRun:
@@ -206,8 +216,9 @@
 class Network:
     """Which hosts reach each other."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, uncaught: list[str]) -> None:
         self._clock = clock
+        self._uncaught = uncaught
         self.hosts: dict[PeerAddress, tuple[Gate, Any]] = {}
         self.cuts: set[frozenset[str]] = set()
 
@@ -227,6 +238,10 @@
         done, _ = await asyncio.wait({task}, timeout=left_s)
         if not done:
             raise PeerUnreachableError(address, "no answer in time", sent=True)
+        error = task.exception()
+        if error is not None:
+            self._uncaught.append(f"{type(message).__name__}: {error!r}")
+            raise PeerUnreachableError(address, "the handler failed", sent=True)
         return task.result()
 
     async def _handle(self, sender: Gate, gate: Gate, handler: Any, message: Any):
