--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check binary check-binary format
+.PHONY: demo test check binary check-binary format reference
 
 $(BIN)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,3 +37,7 @@
 format: $(BIN)/.installed
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
+
+reference: $(BIN)/.installed
+	$(BIN)/aspenbridge check-config --reference > docs/reference/settings.md
+	$(BIN)/aspenbridge check-config --codes > docs/reference/result-codes.md
--- a/src/aspenbridge/commands/__init__.py
+++ b/src/aspenbridge/commands/__init__.py
@@ -8,6 +8,12 @@
 
 from ._check_config import CheckConfigCommand
 from ._demo import DemoCommand
+from ._job import (
+    JobCancelCommand,
+    JobResultsCommand,
+    JobSubmitCommand,
+    JobWatchCommand,
+)
 from ._operator_keys import OperatorNewKeyCommand
 from ._serve import ServeCommand
 
@@ -19,6 +25,10 @@
     app.add(CheckConfigCommand())
     app.add(DemoCommand())
     app.add(OperatorNewKeyCommand())
+    app.add(JobSubmitCommand())
+    app.add(JobWatchCommand())
+    app.add(JobCancelCommand())
+    app.add(JobResultsCommand())
     return app
 
 
--- a/src/aspenbridge/commands/_check_config.py
+++ b/src/aspenbridge/commands/_check_config.py
@@ -8,6 +8,7 @@
 from cleo.helpers import option
 from returns.result import Failure
 
+from aspenbridge.result_codes import codes_page
 from aspenbridge.settings import load_settings, reference_page
 
 from ._exit_codes import BAD_SETTINGS, DONE
@@ -21,12 +22,16 @@
     options: ClassVar = [
         option("config", "c", "Settings file.", flag=False),
         option("reference", None, "Print the reference page of all settings."),
+        option("codes", None, "Print the reference page of the result codes."),
     ]
 
     def handle(self) -> int:
         """Run the command and return its exit code."""
         if self.option("reference"):
-            self.line(reference_page())
+            self.line(reference_page().rstrip())
+            return DONE
+        if self.option("codes"):
+            self.line(codes_page().rstrip())
             return DONE
         path = self.option("config") or "host.ini"
         loaded = load_settings(path)
--- a/src/aspenbridge/commands/_exit_codes.py
+++ b/src/aspenbridge/commands/_exit_codes.py
@@ -7,3 +7,4 @@
 BAD_SETTINGS = 3
 UNREACHABLE = 4
 FAULT = 5  # a background task of the host died
+REFUSED = 6  # a host answered with a problem
--- a/src/aspenbridge/result_codes/__init__.py
+++ b/src/aspenbridge/result_codes/__init__.py
@@ -4,6 +4,7 @@
 
 from ._codes import CodeInfo, Execution, ResultCode, code_table
 from ._problem import Problem, ProblemError
+from ._reference import codes_page
 
 __all__ = [
     "CodeInfo",
@@ -12,4 +13,5 @@
     "ProblemError",
     "ResultCode",
     "code_table",
+    "codes_page",
 ]
