--- a/src/aspenbridge/commands/__init__.py
+++ b/src/aspenbridge/commands/__init__.py
@@ -14,9 +14,40 @@
     JobSubmitCommand,
     JobWatchCommand,
 )
+from ._operator_changes import (
+    ApplyCommand,
+    DrainCommand,
+    DryRunCommand,
+    LabelsCommand,
+    RecallCommand,
+    RemoveCommand,
+    UndrainCommand,
+)
 from ._operator_keys import OperatorNewKeyCommand
+from ._operator_queries import (
+    CustomersCommand,
+    ExplainCommand,
+    RecalledCommand,
+    RerunCommand,
+    StatusCommand,
+)
 from ._serve import ServeCommand
 
+OPERATOR_COMMANDS = (
+    StatusCommand,
+    LabelsCommand,
+    ApplyCommand,
+    RemoveCommand,
+    DrainCommand,
+    UndrainCommand,
+    RecallCommand,
+    RecalledCommand,
+    RerunCommand,
+    CustomersCommand,
+    DryRunCommand,
+    ExplainCommand,
+)
+
 
 def application() -> Application:
     """Return the command line with all of its commands."""
@@ -29,6 +60,8 @@
     app.add(JobWatchCommand())
     app.add(JobCancelCommand())
     app.add(JobResultsCommand())
+    for command in OPERATOR_COMMANDS:
+        app.add(command())
     return app
 
 
