--- a/src/aspenbridge_bench/_capacity.py
+++ b/src/aspenbridge_bench/_capacity.py
@@ -26,7 +26,13 @@
 GROUP_ENGINES = 16
 CHUNK_ITEMS = 500
 TOKEN_GAP_S = 0.045
-BATCH_READS_PER_S = 2.0
+JOB_ROW_BYTES = 255
+FLUSH_INTERVAL_S = 5.0
+ACTIVE_POLL_S = 10.5
+LOST_HOSTS = 38
+CHUNKS_AT_ONCE = 16
+WRITES_PER_S = 500
+READS_PER_S = 2_000
 CONTROL_CPU_SHARE = 0.019
 CONTROL_BYTES_PER_S = 3_000
 CONTROL_STATE_BYTES = 32_000_000
@@ -195,6 +201,7 @@
     chunks_per_s = ITEMS_PER_S / CHUNK_ITEMS
     table_writes = measured.lines["job run", "table writes"].slope * chunks_per_s
     object_writes = measured.lines["job run", "object writes"].slope * chunks_per_s
+    flushes = HOSTS / FLUSH_INTERVAL_S
     segment_s = measured.lines["segment encoded", "s"].slope * ITEMS_PER_S / HOSTS
     return [
         Figure("chunk runner", "items", ITEMS_PER_S / HOSTS, "1/s"),
@@ -217,13 +224,17 @@
             measured.at("active jobs scanned", "s", JOBS),
             "s",
         ),
-        Figure("table", "writes of chunks", table_writes, "1/s", 500),
-        Figure("object store", "writes of chunks", object_writes, "1/s", 500),
+        Figure("table", "writes of full chunks", table_writes, "1/s", WRITES_PER_S),
+        Figure("table", "writes, a flush a host", flushes, "1/s", WRITES_PER_S),
+        Figure("table", "writes, a flush an item", ITEMS_PER_S, "1/s", WRITES_PER_S),
+        Figure("object store", "writes of chunks", object_writes, "1/s", WRITES_PER_S),
     ]
 
 
 def _control(measured: Measured) -> list[Figure]:
     reads = measured.idle["table_reads"] * HOSTS
+    list_bytes = JOBS * JOB_ROW_BYTES / ACTIVE_POLL_S
+    scan_s = measured.at("active jobs scanned", "s", JOBS) / ACTIVE_POLL_S
     grants = (REQUESTS_PER_S + ITEMS_PER_S) / HOSTS
     call_s = measured.lines["grant call, both ends", "s"].slope
     grant_s = 2 * call_s + measured.at("place given and released", "s", 512)
@@ -252,13 +263,27 @@
             "bytes",
             CONTROL_STATE_BYTES,
         ),
-        Figure("table", "reads of idle hosts", reads, "1/s", 2_000),
-        Figure("table", "reads of one scan of the jobs", scan_reads, "reads"),
+        Figure("node", "list of jobs read", scan_s, "cores", CONTROL_CPU_SHARE),
+        Figure("node", "list of jobs read", list_bytes, "bytes/s", CONTROL_BYTES_PER_S),
+        Figure("table", "reads of idle hosts", reads, "1/s", READS_PER_S),
+        Figure(
+            "table",
+            "reads of the list of jobs",
+            HOSTS / ACTIVE_POLL_S * scan_reads,
+            "1/s",
+            READS_PER_S,
+        ),
+        Figure(
+            "table",
+            "writes to take over a failure domain, 16 chunks a host",
+            LOST_HOSTS * (2 + CHUNKS_AT_ONCE),
+            "writes",
+        ),
         Figure(
             "table",
             "writes if each request were a coding request",
             coding_writes,
             "1/s",
-            500,
+            WRITES_PER_S,
         ),
     ]
--- a/src/aspenbridge_bench/_commands.py
+++ b/src/aspenbridge_bench/_commands.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from ._capacity_command import CapacityCommand
+from ._failures_command import FailuresCommand
 from ._relay_command import RelayCommand
 from ._slopes_command import SlopesCommand
 
@@ -13,6 +14,7 @@
     """Return the command line with all of its commands."""
     app = Application("aspenbridge-bench")
     app.add(SlopesCommand())
+    app.add(FailuresCommand())
     app.add(CapacityCommand())
     app.add(RelayCommand())
     return app
--- /dev/null
+++ b/src/aspenbridge_bench/_failures.py
@@ -0,0 +1,193 @@
+"""Losses of real host processes while a batch job runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+from ._local_fleet import MODEL, authorization
+
+if TYPE_CHECKING:
+    from ._local_fleet import HostProcess, LocalFleet
+
+CUSTOMER = "kgotso"
+ITEMS = 600
+ANSWER_TOKENS = 40
+JOB_LIMIT_S = 75.0
+POLL_S = 0.25
+RUNNING_SHARE = 0.1
+CREATED = 201
+OK = 200
+
+
+@attrs.frozen
+class FailureReport:
+    """What became of the job in one run."""
+
+    case: str
+    items: int
+    results: int
+    twice: int
+    missing: int
+    failed: int
+    seconds: float
+    done_before: int
+    stalled_s: float
+    failed_polls: int
+    state: str
+    counts: dict[str, int]
+
+    @property
+    def passed(self) -> bool:
+        """Whether each item has exactly one good result."""
+        complete = self.results == self.items and self.state == "completed"
+        return complete and not (self.twice or self.missing or self.failed)
+
+
+@attrs.define
+class JobRun:
+    """One job: submitted through one host, watched through another."""
+
+    fleet: LocalFleet
+    case: str
+    job: str = ""
+    progress: list[tuple[float, int]] = attrs.field(factory=list)
+    failed_polls: int = 0
+    state: str = ""
+
+    async def submit(self, host: HostProcess) -> None:
+        """Upload the items and create the job."""
+        lines = [json.dumps(_item(number)) for number in range(ITEMS)]
+        file = await self._post(host, "/v1/files", "\n".join(lines).encode())
+        body = msgspec.json.encode({"input_file_id": file["id"]})
+        created = await self._post(host, "/v1/batches", body)
+        self.job = created["id"]
+
+    async def watch(self, host: HostProcess, *, share: float) -> int:
+        """Poll until a share of the items has results that count."""
+        deadline_s = time.monotonic() + JOB_LIMIT_S
+        done = 0
+        while time.monotonic() < deadline_s:
+            status = await self._status(host)
+            if status is None:
+                self.failed_polls += 1
+            else:
+                done = int(status["request_counts"]["completed"])
+                self.state = status["status"]
+                self.progress.append((time.monotonic(), done))
+                ended = share < 1.0 or self.state == "completed"
+                if done >= share * ITEMS and ended:
+                    return done
+            await asyncio.sleep(POLL_S)
+        return done
+
+    async def report(
+        self, host: HostProcess, started_s: float, done_before: int
+    ) -> FailureReport:
+        """Fetch the results and count them by ``custom_id``."""
+        seconds = time.monotonic() - started_s
+        names, failed = await self._results(host)
+        expected = {f"call-{number}" for number in range(ITEMS)}
+        return FailureReport(
+            case=self.case,
+            items=ITEMS,
+            results=names.total(),
+            twice=sum(count > 1 for count in names.values()),
+            missing=len(expected - names.keys()),
+            failed=failed,
+            seconds=round(seconds, 2),
+            done_before=done_before,
+            stalled_s=round(self._longest_stall_s(), 2),
+            failed_polls=self.failed_polls,
+            state=self.state,
+            counts=await self.fleet.counts("table"),
+        )
+
+    def _longest_stall_s(self) -> float:
+        """Return the longest time in which no result was counted."""
+        longest_s, since_s, last = 0.0, None, -1
+        for at_s, done in self.progress:
+            if done != last:
+                since_s, last = at_s, done
+            elif since_s is not None:
+                longest_s = max(longest_s, at_s - since_s)
+        return longest_s
+
+    async def _results(self, host: HostProcess) -> tuple[Counter[str], int]:
+        url = f"{host.url}/v1/batches/{self.job}/results"
+        headers = authorization(CUSTOMER)
+        async with self.fleet.session.get(url, headers=headers) as response:
+            body = await response.read()
+        outcomes = [json.loads(line) for line in body.splitlines() if line]
+        names = Counter(item.get("custom_id", "?") for item in outcomes)
+        failed = sum(item.get("code") != 0 for item in outcomes)
+        return names, failed
+
+    async def _status(self, host: HostProcess) -> dict[str, Any] | None:
+        url = f"{host.url}/v1/batches/{self.job}"
+        headers = authorization(CUSTOMER)
+        async with self.fleet.session.get(url, headers=headers) as response:
+            body = await response.read()
+            if response.status != OK:
+                return None
+            return msgspec.json.decode(body, type=dict[str, Any])
+
+    async def _post(self, host: HostProcess, path: str, body: bytes) -> dict[str, Any]:
+        headers = authorization(CUSTOMER)
+        async with self.fleet.session.post(
+            host.url + path, data=body, headers=headers
+        ) as response:
+            reply = await response.read()
+            if response.status != CREATED:
+                raise RuntimeError(f"{path}: {response.status} {reply!r}")
+            return msgspec.json.decode(reply, type=dict[str, Any])
+
+
+def _item(number: int) -> dict[str, object]:
+    message = {"role": "user", "content": f"summarise call {number}"}
+    body = {"model": MODEL, "messages": [message], "max_tokens": ANSWER_TOKENS}
+    return {"custom_id": f"call-{number}", "body": body}
+
+
+async def host_killed(fleet: LocalFleet) -> FailureReport:
+    """Kill the host that took the job in, and fetch through another."""
+    run, started_s = JobRun(fleet, "host killed"), time.monotonic()
+    first, second = fleet.hosts[0], fleet.hosts[1]
+    await run.submit(first)
+    before = await run.watch(second, share=RUNNING_SHARE)
+    fleet.processes.signal(first.name, signal.SIGKILL)
+    await run.watch(second, share=1.0)
+    return await run.report(second, started_s, before)
+
+
+async def host_paused(fleet: LocalFleet, pause_s: float) -> FailureReport:
+    """Pause a host past the suspicion period and let it go on."""
+    run, started_s = JobRun(fleet, f"host paused {pause_s:g} s"), time.monotonic()
+    first, second = fleet.hosts[0], fleet.hosts[1]
+    await run.submit(first)
+    before = await run.watch(second, share=RUNNING_SHARE)
+    fleet.processes.signal(first.name, signal.SIGSTOP)
+    await asyncio.sleep(pause_s)
+    fleet.processes.signal(first.name, signal.SIGCONT)
+    await run.watch(second, share=1.0)
+    return await run.report(first, started_s, before)
+
+
+async def table_down(fleet: LocalFleet, outage_s: float) -> FailureReport:
+    """Take the table service away for a while."""
+    run, started_s = JobRun(fleet, f"table down {outage_s:g} s"), time.monotonic()
+    first, second = fleet.hosts[0], fleet.hosts[1]
+    await run.submit(first)
+    before = await run.watch(second, share=RUNNING_SHARE)
+    await fleet.control("table", "faults", {"down": True})
+    await asyncio.sleep(outage_s)
+    await fleet.control("table", "faults", {"down": False})
+    await run.watch(second, share=1.0)
+    return await run.report(second, started_s, before)
