--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -14,6 +14,7 @@
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
 from aspenbridge.configuration import Authority, Follower, Spread, View
+from aspenbridge.explain import Decisions
 from aspenbridge.lifecycle import load_chart
 from aspenbridge.limits import RetryBudget
 from aspenbridge.membership import (
@@ -29,11 +30,14 @@
     Ack,
     CancelNotice,
     ChangesRequest,
+    ExplainRequest,
     Probe,
     ProbeVia,
     RevisionNotice,
+    SuspectNotice,
 )
 from aspenbridge.ports import NoMetrics, PeerUnreachableError
+from aspenbridge.recall.results import RecalledResults
 from aspenbridge.recovery import (
     RECONCILE_INTERVAL_S,
     HostSweep,
@@ -45,6 +49,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
+from aspenbridge.suspects import Suspects
 from aspenbridge.telemetry import Hops, MeasuredAdmission
 
 from ._errors import StartError
@@ -116,7 +121,12 @@
         self.members = Members(clock)
         self.follower = Follower(self.store, clock, self.view, ports.peers)
         self.spread = Spread(
-            self.follower, self.members, ports.peers, clock, settings.configuration
+            self.follower,
+            self.members,
+            ports.peers,
+            clock,
+            settings.configuration,
+            lambda: self.prober.listed_hosts,
         )
         self.authority = Authority(self.store, clock, self.spread.reaches_majority)
         self.prober = Prober(
@@ -149,6 +159,8 @@
             random,
             RetryBudget(settings.limits.retry_budget),
         )
+        self.decisions = Decisions(settings.host.name, clock, self.members, ports.peers)
+        self.generator.on_step = self.decisions.note
         group = GroupCommitter(self.store, clock)
         self.coding_runs = CodingRuns(
             self.identity, self.store, group, self.generator, clock
@@ -167,6 +179,15 @@
             settings.listen.max_item_bytes,
         )
         self.jobs = Jobs(self.store, ports.objects, clock, random)
+        self.recalled_results = RecalledResults(
+            self.view,
+            ports.table,
+            self.store,
+            ports.objects,
+            self.files,
+            self.jobs,
+            clock,
+        )
         self.batch = BatchRunner(
             self.identity,
             self.store,
@@ -177,6 +198,14 @@
             settings.batch,
             lambda: len(self.members.live()) + 1,
         )
+        self.suspects = Suspects(
+            self.identity,
+            self.store,
+            clock,
+            self._broadcast,
+            lambda: len(self.members.live()) + 1,
+        )
+        self.generator.suspects = self.suspects
         self.jobs.on_submitted = self.batch.wake
         self.jobs.on_cancelled = self._spread_cancel
         self.registration = Registration(self.store, clock, random, settings.host, peer)
@@ -252,6 +281,7 @@
         self._stack.push_async_callback(self.supervisor.close)
         self._stack.push_async_callback(self.running.close)
         await self._register()
+        await self.prober.read_host_list()
         await self._load_configuration()
         intervals = self.settings
         self._start(self._follow_configuration())
@@ -265,9 +295,11 @@
         self._every(CANCEL_CHECK_S, self.batch.check_cancelled)
         self._every(RECONCILE_INTERVAL_S, self.reconciler.run)
         self._start(self._sweep_loop())
+        self._start(self._suspects_loop())
         drops = (*self._work_stops(), self._forget_suspicions)
         self._start(self.registration.watch(drops))
         self._start(self.batch.run(lambda: self.ready))
+        self._stack.push_async_callback(self.suspects.aclose)
         for owner in (self.coding_runs, self.coding, self.calls, self.batch):
             self._stack.push_async_callback(owner.aclose)
         self._stack.push_async_callback(self.takeover.aclose)
@@ -290,10 +322,15 @@
         if isinstance(message, CancelNotice):
             self.batch.cancel(message.job)
             return Ack()
+        if isinstance(message, SuspectNotice):
+            self.suspects.hear(message)
+            return Ack()
         if isinstance(message, ChangesRequest):
             return self.follower.answer(message)
         if isinstance(message, RevisionNotice):
             return await self.spread.answer(message)
+        if isinstance(message, ExplainRequest):
+            return self.decisions.answer(message)
         return await self.scheduler.handle(message)
 
     async def _register(self) -> None:
@@ -350,6 +387,11 @@
     async def _forget_suspicions(self) -> None:
         self.detector.reset()
 
+    async def _suspects_loop(self) -> None:
+        while True:
+            await self.suspects.refresh()
+            await self._pause(self.suspects.refresh_interval_s)
+
     async def _sweep_loop(self) -> None:
         while True:
             await self._pause(self.sweep.interval_s)
@@ -358,9 +400,11 @@
     def _spread_cancel(self, job_id: str) -> None:
         """Stop a job here and tell every other host."""
         self.batch.cancel(job_id)
-        notice = CancelNotice(job_id)
+        self._broadcast(CancelNotice(job_id))
+
+    def _broadcast(self, message: Any) -> None:
         for member in self.members.present():
-            self._start_notice(member.address, notice)
+            self._start_notice(member.address, message)
 
     def _start_notice(self, address: PeerAddress, message: Any) -> None:
         task = asyncio.ensure_future(self._notify(address, message))
--- a/src/aspenbridge/scheduling/_owner.py
+++ b/src/aspenbridge/scheduling/_owner.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from aspenbridge.peers import GrantReply
+from aspenbridge.ports import EngineFailure
 from aspenbridge.result_codes import ResultCode
 
 from ._group import ONLINE_WAIT_LIMIT_S, Group, Settled
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from aspenbridge.peers import GrantRelease, GrantRequest, RunningReport
     from aspenbridge.ports import Clock, EngineLoad
@@ -22,6 +23,7 @@
     from ._group import GroupPolicy
 
 SETTLE_INTERVAL_S = 0.02
+EARLY_PART = 0.5
 RETRY_AFTER_LEAST_S = 0.1
 RETRY_AFTER_MOST_S = 30.0
 
@@ -48,6 +50,7 @@
         capacity: Callable[[str], int],
         weight: Callable[[str], float],
         revoke: Callable[[list[Holding]], None],
+        cancel: Callable[[Holding], Coroutine[Any, Any, None]],
     ) -> None:
         self._clock = clock
         self._policy = policy
@@ -56,6 +59,8 @@
         self._capacity = capacity
         self._weight = weight
         self._revoke = revoke
+        self._cancel = cancel
+        self._tasks: set[asyncio.Task[None]] = set()
         self._groups: dict[str, Group] = {}
         self._answers: dict[str, asyncio.Future[str]] = {}
         self.counters = OwnerCounters()
@@ -68,12 +73,17 @@
             return GrantReply(granted=False, owner=owner)
         now_s = self._clock.now_s()
         group = self._group(message.group)
-        if message.online:
-            wait_s = group.expected_wait_s(message.customer, now_s)
-            if wait_s > min(message.wait_s, ONLINE_WAIT_LIMIT_S):
-                return self._refusal(group, message.customer)
+        if message.online and self._hopeless(group, message, now_s):
+            return self._refusal(group, message.customer)
         return await self._queue(group, message, now_s)
 
+    def _hopeless(self, group: Group, message: GrantRequest, now_s: float) -> bool:
+        """Whether a customer with its share would wait too long for more."""
+        if not group.beyond_share(message.customer, now_s):
+            return False
+        wait_s = group.expected_wait_s(message.customer, now_s)
+        return wait_s > EARLY_PART * min(message.wait_s, ONLINE_WAIT_LIMIT_S)
+
     async def _queue(
         self, group: Group, message: GrantRequest, now_s: float
     ) -> GrantReply:
@@ -181,6 +191,19 @@
         if settled.revoked:
             self.counters.revoked += len(settled.revoked)
             self._revoke(settled.revoked)
+            for holding in settled.revoked:
+                task = asyncio.ensure_future(self._stop(group, holding))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _stop(self, group: Group, holding: Holding) -> None:
+        """Stop revoked work at the engine, before its origin can."""
+        try:
+            await self._cancel(holding)
+        except EngineFailure:
+            return  # the origin's release makes up for it
+        group.cancelled(holding)
+        self._settle(group)
 
     def _answer(self, grant: str, engine: str) -> None:
         answer = self._answers.get(grant)
