--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -13,6 +13,7 @@
 from aspenbridge.recall import PlacedGrants
 from aspenbridge.result_codes import Execution, Problem, ResultCode
 
+from ._crash_guard import CrashGuard, NoGuard
 from ._watch import AttemptWatch
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
         self._random = random
         self._budget = budget
         self._placed = PlacedGrants(view)
+        self.suspects: CrashGuard = NoGuard()
         self.on_step: Callable[[str, str], None] = lambda request, step: None
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
@@ -172,6 +174,7 @@
             self._engines, self._clock, grant, call.attempt_id, work.deadline_s
         )
         try:
+            await self.suspects.before(work, engine.name)
             with watch:
                 async with aclosing(self._engines.generate(engine, call)) as chunks:
                     async for chunk in chunks:
@@ -179,10 +182,13 @@
                         yield chunk
             if generation.finish_reason is None:
                 raise EngineFailure(engine.name, CallOutcome.BROKEN, "stream ended")
-        except EngineFailure:
+        except EngineFailure as failure:
             failed = not (watch.expired or await _was_revoked(work, grant))
+            if failed and failure.outcome is CallOutcome.BROKEN:
+                await self.suspects.crashed(work, engine.name)
             raise
         finally:
+            self._end_attempt(generation)
             if generation.finish_reason is None and not failed:
                 watch.abandon()
             self._admission.release(
@@ -192,6 +198,11 @@
                 cached_tokens=generation.cached_tokens,
             )
 
+    def _end_attempt(self, generation: Generation) -> None:
+        if generation.finish_reason is not None:
+            self.suspects.finished(generation.work)
+        self.suspects.ended(generation.work)
+
     def _call(self, generation: Generation, grant: Grant) -> Generate:
         work = generation.work
         return Generate(
