--- a/src/aspenbridge/commands/__init__.py
+++ b/src/aspenbridge/commands/__init__.py
@@ -8,6 +8,12 @@
 
 from ._check_config import CheckConfigCommand
 from ._demo import DemoCommand
+from ._job import (
+    JobCancelCommand,
+    JobResultsCommand,
+    JobSubmitCommand,
+    JobWatchCommand,
+)
 from ._operator_changes import (
     ApplyCommand,
     DrainCommand,
@@ -50,6 +56,10 @@
     app.add(CheckConfigCommand())
     app.add(DemoCommand())
     app.add(OperatorNewKeyCommand())
+    app.add(JobSubmitCommand())
+    app.add(JobWatchCommand())
+    app.add(JobCancelCommand())
+    app.add(JobResultsCommand())
     for command in OPERATOR_COMMANDS:
         app.add(command())
     return app
