Start no work on a revision that may have been superseded

Cause: whether a host may serve was judged once a second and between chunks, so a host that woke from a pause began items on its old view until its next poll, and a host that turned uncertain went on with a claimed chunk. Ruled out: the view itself; it never went back. Before: the new test starts a generation. After: the question is asked by the clock before a place is asked for and again when it was given; accepted work waits and tries again, a caller is told 'not run'.

--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -160,6 +160,7 @@
             RetryBudget(settings.limits.retry_budget),
         )
         self.decisions = Decisions(settings.host.name, clock, self.members, ports.peers)
+        self.generator.may_start = self.spread.may_serve
         self.generator.on_step = self.decisions.note
         group = GroupCommitter(self.store, clock)
         self.coding_runs = CodingRuns(
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -25,6 +25,7 @@
     from aspenbridge.work import Admission, Grant, Work
 
 ENGINE_ATTEMPTS = 3
+UNSURE_RETRY_S = 1.0
 ENGINES_EXPLAINED = 10
 REVOKE_NOTICE_S = 0.1
 
@@ -77,6 +78,7 @@
         self._budget = budget
         self._placed = PlacedGrants(view)
         self.suspects: CrashGuard = NoGuard()
+        self.may_start: Callable[[], bool] = lambda: True
         self.on_step: Callable[[str, str], None] = lambda request, step: None
 
     async def run(self, generation: Generation) -> AsyncGenerator[GeneratedChunk, None]:
@@ -115,19 +117,32 @@
         work = generation.work
         avoid = frozenset(generation.failed_on)
         while True:
+            self._check_certain(work)
             engines = self._view.eligible_for(work)
             if not engines:
                 self.on_step(work.work_id, f"refused: {self._why_not(work)}")
                 raise self._nowhere(work).error()
             grant = await self._admission.acquire(work, engines, avoid=avoid)
             problem = self._withdraw(generation)
-            if problem is None and self._view.allows(work, grant.engine):
+            allowed = self.may_start() and self._view.allows(work, grant.engine)
+            if problem is None and allowed:
                 self.on_step(work.work_id, _placed(work, grant, len(engines)))
                 return grant
             self._admission.release(grant, tokens=0, failed=False)
             if problem is not None:
                 raise problem.error()
 
+    def _check_certain(self, work: Work) -> None:
+        """Start nothing on a revision that may have been superseded."""
+        if self.may_start():
+            return
+        self.on_step(work.work_id, "refused: the revision may be old")
+        detail = "this host can't tell whether its revision is in force"
+        problem = Problem(
+            ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=UNSURE_RETRY_S
+        )
+        raise problem.error()
+
     def _why_not(self, work: Work) -> str:
         carriers = self._view.placement.carriers(work.model, work.adapter)
         reasons = [
--- a/tests/online/test_generation.py
+++ b/tests/online/test_generation.py
@@ -131,3 +131,22 @@
         assert fleet.engines.engines["e0"].report().running == 0
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("sure_at_first", [False, True])
+def test_generation_starts_nothing_when_the_revision_may_be_old(sure_at_first) -> None:
+    async def scenario(clock):
+        fleet = TestFleet(clock)
+        await fleet.past_grace()
+        host = fleet.others[0]
+        host.generator.may_start = lambda answers=iter([sure_at_first]): next(
+            answers, False
+        )
+        with pytest.raises(ProblemError) as raised:
+            await finish(host, host.work(clock))
+        started = sum(item.started for item in fleet.engines.engines.values())
+        return raised.value.problem.code, started
+
+    code, started = run_virtual(scenario)
+    assert code is ResultCode.CONFIGURATION_UNKNOWN
+    assert started == 0
