--- a/src/aspenbridge/configuration/_placement.py
+++ b/src/aspenbridge/configuration/_placement.py
@@ -65,6 +65,7 @@
         self._engine_index = SelectorIndex()
         self._served_index = SelectorIndex()
         self._work_selectors: dict[str, Selector] = {}
+        self._drains: set[str] = set()
         self._recalls: dict[str, RecallSpec] = {}
         self._recalled: dict[str, Selector] = {}
         self._rules: dict[str, dict[Any, Rules]] = {}
@@ -91,6 +92,7 @@
             case DrainSpec():
                 selector = parse_selector(spec.engines, ENGINE).unwrap()
                 self._engine_index.put_selector(f"drain/{item.name}", selector)
+                self._drains.add(item.name)
                 self._eligible.clear()
             case RecallSpec():
                 selector = parse_selector(spec.selector, SERVED).unwrap()
@@ -113,6 +115,7 @@
                 self._relabel(kind, name)
             case "drain":
                 self._engine_index.drop_selector(f"drain/{name}")
+                self._drains.discard(name)
             case "recall":
                 self._served_index.drop_selector(name)
                 self._recalls.pop(name, None)
@@ -191,10 +194,11 @@
         key = (model, adapter, rules)
         found = self._eligible.get(key)
         if found is None:
+            drained = self._drained()
             found = tuple(
                 engine
                 for engine in self.carriers(model, adapter)
-                if not self.drains_of(engine.name)
+                if engine.name not in drained
                 and not self.forbidding_rules(rules, engine)
             )
             self._eligible[key] = found
@@ -230,6 +234,10 @@
         """Return the model versions and adapters that one would match."""
         return self._served_index.matching(selector)
 
+    def _drained(self) -> set[str]:
+        matched = (self._engine_index.matched(f"drain/{name}") for name in self._drains)
+        return set().union(*matched)
+
     def _put_rule(self, name: str, spec: SelectorSpec) -> None:
         engines = parse_selector(spec.engines, ENGINE).unwrap()
         self._engine_index.put_selector(f"placement/{name}", engines)
--- a/src/aspenbridge/configuration/_view.py
+++ b/src/aspenbridge/configuration/_view.py
@@ -26,6 +26,9 @@
         self.placement = Placement()
         self._objects: dict[tuple[str, str], ConfigObject] = {}
         self._specs: dict[tuple[str, str], Any] = {}
+        self._eligible: dict[
+            tuple[str, str | None, frozenset[str]], tuple[Engine, ...]
+        ] = {}
         self._watchers: list[Callable[[], None]] = []
 
     @property
@@ -128,12 +131,21 @@
     def _running(
         self, model: str, adapter: str | None, rules: frozenset[str]
     ) -> tuple[Engine, ...]:
-        allowed = self.placement.allowed(model, adapter, rules)
+        key = (model, adapter, rules)
+        found = self._eligible.get(key)
+        if found is None:
+            found = self._not_recalled(adapter, self.placement.allowed(*key))
+            self._eligible[key] = found
+        return found
+
+    def _not_recalled(
+        self, adapter: str | None, engines: tuple[Engine, ...]
+    ) -> tuple[Engine, ...]:
         if not self.placement.has_recalls:
-            return allowed
+            return engines
         if adapter is not None and self.placement.recalls_of(adapter):
             return ()
-        return tuple(engine for engine in allowed if not self.recalled(engine))
+        return tuple(engine for engine in engines if not self.recalled(engine))
 
     def _moved_to(self, revision: int) -> None:
         self.revision = revision
@@ -146,8 +158,10 @@
         self._objects[place] = item
         self._specs[place] = spec
         self.placement.put(item, spec)
+        self._eligible.clear()
 
     def _remove(self, kind: str, name: str) -> None:
         self._objects.pop((kind, name), None)
         self._specs.pop((kind, name), None)
         self.placement.remove(kind, name)
+        self._eligible.clear()
--- a/tests/support/control_fleet.py
+++ b/tests/support/control_fleet.py
@@ -32,17 +32,21 @@
     own: PeerAddress
     peers: LocalPeers
     cut: set[PeerAddress]
+    clock: object
+    delay_s: float
 
     async def call(self, address, message, deadline_s):
         if {self.own, address} & self.cut:
             raise PeerUnreachableError(address, "cut off", sent=False)
+        if self.delay_s:
+            await self.clock.sleep_until(self.clock.now_s() + 2 * self.delay_s)
         return await self.peers.call(address, message, deadline_s)
 
 
 class ControlFleet:
     """Hosts of one test; entered hosts leave with the stack."""
 
-    def __init__(self, clock, seed=1, *, when_unknown="refuse"):
+    def __init__(self, clock, seed=1, *, when_unknown="refuse", delay_s=0.0):
         self.clock = clock
         self.random = random.Random(seed)
         self.table = MemoryTable()
@@ -55,6 +59,7 @@
         self.faults: list[Faults] = []
         self.hosts: list[HostCore] = []
         self.when_unknown = when_unknown
+        self.delay_s = delay_s
 
     def make(self, number):
         peer = PeerAddress("127.0.0.1", number)
@@ -66,7 +71,7 @@
             table=FaultyTable(calls, self.table),
             objects=self.objects,
             host_list=self.host_list,
-            peers=CuttablePeers(peer, self.peers, self.cut),
+            peers=CuttablePeers(peer, self.peers, self.cut, self.clock, self.delay_s),
             engines=self.engines,
             services=self.services,
         )
