--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -4,7 +4,9 @@
 
 import random
 
-from aspenbridge.configuration import Authority, Follower, View
+import pytest
+
+from aspenbridge.configuration import Authority, Change, Follower, View
 from aspenbridge.embedded import LocalPeers, MemoryTable
 from aspenbridge.store import Store
 from tests.support.control_fleet import customer
@@ -78,3 +80,13 @@
     view = run_virtual(scenario)
     assert view.revision == 2
     assert view.find("customer", "a").labels == {"tier": "gold"}
+
+
+@pytest.mark.parametrize("revision", [1, 2, 4])
+def test_view_refuses_a_change_when_it_is_not_the_next(revision) -> None:
+    view = View()
+    view.replace(2, [customer("a", tier="gold")])
+    old = Change(revision, "x", 0.0, put=(customer("a", tier="tin"),))
+    assert not view.apply(old)
+    assert view.revision == 2
+    assert view.find("customer", "a").labels == {"tier": "gold"}
