--- a/tests/online/test_generation.py
+++ b/tests/online/test_generation.py
@@ -139,9 +139,8 @@
         fleet = TestFleet(clock)
         await fleet.past_grace()
         host = fleet.others[0]
-        host.generator.may_start = lambda answers=iter([sure_at_first]): next(
-            answers, False
-        )
+        answers = iter([sure_at_first])
+        host.generator.may_start = lambda: next(answers, False)
         with pytest.raises(ProblemError) as raised:
             await finish(host, host.work(clock))
         started = sum(item.started for item in fleet.engines.engines.values())
