--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -21,7 +21,8 @@
 TOKENS = 4
 ITEMS = 24
 REQUEST_LIMIT_S = 20.0
-SETTLE_S = 60.0
+SETTLE_LEAST_S = 20.0
+SETTLE_MOST_S = 150.0
 RECALLED = f"{MODEL}@1"
 
 
@@ -186,7 +187,7 @@
         fleet.heal()
         if not fleet.usable():
             fleet.add_host()
-        self.advance(SETTLE_S)
+        self._settle()
         fleet.run(self._read_back())
         self.oracle.check_now()
         self.oracle.check_bookings()
@@ -196,6 +197,30 @@
             self.oracle.blame("no task dies", error)
         return self.oracle.violations
 
+    def _settle(self) -> None:
+        """Wait until all that was accepted has ended, for a limited time."""
+        limit_s = self.fleet.clock.now_s() + SETTLE_MOST_S
+        healed_s = self.fleet.clock.now_s()
+        self.advance(SETTLE_LEAST_S)
+        while self.fleet.clock.now_s() < limit_s:
+            if not self.fleet.run(self._open()):
+                break
+            self.advance(5.0)
+        self.oracle.check_recovery(self.fleet.clock.now_s() - healed_s)
+
+    async def _open(self) -> bool:
+        """Whether a caller still waits or a job has not ended."""
+        if self.oracle.unanswered():
+            return True
+        jobs = self.fleet.usable()[0].core.jobs
+        for job_id in self.oracle.jobs:
+            status = await jobs.status(CUSTOMER, job_id)
+            if isinstance(status, Failure):
+                return True
+            if status.unwrap().job.state not in ("completed", "cancelled"):
+                return True
+        return False
+
     async def _read_back(self) -> None:
         for host in self.fleet.usable():
             for key, body in self.oracle.coding_bodies():
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -19,6 +19,7 @@
 RECALL_BOUND_S = 17.0
 CONFIGURATION_BOUND_S = 17.0
 CANCEL_BOUND_S = 17.0
+RECOVERY_BOUND_S = 60.0
 RESUME_WINDOW_S = 0.5
 
 
@@ -218,11 +219,19 @@
 
     def check_all_answered(self) -> None:
         """Check that each caller of a host that lives was answered."""
+        for send in self.unanswered():
+            detail = f"{send.kind} {send.key} by {send.host}"
+            self.blame("each caller is answered", detail)
+
+    def unanswered(self) -> list[Send]:
+        """Return what was sent to hosts that live and got no answer."""
         living = {host.gate.name for host in self._fleet.usable()}
-        for send in self.sends:
-            if send.told is None and send.host in living:
-                detail = f"{send.kind} {send.key} by {send.host}"
-                self.blame("each caller is answered", detail)
+        return [s for s in self.sends if s.told is None and s.host in living]
+
+    def check_recovery(self, taken_s: float) -> None:
+        """Check how long all took to end once every fault was healed."""
+        if taken_s > RECOVERY_BOUND_S:
+            self.blame("recovers in time", f"work was open for {taken_s:.0f} s")
 
     def check_coding_end(self) -> None:
         """Check refusals of coding requests against the engines' runs."""
