--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -67,7 +67,7 @@
         self.fleet.spawn(self.fleet.enter(host, self._stream(host, prompt)))
 
     async def _stream(self, host: FleetHost, prompt: str) -> None:
-        generation = Generation(self._work(prompt, prompt))
+        generation = Generation(self._work(prompt, prompt), streamed=True)
         text = ""
         try:
             async with aclosing(host.core.generator.run(generation)) as chunks:
