Give the fleet's engines steps that leave room for batch

Cause: a step of 100 ms was above the step limit of the schedulers, so batch ran only as starving work, one item per ten seconds.

--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -18,7 +18,7 @@
 from tests.support.fleet import MODEL, SERVICE, Fleet, FleetHost, Lost, marker
 
 CUSTOMER = "kgotso"
-TOKENS = 4
+TOKENS = 16
 ITEMS = 24
 REQUEST_LIMIT_S = 20.0
 SETTLE_LEAST_S = 20.0
