--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -20,6 +20,7 @@
     parser.add_argument("--histories", type=int, default=200)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--steps", type=int, default=STEPS)
+    parser.add_argument("--seconds", type=float, default=3600.0, help="time limit")
     parser.add_argument("--without", choices=sorted(GUARDS), help="remove a guard")
     parser.add_argument("--show", action="store_true", help="print the steps")
     parser.add_argument("--stop", action="store_true", help="end at a violation")
@@ -48,6 +49,8 @@
             _print(*history.steps, *violations)
         if violations and options.stop:
             break
+        if time.monotonic() - started_s > options.seconds:
+            break
     for seed, violations in broken[:SHOWN]:
         _print(f"seed {seed}:", *(f"  {text}" for text in violations[:3]))
     _print(
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -53,6 +53,16 @@
     And 30 seconds pass
     Then every promise holds
 
+  Scenario: A recall reaches a host that was cut off when it had just started
+    When host B is cut off from the store
+    And hosts A and B are cut off from each other
+    And hosts C and B are cut off from each other
+    And version 1 is recalled by host A
+    And 20 seconds pass
+    And interviewers open 12 chats by host B
+    And 30 seconds pass
+    Then every promise holds
+
   Scenario: A paused host wakes after a recall
     When host B is paused
     And version 1 is recalled by host A
