--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -23,6 +23,7 @@
 REQUEST_LIMIT_S = 20.0
 SETTLE_LEAST_S = 20.0
 SETTLE_MOST_S = 150.0
+IMPOSSIBLE = "an item that can never be done"
 RECALLED = f"{MODEL}@1"
 
 
@@ -34,6 +35,7 @@
         self.oracle = Oracle(self.fleet)
         self.steps: list[str] = []
         self.faults: Counter[str] = Counter()
+        self.cut_streams: list[str] = []
         self._number = 0
         self._coding: dict[str, str] = {}
         self._bookings: dict[str, str] = {}
@@ -74,6 +76,7 @@
                 async for chunk in chunks:
                     text += chunk.text
         except ProblemError:
+            self.cut_streams.append(prompt)
             return
         if text != answer(prompt, TOKENS):
             self.oracle.blame("whole answer", f"{prompt} got {text!r}")
@@ -94,10 +97,14 @@
         send.told = await self.fleet.enter(host, call)
         self.oracle.told_booking(send)
 
-    def submit_job(self, host: FleetHost, key: str | None = None) -> None:
+    def submit_job(
+        self, host: FleetHost, key: str | None = None, *, impossible: bool = False
+    ) -> None:
         """Submit a job, or submit an earlier one again."""
         key = key or self._name("job")
         items = {f"{key}-{n}": f"summary {n} of {key}" for n in range(ITEMS)}
+        if impossible:
+            items[f"{key}-impossible"] = IMPOSSIBLE
         self._job_items.setdefault(key, items)
         self._note(f"{key} by {host.gate.name}")
         self.fleet.spawn(self._send_job(host, key))
@@ -278,7 +285,8 @@
 
 def _line(name: str, prompt: str) -> dict[str, Any]:
     message = {"role": "user", "content": prompt}
-    body = {"model": MODEL, "messages": [message], "max_tokens": TOKENS}
+    model = "no-such-model" if prompt == IMPOSSIBLE else MODEL
+    body = {"model": model, "messages": [message], "max_tokens": TOKENS}
     return {"custom_id": name, "body": body}
 
 
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -72,3 +72,10 @@
     And interviewers open 12 chats by host B
     And 30 seconds pass
     Then every promise holds
+
+  Scenario: An operator makes a change that can't be read
+    When an operator drains "(((" by host A
+    And 10 seconds pass
+    Then the change was refused with BAD_SELECTOR
+    And no host has a new revision
+    And every promise holds
--- a/tests/scenarios/exactly_once.feature
+++ b/tests/scenarios/exactly_once.feature
@@ -116,3 +116,10 @@
     And 40 seconds pass
     Then job J1 is cancelled
     And every promise holds
+
+  Scenario: An item can never be done
+    When a supervisor submits job J1 with an impossible item by host A
+    And 60 seconds pass
+    Then job J1 has each item once
+    And the impossible item of job J1 has failed with a reason
+    And every promise holds
--- a/tests/scenarios/membership.feature
+++ b/tests/scenarios/membership.feature
@@ -60,3 +60,23 @@
     And 60 seconds pass
     Then job J1 has each item once
     And every promise holds
+
+  Scenario: A host is told to stop while it works
+    When a supervisor submits job J1 by host A
+    And host A runs items of job J1
+    And an interviewer sends coding request Q1 by host A
+    And interviewers open 6 chats by host A
+    And 0.05 seconds pass
+    And host A is told to stop
+    And 60 seconds pass
+    Then no answer of host A was cut
+    And job J1 has each item once
+    And every promise holds
+
+  Scenario: An engine is drained
+    When an operator drains engine-2 by host A
+    And 10 seconds pass
+    And interviewers open 12 chats by host B
+    And 10 seconds pass
+    Then engine-2 began nothing in the last 10 seconds
+    And every promise holds
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from aspenbridge.configuration import ConfigObject
 from aspenbridge.result_codes import ResultCode
 from tests.fuzz.history import CUSTOMER, History
 
@@ -30,6 +31,7 @@
         self.history = History(seed=7)
         hosts = self.history.fleet.usable()
         self.hosts = dict(zip(NAMES, hosts, strict=True))
+        self.change: Any = None
         self.first_revision = hosts[0].core.view.revision
 
     def host(self, name: str) -> FleetHost:
@@ -78,6 +80,11 @@
     stage.history.submit_job(stage.host(name), key)
 
 
+@when(parsers.parse("a supervisor submits job {key} with an impossible item by {at}"))
+def submit_job_with_impossible_item(stage: Stage, key: str, at: str) -> None:
+    stage.history.submit_job(stage.host(at.removeprefix("host ")), key, impossible=True)
+
+
 @when(parsers.parse("job {key} is cancelled by host {name}"))
 def cancel_job(stage: Stage, key: str, name: str) -> None:
     oracle = stage.history.oracle
@@ -123,6 +130,19 @@
     stage.host(name).gate.resume()
 
 
+@when(parsers.parse("host {name} is told to stop"))
+def stop_host(stage: Stage, name: str) -> None:
+    stage.history.fleet.stop(stage.host(name))
+
+
+@when(parsers.re(r'an operator drains "?(?P<engines>[^" ]+)"? by host (?P<name>\w)'))
+def drain_engines(stage: Stage, engines: str, name: str) -> None:
+    authority = stage.host(name).core.authority
+    drain = ConfigObject("drain", "repair", {"engines": engines})
+    accept = authority.accept("operator", stage.first_revision, [drain])
+    stage.change = stage.history.fleet.run(accept)
+
+
 @when("a host starts")
 def start_host(stage: Stage) -> None:
     stage.history.fleet.add_host()
@@ -257,3 +277,43 @@
     newest = max(stage.history.oracle.accepted)
     for host in stage.history.fleet.usable():
         assert host.core.view.revision >= newest, host.gate.name
+
+
+@then(parsers.parse("no answer of host {name} was cut"))
+def no_answer_was_cut(stage: Stage, name: str) -> None:
+    gate = stage.host(name).gate
+    assert gate.dead
+    assert stage.history.cut_streams == []
+    sends = [s for s in stage.history.oracle.sends if s.host == gate.name]
+    assert all(send.succeeded for send in sends)
+
+
+@then(parsers.parse("{engine} began nothing in the last {duration:d} seconds"))
+def engine_began_nothing(stage: Stage, engine: str, duration: int) -> None:
+    fleet = stage.history.fleet
+    since_s = fleet.clock.now_s() - duration
+    begun = [run for run in fleet.runs if run.started_s >= since_s]
+    assert begun
+    assert all(run.engine.name != engine for run in begun)
+
+
+@then(parsers.parse("the impossible item of job {key} has failed with a reason"))
+def impossible_item_failed(stage: Stage, key: str) -> None:
+    oracle, fleet = stage.history.oracle, stage.history.fleet
+    host = fleet.usable()[0]
+    read = host.core.jobs.outcomes(CUSTOMER, oracle.job_keys[key])
+    outcomes = fleet.run(read).unwrap()
+    failed = [item for item in outcomes if item.code != ResultCode.OK]
+    assert [item.custom_id for item in failed] == [f"{key}-impossible"]
+    assert failed[0].detail
+
+
+@then(parsers.parse("the change was refused with {code}"))
+def change_was_refused(stage: Stage, code: str) -> None:
+    assert stage.change.failure().code is ResultCode[code]
+
+
+@then("no host has a new revision")
+def no_new_revision(stage: Stage) -> None:
+    revisions = {host.core.view.revision for host in stage.history.fleet.usable()}
+    assert revisions == {stage.first_revision}
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -161,6 +161,10 @@
         host.gate.died.set()
         self.run(host.engines.disconnect())
 
+    def stop(self, host: FleetHost) -> None:
+        """Let a host leave as it does after SIGTERM."""
+        self.spawn(_leave(host))
+
     def usable(self) -> list[FleetHost]:
         """Return the hosts that callers can reach."""
         return [host for host in self.hosts if host.usable]
@@ -229,6 +233,12 @@
             self.uncaught.append(f"{context['message']}: {error!r}")
 
 
+async def _leave(host: FleetHost) -> None:
+    await host.core.drain()
+    await host.core.__aexit__(None, None, None)
+    host.gate.died.set()
+
+
 async def _let_in(host: FleetHost, call: Coroutine[Any, Any, Any]) -> Any:
     await host.gate.passed()
     refusal = host.core.refusal()
