--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -136,6 +136,16 @@
         if told.unwrap().state == "cancelled" and job.cancelled_s is None:
             job.cancelled_s = self.fleet.clock.now_s()
 
+    def read_jobs(self, host: FleetHost) -> None:
+        """Let supervisors read what has been counted so far."""
+        self.fleet.run(self._read_jobs(host))
+
+    async def _read_jobs(self, host: FleetHost) -> None:
+        for job_id in self.oracle.jobs:
+            outcomes = await host.core.jobs.outcomes(CUSTOMER, job_id)
+            if not isinstance(outcomes, Failure):
+                self.oracle.see_outcomes(job_id, outcomes.unwrap())
+
     # operators
 
     def change(self, *hosts: FleetHost) -> None:
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -73,6 +73,7 @@
         self.refused_markers: set[str] = set()
         self.recalled: dict[str, float] = {}
         self._answers: dict[str, Any] = {}
+        self._outcomes: dict[str, dict[str, Any]] = {}
         self._bodies: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
         self._seen_runs = 0
@@ -246,6 +247,15 @@
                 detail = f"{body!r} was refused ({sorted(codes)}) and ran"
                 self.blame("truthful refusal", detail)
 
+    def see_outcomes(self, job_id: str, outcomes: Any) -> None:
+        """Check that no result that was readable has changed or gone."""
+        seen = self._outcomes.setdefault(job_id, {})
+        found = {item.custom_id: item for item in outcomes}
+        for name, item in seen.items():
+            if found.get(name) != item:
+                self.blame("counted results stay", f"{job_id}: {name} changed")
+        seen.update(found)
+
     def check_job(self, job: JobSent, status: Any, outcomes: Any, tokens: int) -> None:
         """Check a job at the end, when every fault is healed."""
         if isinstance(status, Failure) or isinstance(outcomes, Failure):
@@ -253,6 +263,7 @@
             return
         state = status.unwrap().job.state
         found = Counter(item.custom_id for item in outcomes.unwrap())
+        self.see_outcomes(job.job_id, outcomes.unwrap())
         doubled = sorted(name for name, count in found.items() if count > 1)
         lost = sorted(job.items.keys() - found.keys())
         if doubled:
