--- a/src/aspenbridge/scheduling/_group.py
+++ b/src/aspenbridge/scheduling/_group.py
@@ -10,19 +10,17 @@
 
 from ._engine_state import EngineState, Holding
 from ._fair_queue import FairQueue, Waiter
+from ._places import Places
 from ._rates import Rate
-from ._shares import Shares
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
-    from aspenbridge.peers import GrantRequest, RunningGrant
+    from aspenbridge.peers import GrantRequest
 
 ONLINE_WAIT_LIMIT_S = 1.0
 REVOKE_TIME_S = 0.1
 GRACE_S = 1.5
-REPORT_IN_FLIGHT_S = 1.0
-HOLDING_LEASE_S = 10.0
 URGENT_S = 600.0
 URGENT_FACTOR = 4.0
 STARVED_S = 10.0
@@ -62,24 +60,20 @@
         grace_s: float = GRACE_S,
     ) -> None:
         self._policy = policy
-        self._capacity = capacity
         self._online = FairQueue(weight, fair=policy.fairness)
         batch = FairQueue(weight, fair=policy.fairness)
         self._batch = batch if policy.isolation else self._online
-        self._engines: dict[str, EngineState] = {}
-        self._where: dict[str, str] = {}
-        self._shares = Shares(weight)
         self._arrivals = Rate(now_s)
         self._releases = Rate(now_s)
         self._grace_until_s = now_s + grace_s
         self._batch_granted_s = now_s
-        self._heard_s: dict[str, float] = {}
+        self.places = Places(capacity, weight)
         self.prefixes = PrefixIndex()
 
     @property
     def running(self) -> int:
         """Places in use."""
-        return len(self._where)
+        return len(self.places)
 
     @property
     def queued(self) -> int:
@@ -87,26 +81,14 @@
         batch = 0 if self._batch is self._online else len(self._batch)
         return len(self._online) + batch
 
-    def engine(self, name: str) -> EngineState:
-        """Return what is known of an engine."""
-        state = self._engines.get(name)
-        if state is None:
-            state = EngineState(name, self._capacity(name))
-            self._engines[name] = state
-        return state
-
-    def engines(self) -> tuple[EngineState, ...]:
-        """Return every engine that was asked for."""
-        return tuple(self._engines.values())
-
     def request(self, request: GrantRequest, now_s: float) -> Waiter:
         """Queue a request; ``settle`` tells what becomes of it."""
         for name in request.engines:
-            self.engine(name)
+            self.places.engine(name)
         wait_s = request.wait_s
         if request.online:
             self._arrivals.count(now_s)
-            self._shares.seen(request.customer, now_s)
+            self.places.shares.seen(request.customer, now_s)
             wait_s = min(wait_s, ONLINE_WAIT_LIMIT_S)
         waiter = Waiter(request, now_s, now_s + wait_s, now_s + request.due_in_s)
         self._queue(request.online).push(waiter)
@@ -127,13 +109,13 @@
         self, grant: str, now_s: float, *, tokens: int, failed: bool
     ) -> Holding | None:
         """Take a place back and settle what it was charged."""
-        holding = self._remove(grant)
+        holding = self.places.remove(grant)
         if holding is None:
             return None
         if not holding.revoked:
             self._releases.count(now_s)
             if failed or tokens:
-                state = self.engine(holding.engine)
+                state = self.places.engine(holding.engine)
                 state.outcome(failed=failed, now_s=now_s)
         if tokens:
             self.prefixes.learn(holding.engine, holding.prefix_hashes)
@@ -143,52 +125,6 @@
             queue.charge(holding.customer, used - holding.charged)
         return holding
 
-    def cancelled(self, holding: Holding) -> None:
-        """Take in that an engine has stopped the work of a revoked place."""
-        self.engine(holding.engine).cancelled(holding.grant)
-
-    def report(self, origin: str, grants: Iterable[RunningGrant], now_s: float) -> None:
-        """Make the places of one host those that it says it holds."""
-        self._heard_s[origin] = now_s
-        told = {item.grant: item for item in grants}
-        settled_s = now_s - REPORT_IN_FLIGHT_S
-        for holding in self._holdings():
-            lost = holding.origin == origin and holding.grant not in told
-            if lost and holding.granted_s < settled_s:
-                self._remove(holding.grant)
-        for item in told.values():
-            if item.grant not in self._where:
-                self._add(
-                    Holding(
-                        item.grant,
-                        item.engine,
-                        item.online,
-                        item.customer,
-                        origin,
-                        now_s,
-                    )
-                )
-
-    def drop_origins(self, live: Iterable[str]) -> None:
-        """Take back the places of hosts that are gone."""
-        kept = set(live)
-        for holding in self._holdings():
-            if holding.origin not in kept:
-                self._remove(holding.grant)
-
-    def drop_silent(self, now_s: float) -> None:
-        """Take back the places of hosts that report no more."""
-        limit_s = now_s - HOLDING_LEASE_S
-        for holding in self._holdings():
-            heard_s = self._heard_s.get(holding.origin, holding.granted_s)
-            if max(heard_s, holding.granted_s) < limit_s:
-                self._remove(holding.grant)
-
-    def beyond_share(self, customer: str, now_s: float) -> bool:
-        """Return whether a customer holds its share of the places."""
-        places = sum(state.limit for state in self.engines())
-        return self._shares.beyond(customer, places, now_s)
-
     def expected_wait_s(self, customer: str, now_s: float) -> float:
         """Return how long a new online request would wait."""
         ahead = self._online.ahead_of(customer)
@@ -236,7 +172,7 @@
     def _give_batch(self, settled: Settled, now_s: float) -> None:
         if now_s < self._grace_until_s or len(self._online):
             return
-        if not any(state.batch_room(0.0, 0.0) > 0 for state in self.engines()):
+        if not any(state.batch_room(0.0, 0.0) > 0 for state in self.places.engines()):
             return
 
         def place(waiter: Waiter) -> str | None:
@@ -258,7 +194,7 @@
         protected: bool = False,
     ) -> None:
         request = waiter.request
-        self._add(
+        self.places.add(
             Holding(
                 request.grant,
                 engine,
@@ -274,14 +210,14 @@
         )
         if not request.online:
             self._batch_granted_s = now_s
-        self.engine(engine).prefill(request.prompt_tokens, now_s)
+        self.places.engine(engine).prefill(request.prompt_tokens, now_s)
         settled.granted.append((waiter, engine))
 
     def _online_place(self, waiter: Waiter, now_s: float) -> str | None:
         grace = now_s < self._grace_until_s
 
         customer = waiter.request.customer
-        lent = self._policy.fairness and self.beyond_share(customer, now_s)
+        lent = self._policy.fairness and self.places.beyond_share(customer, now_s)
 
         def room(state: EngineState) -> bool:
             kept = state.limit // 2 if grace else 0
@@ -292,7 +228,7 @@
 
     def _batch_place(self, waiter: Waiter, now_s: float) -> str | None:
         headroom = 0.0 if _urgent(waiter, now_s) else self._policy.online_headroom
-        per_engine = self._arrivals.per_s(now_s) / max(1, len(self._engines))
+        per_engine = self._arrivals.per_s(now_s) / max(1, len(self.places.engines()))
         expected = per_engine * REVOKE_TIME_S
 
         def room(state: EngineState) -> bool:
@@ -305,7 +241,7 @@
         self, waiter: Waiter, room: Callable[[EngineState], bool], now_s: float
     ) -> str | None:
         """Prefer the engine with the longest prefix that is not too full."""
-        states = (self._engines[name] for name in waiter.request.engines)
+        states = (self.places.engine(name) for name in waiter.request.engines)
         open_ = [item for item in states if item.usable(now_s) and room(item)]
         if not open_:
             return None
@@ -329,7 +265,7 @@
 
     def _revoke(self, waiter: Waiter, settled: Settled, now_s: float) -> str | None:
         """Take the newest batch place back and return its engine."""
-        states = [self._engines[name] for name in waiter.request.engines]
+        states = [self.places.engine(name) for name in waiter.request.engines]
         found = [
             holding
             for state in states
@@ -339,13 +275,13 @@
         if not found:
             return None
         holding = min(found, key=self._revoke_cost)
-        self.engine(holding.engine).revoke(holding)
+        self.places.engine(holding.engine).revoke(holding)
         settled.revoked.append(holding)
         return holding.engine
 
     def _revoke_cost(self, holding: Holding) -> tuple[int, float]:
         """Prefer the engine with least online work, then the newest place."""
-        return self.engine(holding.engine).online, -holding.granted_s
+        return self.places.engine(holding.engine).online, -holding.granted_s
 
     def _refuse_excess(self, settled: Settled) -> None:
         while len(self._online) > self._policy.queue_limit:
@@ -358,27 +294,11 @@
     def _starved(self, now_s: float) -> bool:
         """Whether batch has had nothing for too long and holds nothing."""
         waited_s = now_s - self._batch_granted_s
-        return waited_s > STARVED_S and not any(x.batch for x in self.engines())
+        return waited_s > STARVED_S and not any(x.batch for x in self.places.engines())
 
     def _queue(self, online: bool) -> FairQueue:
         return self._online if online else self._batch
 
-    def _holdings(self) -> list[Holding]:
-        return [item for x in self.engines() for item in x.holdings.values()]
-
-    def _add(self, holding: Holding) -> None:
-        self._where[holding.grant] = holding.engine
-        if holding.online:
-            self._shares.hold(holding.customer, 1)
-        self.engine(holding.engine).add(holding)
-
-    def _remove(self, grant: str) -> Holding | None:
-        name = self._where.pop(grant, None)
-        holding = None if name is None else self.engine(name).remove(grant)
-        if holding is not None and holding.online:
-            self._shares.hold(holding.customer, -1)
-        return holding
-
 
 def _urgent(waiter: Waiter, now_s: float) -> bool:
     return waiter.due_s - now_s < URGENT_S
--- a/src/aspenbridge/scheduling/_links.py
+++ b/src/aspenbridge/scheduling/_links.py
@@ -76,7 +76,7 @@
             held.grant.group, held.grant.grant_id, tokens, failed, cached_tokens
         )
         current = self._ownership.owner_of(held.grant.group)
-        for owner in {held.owner, current}:
+        for owner in dict.fromkeys((held.owner, current)):
             self._release(owner, message)
 
     def revoke(self, holdings: list[Holding]) -> None:
--- a/src/aspenbridge/scheduling/_reporter.py
+++ b/src/aspenbridge/scheduling/_reporter.py
@@ -55,7 +55,7 @@
     def report(self, *, everything: bool) -> None:
         """Send a report to each owner that needs one."""
         running = self._holdings.by_group()
-        for group in {*running, *self._reported}:
+        for group in dict.fromkeys((*running, *self._reported)):
             owner = self._ownership.owner_of(group)
             grants = tuple(running.get(group, ()))
             if everything or self._reported.get(group) != owner:
@@ -85,7 +85,7 @@
         """Read again and again."""
         while True:
             for name, group in list(self._owner.groups().items()):
-                for state in group.engines():
+                for state in group.places.engines():
                     await self._read(name, state.name)
             await self._clock.sleep_until(self._clock.now_s() + 1.0)
 
