--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -21,7 +21,7 @@
 )
 from aspenbridge.clock import SystemClock
 from aspenbridge.http import make_app
-from aspenbridge.loop import listening_socket
+from aspenbridge.loop import listening_socket, settle_garbage_collector
 from aspenbridge.peers.rpc import CapnpTransport, PeerServer
 from aspenbridge.ports import PeerAddress
 from aspenbridge.telemetry.setup import open_telemetry
@@ -64,6 +64,7 @@
             host.supervisor.start(telemetry.sender.run())
             stack.push_async_callback(telemetry.sender.flush)
         await _listen(stack, host)
+        settle_garbage_collector()
         logger.info("host %s listens", settings.host.name)
         faulty = await _stopped_or_faulty(stopping, host)
         if not await host.drain():
--- a/src/aspenbridge/loop.py
+++ b/src/aspenbridge/loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import socket
 from typing import TYPE_CHECKING, Any
@@ -50,6 +51,18 @@
         return runner.run(main)
 
 
+def settle_garbage_collector() -> None:
+    """
+    Keep what a started process holds out of later garbage collections.
+
+    A full collection over the modules of a host stops every stream; call
+    this once, after the imports.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def listening_socket(host: str, port: int) -> socket.socket:
     """
     Return a bound, listening, non-blocking TCP socket.
@@ -68,5 +81,11 @@
 
 
 LISTEN_BACKLOG = 1024
-
-__all__ = ["NumericLoop", "listening_socket", "run_on_loop"]
+GC_THRESHOLDS = (100_000, 50, 100)  # objects, then collections of the younger
+
+__all__ = [
+    "NumericLoop",
+    "listening_socket",
+    "run_on_loop",
+    "settle_garbage_collector",
+]
