--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -19,6 +19,7 @@
 RECALL_BOUND_S = 17.0
 CONFIGURATION_BOUND_S = 17.0
 CANCEL_BOUND_S = 17.0
+RECOVERY_BOUND_S = 60.0
 RESUME_WINDOW_S = 0.5
 
 
@@ -72,6 +73,7 @@
         self.refused_markers: set[str] = set()
         self.recalled: dict[str, float] = {}
         self._answers: dict[str, Any] = {}
+        self._outcomes: dict[str, dict[str, Any]] = {}
         self._bodies: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
         self._seen_runs = 0
@@ -218,11 +220,19 @@
 
     def check_all_answered(self) -> None:
         """Check that each caller of a host that lives was answered."""
+        for send in self.unanswered():
+            detail = f"{send.kind} {send.key} by {send.host}"
+            self.blame("each caller is answered", detail)
+
+    def unanswered(self) -> list[Send]:
+        """Return what was sent to hosts that live and got no answer."""
         living = {host.gate.name for host in self._fleet.usable()}
-        for send in self.sends:
-            if send.told is None and send.host in living:
-                detail = f"{send.kind} {send.key} by {send.host}"
-                self.blame("each caller is answered", detail)
+        return [s for s in self.sends if s.told is None and s.host in living]
+
+    def check_recovery(self, taken_s: float) -> None:
+        """Check how long all took to end once every fault was healed."""
+        if taken_s > RECOVERY_BOUND_S:
+            self.blame("recovers in time", f"work was open for {taken_s:.0f} s")
 
     def check_coding_end(self) -> None:
         """Check refusals of coding requests against the engines' runs."""
@@ -237,6 +247,15 @@
                 detail = f"{body!r} was refused ({sorted(codes)}) and ran"
                 self.blame("truthful refusal", detail)
 
+    def see_outcomes(self, job_id: str, outcomes: Any) -> None:
+        """Check that no result that was readable has changed or gone."""
+        seen = self._outcomes.setdefault(job_id, {})
+        found = {item.custom_id: item for item in outcomes}
+        for name, item in seen.items():
+            if found.get(name) != item:
+                self.blame("counted results stay", f"{job_id}: {name} changed")
+        seen.update(found)
+
     def check_job(self, job: JobSent, status: Any, outcomes: Any, tokens: int) -> None:
         """Check a job at the end, when every fault is healed."""
         if isinstance(status, Failure) or isinstance(outcomes, Failure):
@@ -244,6 +263,7 @@
             return
         state = status.unwrap().job.state
         found = Counter(item.custom_id for item in outcomes.unwrap())
+        self.see_outcomes(job.job_id, outcomes.unwrap())
         doubled = sorted(name for name, count in found.items() if count > 1)
         lost = sorted(job.items.keys() - found.keys())
         if doubled:
--- a/tests/online/test_generation.py
+++ b/tests/online/test_generation.py
@@ -113,7 +113,7 @@
         assert fleet.engines.engines["e0"].report().running == 0
         group = fleet.owner.scheduler.owner.groups()["m/r"]
         assert group.running == 0
-        assert group.engine("e0").state == "healthy"
+        assert group.places.engine("e0").state == "healthy"
 
     run_virtual(scenario)
 
@@ -131,3 +131,21 @@
         assert fleet.engines.engines["e0"].report().running == 0
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("sure_at_first", [False, True])
+def test_generation_starts_nothing_when_the_revision_may_be_old(sure_at_first) -> None:
+    async def scenario(clock):
+        fleet = TestFleet(clock)
+        await fleet.past_grace()
+        host = fleet.others[0]
+        answers = iter([sure_at_first])
+        host.generator.may_start = lambda: next(answers, False)
+        with pytest.raises(ProblemError) as raised:
+            await finish(host, host.work(clock))
+        started = sum(item.started for item in fleet.engines.engines.values())
+        return raised.value.problem.code, started
+
+    code, started = run_virtual(scenario)
+    assert code is ResultCode.CONFIGURATION_UNKNOWN
+    assert started == 0
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -43,7 +43,7 @@
 SERVICE = "lending"
 SERVICE_ADDRESS = "127.0.0.1:9"
 ENGINES = (("engine-1", "1"), ("engine-2", "2"), ("engine-3", "2"))
-ENGINE_MODEL = EngineModel(base_step_s=0.1, step_per_sequence_s=0.001)
+ENGINE_MODEL = EngineModel(base_step_s=0.02, step_per_sequence_s=0.001)
 STORE_DELAY_S = 0.004
 CHUNK_ITEMS = 4
 
@@ -161,6 +161,10 @@
         host.gate.died.set()
         self.run(host.engines.disconnect())
 
+    def stop(self, host: FleetHost) -> None:
+        """Let a host leave as it does after SIGTERM."""
+        self.spawn(_leave(host))
+
     def usable(self) -> list[FleetHost]:
         """Return the hosts that callers can reach."""
         return [host for host in self.hosts if host.usable]
@@ -215,11 +219,11 @@
             self.add_host()
         while len(self.usable()) < hosts:
             await asyncio.sleep(0.1)
-        core = self.hosts[0].core
-        while not core.spread.reaches_majority():
-            await asyncio.sleep(0.1)
-        accepted = await core.authority.accept("operator", 0, configuration())
-        accepted.unwrap()
+        authority = self.hosts[0].core.authority
+        while isinstance(
+            await authority.accept("operator", 0, configuration()), Failure
+        ):
+            await asyncio.sleep(0.5)  # until the hosts have heard of each other
         for host in self.hosts:
             await host.core.follower.refresh()
 
@@ -229,6 +233,12 @@
             self.uncaught.append(f"{context['message']}: {error!r}")
 
 
+async def _leave(host: FleetHost) -> None:
+    await host.core.drain()
+    await host.core.__aexit__(None, None, None)
+    host.gate.died.set()
+
+
 async def _let_in(host: FleetHost, call: Coroutine[Any, Any, Any]) -> Any:
     await host.gate.passed()
     refusal = host.core.refusal()
