Carry peer messages over HTTP; the RPC of pycapnp crashes on uvloop

Cause: a second host process died of SIGSEGV within seconds. The native stack shows uv__read calling a null allocation callback: pycapnp's stream protocol stops and restarts reading from inside uvloop's read callback.

--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -9,8 +9,6 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
-import capnp
-
 from aspenbridge.backends import (
     HttpEngines,
     HttpHostList,
@@ -22,7 +20,7 @@
 from aspenbridge.clock import SystemClock
 from aspenbridge.http import make_app
 from aspenbridge.loop import listening_socket, settle_garbage_collector
-from aspenbridge.peers.rpc import CapnpTransport, PeerServer
+from aspenbridge.peers.transport import HttpPeers, PeerServer
 from aspenbridge.ports import PeerAddress
 from aspenbridge.telemetry.setup import open_telemetry
 
@@ -50,11 +48,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with AsyncExitStack() as stack:
-        await stack.enter_async_context(capnp.kj_loop())
         session = await stack.enter_async_context(open_session())
         peer = PeerAddress(settings.listen.ip, settings.listen.peer_port)
         clock = SystemClock()
-        transport = await stack.enter_async_context(CapnpTransport(clock))
+        transport = HttpPeers(session, clock)
         telemetry = open_telemetry(stack, settings, session, clock)
         ports = telemetry.measured(_ports(settings, session, clock, transport))
         host = HostCore(settings, ports, peer)
@@ -87,7 +84,7 @@
     settings: Settings,
     session: aiohttp.ClientSession,
     clock: SystemClock,
-    transport: CapnpTransport,
+    transport: HttpPeers,
 ) -> Ports:
     platform = settings.platform
     limit_s = platform.call_timeout_s
--- /dev/null
+++ b/src/aspenbridge/peers/transport.py
@@ -0,0 +1,135 @@
+"""Calls between hosts: Cap'n Proto messages as bodies of HTTP requests."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import capnp
+from sanic import HTTPResponse, Request, Sanic
+from sanic.config import Config
+
+from aspenbridge.loop import listening_socket
+from aspenbridge.ports import PeerUnreachableError
+
+from ._codec import SCHEMA, decode, encode
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from aspenbridge.ports import Clock, PeerAddress, PeerHandler
+
+    from ._messages import Message
+
+PATH = "/peer"
+BODY_TYPE = "application/octet-stream"
+OK = 200
+BAD_REQUEST = 400
+MAX_MESSAGE_BYTES = 16_000_000
+KEEP_ALIVE_S = 3600
+LONGEST_CALL_S = 600.0
+
+
+def encode_bytes(message: Message) -> bytes:
+    """Return a message as the bytes of an ``Envelope``."""
+    body: bytes = SCHEMA.Envelope.new_message(**encode(message)).to_bytes()
+    return body
+
+
+def decode_bytes(body: bytes) -> Message:
+    """
+    Return the message in the bytes of an ``Envelope``.
+
+    :raises capnp.KjException: when the bytes are no message.
+    :raises KeyError: when this release does not know the kind of message.
+    """
+    with SCHEMA.Envelope.from_bytes(body) as envelope:
+        return decode(envelope)
+
+
+class PeerServer:
+    """Listens for other hosts."""
+
+    def __init__(self, handler: PeerHandler, address: PeerAddress) -> None:
+        self._handler = handler
+        self._address = address
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> PeerServer:
+        sock = listening_socket(*self._address)
+        self._stack.callback(sock.close)
+        server = await self._app().create_server(sock=sock, return_asyncio_server=True)
+        if server is None:
+            raise RuntimeError("sanic made no server")
+        await server.startup()  # type: ignore[no-untyped-call]
+        await server.start_serving()  # type: ignore[no-untyped-call]
+        self._stack.callback(server.close)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    def _app(self) -> Sanic[Any, Any]:
+        settings: dict[str, str | bool | int | float | None] = {
+            "MOTD": False,
+            "ACCESS_LOG": False,
+            "REQUEST_MAX_SIZE": MAX_MESSAGE_BYTES,
+            "RESPONSE_TIMEOUT": LONGEST_CALL_S,
+            "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_S,
+            "TOUCHUP": False,  # rewrites shared classes; works for one app only
+        }
+        name = f"aspenbridge-peers-{id(self)}"
+        app = Sanic(name, config=Config(settings), configure_logging=False)
+        app.add_route(self._answer, PATH, methods=["POST"])
+        return app
+
+    async def _answer(self, request: Request) -> HTTPResponse:
+        try:
+            message = decode_bytes(request.body)
+        except (capnp.KjException, KeyError, ValueError) as error:
+            return HTTPResponse(f"no known message: {error}", BAD_REQUEST)
+        reply = await self._handler.handle(message)
+        return HTTPResponse(encode_bytes(reply), OK, content_type=BODY_TYPE)
+
+
+class HttpPeers:
+    """Sends messages to other hosts over the connections of one session."""
+
+    def __init__(self, session: aiohttp.ClientSession, clock: Clock) -> None:
+        self._session = session
+        self._clock = clock
+
+    async def call(
+        self, address: PeerAddress, message: Message, deadline_s: float
+    ) -> Message:
+        """
+        Send a message and return the reply.
+
+        :raises PeerUnreachableError: when no reply came by the deadline.
+        """
+        left_s = max(0.001, deadline_s - self._clock.now_s())
+        timeout = aiohttp.ClientTimeout(total=left_s)
+        url = f"http://{address}{PATH}"
+        body = encode_bytes(message)
+        try:
+            async with self._session.post(url, data=body, timeout=timeout) as response:
+                reply = await response.read()
+                if response.status != OK:
+                    reason = f"status {response.status}"
+                    raise PeerUnreachableError(address, reason, sent=True)
+                return decode_bytes(reply)
+        except aiohttp.ClientConnectorError as error:
+            reason = type(error).__name__
+            raise PeerUnreachableError(address, reason, sent=False) from error
+        except (aiohttp.ClientError, TimeoutError, capnp.KjException) as error:
+            reason = type(error).__name__
+            raise PeerUnreachableError(address, reason, sent=True) from error
+
+
+__all__ = ["HttpPeers", "PeerServer", "decode_bytes", "encode_bytes"]
--- a/src/aspenbridge_bench/_slopes_rpc.py
+++ b/src/aspenbridge_bench/_slopes_rpc.py
@@ -6,11 +6,10 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-import capnp
-
 from aspenbridge.clock import SystemClock
 from aspenbridge.peers import GrantReply, GrantRequest
-from aspenbridge.peers.rpc import CapnpTransport, PeerServer
+from aspenbridge.backends import open_session
+from aspenbridge.peers.transport import HttpPeers, PeerServer
 from aspenbridge.ports import PeerAddress
 
 from ._fit import Point, Slope, fit
@@ -34,11 +33,11 @@
     request = GrantRequest(f"grant-{7:024x}", "model-1/region-0/03", True, "c", 9, 9)
     points = []
     async with AsyncExitStack() as stack:
-        await stack.enter_async_context(capnp.kj_loop())
+        session = await stack.enter_async_context(open_session())
         processes = stack.enter_context(Processes(FIRST_PORT))
         address = PeerAddress(LOOPBACK, processes.port())
         await stack.enter_async_context(PeerServer(_Owner(), address))
-        transport = await stack.enter_async_context(CapnpTransport(clock))
+        transport = HttpPeers(session, clock)
         for calls in CALLS:
             cpu = time.process_time()
             for _ in range(calls):
