Wait for contact with most hosts before the scenarios configure

Cause: a host counts listed hosts as known, and refuses a change until it is in contact with most of them; the fleet of the scenarios gave its first change before the first probes, so 31 scenarios failed at their start. Conclusion: the refusal is right; the fleet waits for contact.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -216,6 +216,8 @@
         while len(self.usable()) < hosts:
             await asyncio.sleep(0.1)
         core = self.hosts[0].core
+        while not core.spread.reaches_majority():
+            await asyncio.sleep(0.1)
         accepted = await core.authority.accept("operator", 0, configuration())
         accepted.unwrap()
         for host in self.hosts:
