Make the tests of cancel, fair claims and fencing catch a removed guard

Cause: with chunks of ten items a chunk ended before a cancel had to reach it, and a rival got a claim without its own rule; no test accepted work on a host that was fenced without knowing.

--- a/tests/batch/test_batch.py
+++ b/tests/batch/test_batch.py
@@ -55,12 +55,13 @@
     assert len(answers) == len(set(answers)) == 150
 
 
-@pytest.mark.parametrize(("notices", "bound_s"), [(True, 0.5), (False, 6.5)])
+@pytest.mark.parametrize(("notices", "bound_s"), [(True, 0.1), (False, 6.5)])
 def test_cancel_stops_items_on_every_host_within_the_bound(notices, bound_s) -> None:
     async def scenario(clock):
-        async with Cluster(clock, 4, concurrency=4, flush_interval_s=0.5) as cluster:
+        options = {"chunk_items": 500, "concurrency": 4, "flush_interval_s": 0.5}
+        async with Cluster(clock, 4, **options) as cluster:
             await cluster.start(1, 2, 3)
-            job = await cluster.submit(1, 600, tokens=100)
+            job = await cluster.submit(1, 3000, tokens=100)
             await asyncio.sleep(3.0)
             for link in cluster.links.values():
                 link.isolated = not notices
@@ -83,9 +84,10 @@
 
 def test_rival_gets_its_ten_items_when_a_large_job_fills_the_fleet() -> None:
     async def scenario(clock):
-        async with Cluster(clock, 5, concurrency=8, flush_interval_s=1.0) as cluster:
+        options = {"chunk_items": 500, "concurrency": 4, "flush_interval_s": 1.0}
+        async with Cluster(clock, 5, **options) as cluster:
             await cluster.start(1, 2, 3)
-            large = await cluster.submit(1, 2000, tokens=100)
+            large = await cluster.submit(1, 3000, tokens=100)
             await asyncio.sleep(5.0)
             small = await cluster.submit(2, 10, customer="lainaamo", tokens=100)
             took_s = await cluster.until(lambda: cluster.job_ended(3, small))
--- a/tests/recovery/test_takeover.py
+++ b/tests/recovery/test_takeover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from aspenbridge.ports import PeerAddress, RowKey
+from aspenbridge.result_codes import ResultCode
 from tests.support.cluster import Cluster
 from tests.support.virtual_loop import run_virtual
 
@@ -177,3 +178,20 @@
 
     before, after = run_virtual(scenario)
     assert before == after
+
+
+def test_fenced_host_accepts_nothing_when_it_still_believes_it_is_live() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 9) as cluster:
+            await cluster.start(1, 2, 3)
+            fenced = cluster.hosts[1].identity().incarnation
+            assert await cluster.hosts[2].takeover.fence(fenced)
+            work = cluster.work(1, "code this")
+            answer = await cluster.hosts[1].coding.submit(work, "k")
+            await asyncio.sleep(5.0)
+            read = await cluster.hosts[2].coding.read("kgotso", work.work_id)
+            renewed = cluster.hosts[1].identity().incarnation != fenced
+            return answer.failure().code, read.failure().code, renewed
+
+    expected = (ResultCode.FENCED, ResultCode.NOT_FOUND, True)
+    assert run_virtual(scenario) == expected
