--- a/tests/fuzz/history.py
+++ b/tests/fuzz/history.py
@@ -18,10 +18,12 @@
 from tests.support.fleet import MODEL, SERVICE, Fleet, FleetHost, Lost, marker
 
 CUSTOMER = "kgotso"
-TOKENS = 4
+TOKENS = 16
 ITEMS = 24
 REQUEST_LIMIT_S = 20.0
-SETTLE_S = 60.0
+SETTLE_LEAST_S = 20.0
+SETTLE_MOST_S = 150.0
+IMPOSSIBLE = "an item that can never be done"
 RECALLED = f"{MODEL}@1"
 
 
@@ -33,6 +35,7 @@
         self.oracle = Oracle(self.fleet)
         self.steps: list[str] = []
         self.faults: Counter[str] = Counter()
+        self.cut_streams: list[str] = []
         self._number = 0
         self._coding: dict[str, str] = {}
         self._bookings: dict[str, str] = {}
@@ -66,13 +69,14 @@
         self.fleet.spawn(self.fleet.enter(host, self._stream(host, prompt)))
 
     async def _stream(self, host: FleetHost, prompt: str) -> None:
-        generation = Generation(self._work(prompt, prompt))
+        generation = Generation(self._work(prompt, prompt), streamed=True)
         text = ""
         try:
             async with aclosing(host.core.generator.run(generation)) as chunks:
                 async for chunk in chunks:
                     text += chunk.text
         except ProblemError:
+            self.cut_streams.append(prompt)
             return
         if text != answer(prompt, TOKENS):
             self.oracle.blame("whole answer", f"{prompt} got {text!r}")
@@ -93,10 +97,14 @@
         send.told = await self.fleet.enter(host, call)
         self.oracle.told_booking(send)
 
-    def submit_job(self, host: FleetHost, key: str | None = None) -> None:
+    def submit_job(
+        self, host: FleetHost, key: str | None = None, *, impossible: bool = False
+    ) -> None:
         """Submit a job, or submit an earlier one again."""
         key = key or self._name("job")
         items = {f"{key}-{n}": f"summary {n} of {key}" for n in range(ITEMS)}
+        if impossible:
+            items[f"{key}-impossible"] = IMPOSSIBLE
         self._job_items.setdefault(key, items)
         self._note(f"{key} by {host.gate.name}")
         self.fleet.spawn(self._send_job(host, key))
@@ -128,6 +136,16 @@
         if told.unwrap().state == "cancelled" and job.cancelled_s is None:
             job.cancelled_s = self.fleet.clock.now_s()
 
+    def read_jobs(self, host: FleetHost) -> None:
+        """Let supervisors read what has been counted so far."""
+        self.fleet.run(self._read_jobs(host))
+
+    async def _read_jobs(self, host: FleetHost) -> None:
+        for job_id in self.oracle.jobs:
+            outcomes = await host.core.jobs.outcomes(CUSTOMER, job_id)
+            if not isinstance(outcomes, Failure):
+                self.oracle.see_outcomes(job_id, outcomes.unwrap())
+
     # operators
 
     def change(self, *hosts: FleetHost) -> None:
@@ -186,7 +204,7 @@
         fleet.heal()
         if not fleet.usable():
             fleet.add_host()
-        self.advance(SETTLE_S)
+        self._settle()
         fleet.run(self._read_back())
         self.oracle.check_now()
         self.oracle.check_bookings()
@@ -196,6 +214,30 @@
             self.oracle.blame("no task dies", error)
         return self.oracle.violations
 
+    def _settle(self) -> None:
+        """Wait until all that was accepted has ended, for a limited time."""
+        limit_s = self.fleet.clock.now_s() + SETTLE_MOST_S
+        healed_s = self.fleet.clock.now_s()
+        self.advance(SETTLE_LEAST_S)
+        while self.fleet.clock.now_s() < limit_s:
+            if not self.fleet.run(self._open()):
+                break
+            self.advance(5.0)
+        self.oracle.check_recovery(self.fleet.clock.now_s() - healed_s)
+
+    async def _open(self) -> bool:
+        """Whether a caller still waits or a job has not ended."""
+        if self.oracle.unanswered():
+            return True
+        jobs = self.fleet.usable()[0].core.jobs
+        for job_id in self.oracle.jobs:
+            status = await jobs.status(CUSTOMER, job_id)
+            if isinstance(status, Failure):
+                return True
+            if status.unwrap().job.state not in ("completed", "cancelled"):
+                return True
+        return False
+
     async def _read_back(self) -> None:
         for host in self.fleet.usable():
             for key, body in self.oracle.coding_bodies():
@@ -253,7 +295,8 @@
 
 def _line(name: str, prompt: str) -> dict[str, Any]:
     message = {"role": "user", "content": prompt}
-    body = {"model": MODEL, "messages": [message], "max_tokens": TOKENS}
+    model = "no-such-model" if prompt == IMPOSSIBLE else MODEL
+    body = {"model": model, "messages": [message], "max_tokens": TOKENS}
     return {"custom_id": name, "body": body}
 
 
