Lose real hosts and the table service during a batch job

Cause: takeover had been shown on the virtual clock only. Ruled out (trials): cancelled calls, dropped slow connections and written buffers as the cause of the SIGSEGV; the selector loop of asyncio passes 3 of 3.

--- a/src/aspenbridge_bench/_failures.py
+++ b/src/aspenbridge_bench/_failures.py
@@ -12,6 +12,8 @@
 import attrs
 import msgspec
 
+from aspenbridge.result_codes import ResultCode
+
 from ._local_fleet import MODEL, authorization
 
 if TYPE_CHECKING:
@@ -44,6 +46,11 @@
     state: str
     counts: dict[str, int]
 
+    @classmethod
+    def broken_off(cls, reason: str) -> FailureReport:
+        """Return the report of a run in which a host could not be asked."""
+        return cls(reason, ITEMS, 0, 0, ITEMS, 0, 0.0, 0, 0.0, 0, "broken off", {})
+
     @property
     def passed(self) -> bool:
         """Whether each item has exactly one good result."""
@@ -127,7 +134,7 @@
             body = await response.read()
         outcomes = [json.loads(line) for line in body.splitlines() if line]
         names = Counter(item.get("custom_id", "?") for item in outcomes)
-        failed = sum(item.get("code") != 0 for item in outcomes)
+        failed = sum(item.get("code") != ResultCode.OK for item in outcomes)
         return names, failed
 
     async def _status(self, host: HostProcess) -> dict[str, Any] | None:
--- a/src/aspenbridge_bench/_failures_command.py
+++ b/src/aspenbridge_bench/_failures_command.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 from typing import TYPE_CHECKING, ClassVar
 
+import aiohttp
 import attrs
 import msgspec
 from cleo.commands.command import Command
@@ -24,6 +26,7 @@
 REGION = "gauteng"
 HOSTS = 3
 ENGINES = 2
+EXIT_WAIT_S = 1.0
 SETTINGS = {"batch": {"chunk_items": "50", "flush_interval_s": "1"}}
 
 
@@ -81,4 +84,9 @@
                 await fleet.start_engines([REGION] * ENGINES)
                 await fleet.configure([CUSTOMER])
                 await fleet.start_hosts([REGION] * HOSTS)
-                return await case(fleet)
+                try:
+                    return await case(fleet)
+                except (aiohttp.ClientError, RuntimeError) as error:
+                    await asyncio.sleep(EXIT_WAIT_S)
+                    exits = processes.exit_codes()
+                    return FailureReport.broken_off(f"{error}; exits: {exits}")
--- a/src/aspenbridge_bench/_processes.py
+++ b/src/aspenbridge_bench/_processes.py
@@ -71,6 +71,11 @@
         """Return what a process wrote."""
         return (self.directory / f"{name}.log").read_text(errors="replace")
 
+    def exit_codes(self) -> dict[str, int]:
+        """Return the exit code of each process that has ended."""
+        ended = ((name, item.poll()) for name, item in self.running.items())
+        return {name: code for name, code in ended if code is not None}
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.running[name].send_signal(number)
