Prove the peer transport over sockets and by three host processes

Cause: no test ran two host processes against each other, so the crash of the RPC was seen only by hand. Before: with the RPC the new process test fails, a host ends with -11. After: three hosts meet and live; 300 calls at once each get their own reply; a call past its deadline leaves the next ones whole.

--- a/src/aspenbridge_bench/_slopes_rpc.py
+++ b/src/aspenbridge_bench/_slopes_rpc.py
@@ -6,9 +6,9 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
+from aspenbridge.backends import open_session
 from aspenbridge.clock import SystemClock
 from aspenbridge.peers import GrantReply, GrantRequest
-from aspenbridge.backends import open_session
 from aspenbridge.peers.transport import HttpPeers, PeerServer
 from aspenbridge.ports import PeerAddress
 
--- /dev/null
+++ b/tests/peers/test_transport.py
@@ -0,0 +1,98 @@
+"""Messages between hosts over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from aspenbridge.backends import open_session
+from aspenbridge.clock import SystemClock
+from aspenbridge.loop import run_on_loop
+from aspenbridge.peers import Ack, MemberNews, Probe, ProbeReply, ProbeVia
+from aspenbridge.peers.transport import (
+    HttpPeers,
+    PeerServer,
+    decode_bytes,
+    encode_bytes,
+)
+from aspenbridge.ports import PeerAddress, PeerUnreachableError
+from tests.support.processes import free_ports
+
+NEWS = MemberNews("h-1", "127.0.0.1:1", "live", "r", "d", 7, 3)
+CALLS = 300
+LIMIT_S = 20.0
+PROBE = Probe(NEWS, (NEWS, NEWS), 5, 0.5)
+
+
+class Peer:
+    """Answers probes; a probe through it never ends."""
+
+    async def handle(self, message):
+        if isinstance(message, ProbeVia):
+            await asyncio.Event().wait()
+        return ProbeReply(message.sender, message.news, message.revision)
+
+
+def over_sockets(scenario):
+    results = []
+
+    async def main() -> int:
+        async with AsyncExitStack() as stack:
+            session = await stack.enter_async_context(open_session())
+            clock = SystemClock()
+            addresses = [PeerAddress("127.0.0.1", port) for port in free_ports(2)]
+            for address in addresses:
+                await stack.enter_async_context(PeerServer(Peer(), address))
+            peers = HttpPeers(session, clock)
+            results.append(await scenario(peers, addresses, clock))
+        return 0
+
+    run_on_loop(main())
+    return results[0]
+
+
+@pytest.mark.parametrize(
+    "message", [Probe(NEWS, (NEWS, NEWS), 5, 0.5), Ack(False, "x")]
+)
+def test_message_is_the_same_when_it_was_encoded_and_decoded(message) -> None:
+    assert decode_bytes(encode_bytes(message)) == message
+
+
+def test_each_call_gets_its_own_reply_when_many_run_at_once() -> None:
+    async def scenario(peers, addresses, clock):
+        calls = (
+            peers.call(
+                addresses[number % 2],
+                Probe(NEWS, (), number),
+                clock.now_s() + LIMIT_S,
+            )
+            for number in range(CALLS)
+        )
+        return await asyncio.gather(*calls)
+
+    replies = over_sockets(scenario)
+    assert [reply.revision for reply in replies] == list(range(CALLS))
+
+
+def test_call_tells_that_nothing_was_sent_when_no_host_listens() -> None:
+    async def scenario(peers, addresses, clock):
+        nobody = PeerAddress("127.0.0.1", free_ports(1)[0])
+        with pytest.raises(PeerUnreachableError) as raised:
+            await peers.call(nobody, Probe(NEWS), clock.now_s() + LIMIT_S)
+        return raised.value.sent
+
+    assert over_sockets(scenario) is False
+
+
+def test_calls_go_on_when_one_before_them_passed_its_deadline() -> None:
+    async def scenario(peers, addresses, clock):
+        with pytest.raises(PeerUnreachableError) as raised:
+            await peers.call(addresses[0], ProbeVia("x"), clock.now_s() + 0.05)
+        reply = await peers.call(addresses[0], Probe(NEWS), clock.now_s() + LIMIT_S)
+        return raised.value.sent, reply
+
+    sent, reply = over_sockets(scenario)
+    assert sent is True
+    assert reply == ProbeReply(NEWS)
--- a/tests/processes/test_serve.py
+++ b/tests/processes/test_serve.py
@@ -12,6 +12,7 @@
     open_files,
     request,
     thread_count,
+    wait_for,
 )
 
 TOKENS = 150  # about two seconds of the stand-in engine
@@ -46,3 +47,20 @@
     assert lines[-2] == b"data: [DONE]"
     assert b'"finish_reason":"stop"' in lines[-4]
     assert code == 0
+
+
+def test_hosts_stay_up_when_they_probe_each_other(tmp_path) -> None:
+    with Deployment(tmp_path) as deployment:
+        hosts = [deployment.host(name) for name in ("one", "two", "three")]
+        deployment.configure(hosts[0][1])
+        deployment.list_hosts()
+        for process, port in hosts:
+            wait_for(lambda port=port, process=process: meets(process, port, 2))
+        codes = [process.poll() for process, _ in hosts]
+    assert codes == [None, None, None]
+
+
+def meets(process, port, count) -> bool:
+    assert process.poll() is None, process.returncode
+    _, status = request(port, "GET", "/admin/v1/status", key="root.secret")
+    return len(status["members"]) == count
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -52,6 +52,7 @@
     directory: Path
     ports: dict[str, int] = attrs.field(factory=dict)
     processes: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
+    peers: list[str] = attrs.field(factory=list)
 
     def __enter__(self) -> Deployment:
         self.ports = dict(zip(STANDINS, free_ports(len(STANDINS)), strict=True))
@@ -83,12 +84,21 @@
     ) -> tuple[subprocess.Popen[bytes], int]:
         """Start a host and return it with its port once it is ready."""
         http_port, peer_port = free_ports(2)
+        self.peers.append(f"127.0.0.1:{peer_port}")
         path = self.directory / f"{name}.ini"
         path.write_text(self.settings(name, http_port, peer_port))
         process = self.start((*command, "serve", "--config", str(path)), env)
         wait_for(lambda: listens(http_port) and ready(http_port))
         return process, http_port
 
+    def list_hosts(self) -> None:
+        """Put every host on the platform's list."""
+        entries = [
+            {"address": peer, "region": "local", "failure_domain": "local-a"}
+            for peer in self.peers
+        ]
+        request(self.ports["hosts"], "POST", "/control/hosts", entries)
+
     def settings(self, name: str, http_port: int, peer_port: int) -> str:
         ports = self.ports
         digest = key_digest(SALT, "secret")
--- a/tests/support/virtual_loop.py
+++ b/tests/support/virtual_loop.py
@@ -62,9 +62,13 @@
         coroutine: Coroutine[Any, Any, Any] = make(ManualClock(loop))
         return loop.run_until_complete(coroutine)
     finally:
-        pending = asyncio.all_tasks(loop)
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop: VirtualLoop) -> None:
+    """Cancel every task, also those that cancelled ones have started."""
+    while pending := asyncio.all_tasks(loop):
         for task in pending:
             task.cancel()
-        if pending:
-            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
-        loop.close()
+        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
