--- a/src/aspenbridge/peers/_codec.py
+++ b/src/aspenbridge/peers/_codec.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import functools
+from enum import Enum
 from pathlib import Path
-from typing import Any, get_args, get_type_hints
+from typing import Any, get_args, get_origin, get_type_hints
 
 import attrs
 import capnp
@@ -13,6 +14,26 @@
 from ._messages import Message
 
 SCHEMA: Any = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+ENVELOPE: Any = SCHEMA.Envelope
+
+
+class _Kind(Enum):
+    """What a field of a message holds."""
+
+    PLAIN = "a number, a text or bytes"
+    PLAIN_LIST = "a tuple of them"
+    STRUCT = "a message"
+    STRUCT_LIST = "a tuple of messages"
+
+
+@attrs.frozen
+class _Field:
+    """One field of a message class and of the struct that carries it."""
+
+    name: str
+    struct_name: str
+    kind: _Kind
+    nested: Any
 
 
 def _camel(name: str) -> str:
@@ -26,63 +47,75 @@
 
 
 @functools.cache
-def _field_names(message_class: Any) -> tuple[tuple[str, str, type | None], ...]:
+def _fields(message_class: Any) -> tuple[_Field, ...]:
     hints = get_type_hints(message_class, vars(_messages))
-    fields = attrs.fields(message_class)
-    return tuple((f.name, _camel(f.name), _nested(hints[f.name])) for f in fields)
+    return tuple(
+        _Field(field.name, _camel(field.name), *_kind_of(hints[field.name]))
+        for field in attrs.fields(message_class)
+    )
 
 
-def _nested(hint: Any) -> type | None:
-    """Return the message class inside a type hint, if there is one."""
-    for candidate in (hint, *get_args(hint)):
-        if isinstance(candidate, type) and attrs.has(candidate):
-            return candidate
-    return None
+def _kind_of(hint: Any) -> tuple[_Kind, Any]:
+    listed = get_origin(hint) is tuple
+    inner = get_args(hint)[0] if listed else hint
+    if isinstance(inner, type) and attrs.has(inner):
+        return (_Kind.STRUCT_LIST if listed else _Kind.STRUCT), inner
+    return (_Kind.PLAIN_LIST if listed else _Kind.PLAIN), None
 
 
 _BY_UNION_NAME = {_union_name(item): item for item in get_args(Message)}
+_UNION_NAMES = {item: name for name, item in _BY_UNION_NAME.items()}
 
 
-def encode(message: Message) -> dict[str, Any]:
-    """Return the fields of an ``Envelope`` that carries the message."""
-    return {_union_name(type(message)): _plain(message)}
-
-
-def _plain(value: Any) -> Any:
-    if isinstance(value, tuple):
-        return [_plain(item) for item in value]
-    message_class: Any = type(value)
-    if not attrs.has(message_class):
-        return value
-    names = _field_names(message_class)
-    return {camel: _plain(getattr(value, name)) for name, camel, _ in names}
+def encode_bytes(message: Message) -> bytes:
+    """Return a message as the packed bytes of an ``Envelope``."""
+    envelope = ENVELOPE.new_message()
+    _fill(envelope.init(_UNION_NAMES[type(message)]), message)
+    body: bytes = envelope.to_bytes_packed()
+    return body
 
 
-def decode(envelope: Any) -> Message:
+def decode_bytes(body: bytes) -> Message:
     """
-    Return the message that an ``Envelope`` carries.
+    Return the message in the packed bytes of an ``Envelope``.
 
-    :raises KeyError: when it carries a kind that this release does not know.
+    :raises capnp.KjException: when the bytes are no message.
+    :raises KeyError: when this release does not know the kind of message.
     """
-    kind = envelope.which()
-    message_class = _BY_UNION_NAME[str(kind)]
-    message: Message = _typed(message_class, getattr(envelope, str(kind)))
+    envelope = ENVELOPE.from_bytes_packed(body)
+    kind = str(envelope.which())
+    message: Message = _read(_BY_UNION_NAME[kind], getattr(envelope, kind))
     return message
 
 
-def _typed(message_class: type, struct: Any) -> Any:
-    values = {
-        name: _value(getattr(struct, camel), nested)
-        for name, camel, nested in _field_names(message_class)
-    }
-    return message_class(**values)
-
-
-def _value(value: Any, nested: type | None) -> Any:
-    if isinstance(value, bool | int | float | str | bytes):
-        return value
-    if nested is None:
-        return tuple(value)
-    if hasattr(value, "schema") and not hasattr(value, "__len__"):
-        return _typed(nested, value)
-    return tuple(_typed(nested, item) for item in value)
+def _fill(struct: Any, message: Any) -> None:
+    """Set what differs from zero; an absent field reads as zero."""
+    message_class: Any = type(message)
+    for field in _fields(message_class):
+        value = getattr(message, field.name)
+        if field.kind is _Kind.STRUCT:
+            _fill(struct.init(field.struct_name), value)
+        elif not value:
+            continue
+        elif field.kind is _Kind.STRUCT_LIST:
+            items = struct.init(field.struct_name, len(value))
+            for place, item in enumerate(value):
+                _fill(items[place], item)
+        elif field.kind is _Kind.PLAIN_LIST:
+            setattr(struct, field.struct_name, list(value))
+        else:
+            setattr(struct, field.struct_name, value)
+
+
+def _read(message_class: Any, struct: Any) -> Any:
+    values = []
+    for field in _fields(message_class):
+        value = getattr(struct, field.struct_name)
+        if field.kind is _Kind.STRUCT:
+            value = _read(field.nested, value)
+        elif field.kind is _Kind.STRUCT_LIST:
+            value = tuple(_read(field.nested, item) for item in value)
+        elif field.kind is _Kind.PLAIN_LIST:
+            value = tuple(value)
+        values.append(value)
+    return message_class(*values)
--- a/src/aspenbridge/peers/transport.py
+++ b/src/aspenbridge/peers/transport.py
@@ -13,7 +13,7 @@
 from aspenbridge.loop import listening_socket
 from aspenbridge.ports import PeerUnreachableError
 
-from ._codec import SCHEMA, decode, encode
+from ._codec import decode_bytes, encode_bytes
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -31,23 +31,6 @@
 LONGEST_CALL_S = 600.0
 
 
-def encode_bytes(message: Message) -> bytes:
-    """Return a message as the bytes of an ``Envelope``."""
-    body: bytes = SCHEMA.Envelope.new_message(**encode(message)).to_bytes()
-    return body
-
-
-def decode_bytes(body: bytes) -> Message:
-    """
-    Return the message in the bytes of an ``Envelope``.
-
-    :raises capnp.KjException: when the bytes are no message.
-    :raises KeyError: when this release does not know the kind of message.
-    """
-    with SCHEMA.Envelope.from_bytes(body) as envelope:
-        return decode(envelope)
-
-
 class PeerServer:
     """Listens for other hosts."""
 
@@ -132,4 +115,4 @@
             raise PeerUnreachableError(address, reason, sent=True) from error
 
 
-__all__ = ["HttpPeers", "PeerServer", "decode_bytes", "encode_bytes"]
+__all__ = ["HttpPeers", "PeerServer"]
--- a/src/aspenbridge_bench/_capacity.py
+++ b/src/aspenbridge_bench/_capacity.py
@@ -102,7 +102,7 @@
             "bytes_per_s": float(str(largest["bytes_per_s"])),
             **counts,
         },
-        grant_bytes=sum(n for name, n in grant.items() if name != "all_packed"),
+        grant_bytes=sum(grant.values()),
         relay=_line(relay["slope"]),
         stream_bytes=stream_bytes,
     )
--- a/src/aspenbridge_bench/_fleet.py
+++ b/src/aspenbridge_bench/_fleet.py
@@ -15,7 +15,7 @@
     EngineModel,
 )
 from aspenbridge.host import HostCore, Ports
-from aspenbridge.peers._codec import SCHEMA, decode, encode
+from aspenbridge.peers._codec import decode_bytes, encode_bytes
 from aspenbridge.ports import PeerAddress
 from aspenbridge_standins._faults import Faults, FaultyCalls
 from aspenbridge_standins._platform import FaultyObjects, FaultyTable
@@ -32,25 +32,6 @@
 )
 
 
-def to_wire(message: Any) -> bytes:
-    """Return the bytes of a message between hosts."""
-    encoded: bytes = SCHEMA.Envelope.new_message(**encode(message)).to_bytes()
-    return encoded
-
-
-def to_packed(message: Any) -> bytes:
-    """Return the bytes of a message in the packed encoding."""
-    envelope = SCHEMA.Envelope.new_message(**encode(message))
-    encoded: bytes = envelope.to_bytes_packed()
-    return encoded
-
-
-def from_wire(body: bytes) -> Any:
-    """Return the message that the bytes hold."""
-    with SCHEMA.Envelope.from_bytes(body) as envelope:
-        return decode(envelope)
-
-
 @attrs.define
 class WirePeers:
     """Hands messages to one answering function, through the codec."""
@@ -62,12 +43,12 @@
 
     async def call(self, address: PeerAddress, message: Any, deadline_s: float) -> Any:
         """Send a message and return the reply."""
-        request = to_wire(message)
-        reply = to_wire(self.answer(address, from_wire(request)))
+        request = encode_bytes(message)
+        reply = encode_bytes(self.answer(address, decode_bytes(request)))
         self.calls += 1
         self.sent_bytes += len(request)
         self.received_bytes += len(reply)
-        return from_wire(reply)
+        return decode_bytes(reply)
 
 
 @attrs.define
--- a/src/aspenbridge_bench/_slopes_hosts.py
+++ b/src/aspenbridge_bench/_slopes_hosts.py
@@ -21,16 +21,18 @@
     Probe,
     ProbeReply,
 )
+from aspenbridge.peers._codec import encode_bytes
 from aspenbridge.ports import PeerAddress
 from aspenbridge.settings import HostSettings, Settings
 
 from ._clocks import FastClock, JumpClock
 from ._fit import Point, Slope, fit
-from ._fleet import CountedFleet, Counts, WirePeers, to_packed, to_wire
+from ._fleet import CountedFleet, Counts, WirePeers
 from ._measure import async_cpu_s, cpu_s, resident_bytes
 
 if TYPE_CHECKING:
     from aspenbridge.host import HostCore
+    from aspenbridge.peers import Message
     from aspenbridge.ports import Clock
 
 SIZES = (10, 100, 420)
@@ -162,7 +164,7 @@
     """Send the host one probe a second, as its peers together do."""
     clock = host.ports.clock
     while True:
-        to_wire(await host.handle(answers.probe()))
+        encode_bytes(await host.handle(answers.probe()))
         await clock.sleep_until(clock.now_s() + 1.0)
 
 
@@ -192,10 +194,13 @@
     )
     reply = GrantReply(True, "engine-0042", member_news(5).incarnation)
     release = GrantRelease("coder/region-0/03", request.grant, 180)
-    messages = {"request": request, "reply": reply, "release": release, "ack": Ack()}
-    whole = {name: len(to_wire(message)) for name, message in messages.items()}
-    packed = sum(len(to_packed(message)) for message in messages.values())
-    return {**whole, "all_packed": packed}
+    messages: dict[str, Message] = {
+        "request": request,
+        "reply": reply,
+        "release": release,
+        "ack": Ack(),
+    }
+    return {name: len(encode_bytes(message)) for name, message in messages.items()}
 
 
 async def host_slopes(seed: int) -> tuple[list[Slope], list[IdleCost]]:
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from aspenbridge.peers._codec import decode_bytes, encode_bytes
 from aspenbridge_bench._fit import Point, fit
-from aspenbridge_bench._fleet import from_wire, to_wire
 from aspenbridge_bench._slopes_hosts import FleetAnswers
 
 
@@ -27,4 +27,4 @@
 
 def test_probe_is_the_same_when_it_went_over_the_wire() -> None:
     probe = FleetAnswers(10, random.Random(7)).probe()
-    assert from_wire(to_wire(probe)) == probe
+    assert decode_bytes(encode_bytes(probe)) == probe
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -5,18 +5,15 @@
 import asyncio
 from contextlib import AsyncExitStack
 
+import capnp
 import pytest
 
 from aspenbridge.backends import open_session
 from aspenbridge.clock import SystemClock
 from aspenbridge.loop import run_on_loop
 from aspenbridge.peers import Ack, MemberNews, Probe, ProbeReply, ProbeVia
-from aspenbridge.peers.transport import (
-    HttpPeers,
-    PeerServer,
-    decode_bytes,
-    encode_bytes,
-)
+from aspenbridge.peers._codec import decode_bytes, encode_bytes
+from aspenbridge.peers.transport import HttpPeers, PeerServer
 from aspenbridge.ports import PeerAddress, PeerUnreachableError
 from tests.support.processes import free_ports
 
@@ -96,3 +93,9 @@
     sent, reply = over_sockets(scenario)
     assert sent is True
     assert reply == ProbeReply(NEWS)
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff" * 9, b"hello"])
+def test_decode_refuses_bytes_that_are_no_message(body) -> None:
+    with pytest.raises((capnp.KjException, KeyError)):
+        decode_bytes(body)
