--- a/src/aspenbridge/host/__init__.py
+++ b/src/aspenbridge/host/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ._core import HostCore, Ports
+from ._core import HostCore
 from ._errors import StartError
+from ._ports import Ports
 
 __all__ = ["HostCore", "Ports", "StartError"]
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
 
-import attrs
-from opentelemetry.trace import NoOpTracer
 from returns.result import Failure
 
 from aspenbridge.batch import BatchRunner, Files, Jobs
@@ -36,7 +33,6 @@
     RevisionNotice,
     SuspectNotice,
 )
-from aspenbridge.ports import NoMetrics, PeerUnreachableError
 from aspenbridge.recall.results import RecalledResults
 from aspenbridge.recovery import (
     RECONCILE_INTERVAL_S,
@@ -53,55 +49,28 @@
 from aspenbridge.telemetry import Hops, MeasuredAdmission
 
 from ._errors import StartError
+from ._notices import Notices
 from ._running import RunningWork
 from ._supervisor import Supervisor
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
-    from random import Random
     from types import TracebackType
 
-    from opentelemetry.trace import Tracer
-
     from aspenbridge.configuration import Notified
     from aspenbridge.membership import Identity
-    from aspenbridge.ports import (
-        Clock,
-        EngineClient,
-        HostList,
-        Metrics,
-        ObjectStore,
-        PeerAddress,
-        PeerTransport,
-        ServiceClient,
-        TableService,
-    )
+    from aspenbridge.ports import PeerAddress
     from aspenbridge.settings import Settings
 
+    from ._ports import Ports
+
 logger = logging.getLogger(__name__)
 CANCEL_CHECK_S = 5.0
-NOTICE_LIMIT_S = 2.0
 HAND_OVER_LIMIT_S = 10.0
 FRESHNESS_INTERVAL_S = 0.5
 ACCEPTING = frozenset({"ready", "leaving"})
 
 
-@attrs.frozen
-class Ports:
-    """What a host is given from the outside."""
-
-    clock: Clock
-    random: Random
-    table: TableService
-    objects: ObjectStore
-    host_list: HostList
-    peers: PeerTransport
-    engines: EngineClient
-    services: ServiceClient
-    metrics: Metrics = attrs.field(factory=NoMetrics)
-    tracer: Tracer = attrs.field(factory=NoOpTracer)
-
-
 class HostCore:
     """One host; entering it registers an incarnation and starts its loops."""
 
@@ -110,7 +79,6 @@
         self._peer = peer
         self.ports = ports
         self._stack = AsyncExitStack()
-        self._notices: set[asyncio.Task[None]] = set()
         self.running = RunningWork()
         self.supervisor = Supervisor(ports.metrics)
         self._chart = load_chart("host")
@@ -119,6 +87,7 @@
         self.store = Store(ports.table, clock, random)
         self.view = View()
         self.members = Members(clock)
+        self.notices = Notices(self.members, ports.peers, clock)
         self.follower = Follower(self.store, clock, self.view, ports.peers)
         self.spread = Spread(
             self.follower,
@@ -203,7 +172,7 @@
             self.identity,
             self.store,
             clock,
-            self._broadcast,
+            self.notices.broadcast,
             lambda: len(self.members.live()) + 1,
         )
         self.generator.suspects = self.suspects
@@ -401,21 +370,7 @@
     def _spread_cancel(self, job_id: str) -> None:
         """Stop a job here and tell every other host."""
         self.batch.cancel(job_id)
-        self._broadcast(CancelNotice(job_id))
-
-    def _broadcast(self, message: Any) -> None:
-        for member in self.members.present():
-            self._start_notice(member.address, message)
-
-    def _start_notice(self, address: PeerAddress, message: Any) -> None:
-        task = asyncio.ensure_future(self._notify(address, message))
-        self._notices.add(task)
-        task.add_done_callback(self._notices.discard)
-
-    async def _notify(self, address: PeerAddress, message: Any) -> None:
-        deadline_s = self.ports.clock.now_s() + NOTICE_LIMIT_S
-        with contextlib.suppress(PeerUnreachableError):
-            await self.ports.peers.call(address, message, deadline_s)
+        self.notices.broadcast(CancelNotice(job_id))
 
     def _every(self, interval_s: float, action: Callable[[], Awaitable[None]]) -> None:
         self._start(self._repeat(interval_s, action))
--- /dev/null
+++ b/src/aspenbridge/host/_ports.py
@@ -0,0 +1,42 @@
+"""What a host is given from the outside."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from opentelemetry.trace import NoOpTracer
+
+from aspenbridge.ports import NoMetrics
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from opentelemetry.trace import Tracer
+
+    from aspenbridge.ports import (
+        Clock,
+        EngineClient,
+        HostList,
+        Metrics,
+        ObjectStore,
+        PeerTransport,
+        ServiceClient,
+        TableService,
+    )
+
+
+@attrs.frozen
+class Ports:
+    """What a host is given from the outside."""
+
+    clock: Clock
+    random: Random
+    table: TableService
+    objects: ObjectStore
+    host_list: HostList
+    peers: PeerTransport
+    engines: EngineClient
+    services: ServiceClient
+    metrics: Metrics = attrs.field(factory=NoMetrics)
+    tracer: Tracer = attrs.field(factory=NoOpTracer)
--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -24,7 +24,8 @@
 from aspenbridge.ports import PeerAddress
 from aspenbridge.telemetry.setup import open_telemetry
 
-from ._core import HostCore, Ports
+from ._core import HostCore
+from ._ports import Ports
 
 if TYPE_CHECKING:
     import aiohttp
