Run accepted work to its end by one piece of code

Cause: batch items and coding requests each had the loop that runs a generation to its end and the same two sets of codes that say when to try again.

--- a/src/aspenbridge/batch/_items.py
+++ b/src/aspenbridge/batch/_items.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import attrs
 
-from aspenbridge.online import Generation
-from aspenbridge.result_codes import Problem, ProblemError, ResultCode
+from aspenbridge.online import PASSING_CODES, REPEATED_CODES, Generation
+from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.work import Work, new_id
 
 from ._records import Outcome
@@ -26,17 +25,6 @@
 LONGEST_BACKOFF_S = 10.0
 LATE_LIMIT_S = 86_400.0
 SHORTEST_ATTEMPT_S = 600.0
-PASSING_CODES = frozenset(
-    {
-        ResultCode.OVERLOADED,
-        ResultCode.CUSTOMER_LIMIT,
-        ResultCode.DEADLINE_EXCEEDED,
-        ResultCode.NO_ENGINE_ALLOWED,
-        ResultCode.CONFIGURATION_UNKNOWN,
-        ResultCode.STORE_UNAVAILABLE,
-    }
-)
-REPEATED_CODES = frozenset({ResultCode.BACKEND_FAILED, ResultCode.STREAM_TRUNCATED})
 
 
 class ItemRunner:
@@ -61,7 +49,7 @@
         failures = 0
         backoff_s = FIRST_BACKOFF_S
         while True:
-            problem = await self._attempt(generation)
+            problem = await self._generator.finish(generation)
             if problem is None:
                 return _done(item, generation)
             failures += problem.code not in PASSING_CODES
@@ -81,15 +69,6 @@
             return failures >= self._settings.item_attempts
         return True
 
-    async def _attempt(self, generation: Generation) -> Problem | None:
-        try:
-            async with aclosing(self._generator.run(generation)) as chunks:
-                async for _ in chunks:
-                    pass
-        except ProblemError as error:
-            return error.problem
-        return None
-
     def _deadline_s(self, due_s: float) -> float:
         """Return the due time, or a moment from now for a late item."""
         return max(due_s, self._clock.now_s() + SHORTEST_ATTEMPT_S)
--- a/src/aspenbridge/online/_coding_runs.py
+++ b/src/aspenbridge/online/_coding_runs.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections import Counter
-from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,12 +12,13 @@
 
 from aspenbridge.membership import REQUEST, owned_key
 from aspenbridge.ports import Conflict
-from aspenbridge.result_codes import Problem, ProblemError, ResultCode
+from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes
 from aspenbridge.work import Work
 
 from ._coding_records import CHART, CodingRecord, request_key
 from ._generation import Generation
+from ._retryable import PASSING_CODES, REPEATED_CODES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,17 +35,6 @@
 BACKEND_ATTEMPTS = 5
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 5.0
-PASSING_CODES = frozenset(
-    {
-        ResultCode.OVERLOADED,
-        ResultCode.CUSTOMER_LIMIT,
-        ResultCode.DEADLINE_EXCEEDED,
-        ResultCode.NO_ENGINE_ALLOWED,
-        ResultCode.STORE_UNAVAILABLE,
-        ResultCode.CONFIGURATION_UNKNOWN,
-    }
-)
-REPEATED_CODES = frozenset({ResultCode.BACKEND_FAILED, ResultCode.STREAM_TRUNCATED})
 
 
 class CodingRuns:
@@ -155,7 +144,7 @@
         generation = Generation(_work(record, deadline_s))
         while True:
             generation.work = _work(record, deadline_s)
-            problem = await self._generate(generation)
+            problem = await self._generator.finish(generation)
             if problem is None:
                 return _done(record, generation)
             failures += problem.code not in PASSING_CODES
@@ -166,15 +155,6 @@
             backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
             deadline_s = self._clock.now_s() + ATTEMPT_LIMIT_S
 
-    async def _generate(self, generation: Generation) -> Problem | None:
-        try:
-            async with aclosing(self._generator.run(generation)) as chunks:
-                async for _ in chunks:
-                    pass
-        except ProblemError as error:
-            return error.problem
-        return None
-
     async def _record(
         self, own: Identity, finished: CodingRecord
     ) -> CodingRecord | None:
--- a/src/aspenbridge/online/_generation.py
+++ b/src/aspenbridge/online/_generation.py
@@ -11,7 +11,7 @@
 from aspenbridge.limits import RetryBudget
 from aspenbridge.ports import CallOutcome, EngineFailure, Generate
 from aspenbridge.recall import PlacedGrants
-from aspenbridge.result_codes import Execution, Problem, ResultCode
+from aspenbridge.result_codes import Execution, Problem, ProblemError, ResultCode
 
 from ._crash_guard import CrashGuard, NoGuard
 from ._watch import AttemptWatch
@@ -113,6 +113,16 @@
                 if failures >= ENGINE_ATTEMPTS or not self._budget.take():
                     raise _problem(failure, generation).error() from failure
 
+    async def finish(self, generation: Generation) -> Problem | None:
+        """Run a generation to its end; return the problem that stopped it."""
+        try:
+            async with aclosing(self.run(generation)) as chunks:
+                async for _ in chunks:
+                    pass
+        except ProblemError as error:
+            return error.problem
+        return None
+
     async def _place(self, generation: Generation) -> Grant:
         work = generation.work
         avoid = frozenset(generation.failed_on)
--- /dev/null
+++ b/src/aspenbridge/online/_retryable.py
@@ -0,0 +1,17 @@
+"""Which problems of a generation may pass when accepted work tries again."""
+
+from __future__ import annotations
+
+from aspenbridge.result_codes import ResultCode
+
+PASSING_CODES = frozenset(
+    {
+        ResultCode.OVERLOADED,
+        ResultCode.CUSTOMER_LIMIT,
+        ResultCode.DEADLINE_EXCEEDED,
+        ResultCode.NO_ENGINE_ALLOWED,
+        ResultCode.STORE_UNAVAILABLE,
+        ResultCode.CONFIGURATION_UNKNOWN,
+    }
+)
+REPEATED_CODES = frozenset({ResultCode.BACKEND_FAILED, ResultCode.STREAM_TRUNCATED})
