Judge a confirmed revision without counting the hosts

Cause: whether a host may serve is asked for each request and for each place, and each time both lists of known hosts were built, though the count matters only when the head was not read in time. The rule on a confirmed revision stays in one place, FreshnessPolicy.confirmed.

--- a/src/aspenbridge/configuration/_freshness.py
+++ b/src/aspenbridge/configuration/_freshness.py
@@ -50,11 +50,14 @@
 
     fresh_limit_s: float
 
+    def confirmed(self, now_s: float, confirmed_s: float | None) -> bool:
+        """Return whether the head was read in time."""
+        return confirmed_s is not None and confirmed_s >= now_s - self.fresh_limit_s
+
     def judge(self, knowledge: Knowledge) -> Verdict:
         """Return whether the known revision may be acted on."""
         confirmed_s = knowledge.confirmed_s
-        limit_s = knowledge.now_s - self.fresh_limit_s
-        if confirmed_s is not None and confirmed_s >= limit_s:
+        if self.confirmed(knowledge.now_s, confirmed_s):
             return Verdict.CONFIRMED
         newer = knowledge.newest_heard > knowledge.revision
         if confirmed_s is not None and knowledge.majority and not newer:
--- a/src/aspenbridge/configuration/_spread.py
+++ b/src/aspenbridge/configuration/_spread.py
@@ -80,7 +80,12 @@
 
     def may_serve(self) -> bool:
         """Return whether new work may be taken under the settings."""
-        return self._settings.when_unknown == "serve" or self.verdict().sure
+        if self._settings.when_unknown == "serve":
+            return True
+        now_s = self._clock.now_s()
+        if self._policy.confirmed(now_s, self._follower.confirmed_s):
+            return True  # the usual case, asked for each request: count no hosts
+        return self.verdict().sure
 
     def reaches_majority(self) -> bool:
         """Return whether this host is in contact with most known hosts."""
