--- /dev/null
+++ b/src/aspenbridge/entry/_copies.py
@@ -0,0 +1,102 @@
+"""This host's copies of the operator's configuration and of the engine list."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from aspenbridge.observability import log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aspenbridge.fleet import Configuration, EngineDirectory, EngineEntry
+    from aspenbridge.ports import Change, Row
+
+logger = logging.getLogger(__name__)
+
+
+class ConfigurationCopy:
+    """The newest configuration that was read; it never goes back."""
+
+    def __init__(self, key: str, decode: Callable[[bytes], Configuration]) -> None:
+        self._key = key
+        self._decode = decode
+        self.current: Configuration | None = None
+        self.on_change: Callable[[], None] = lambda: None
+
+    def replace(self, rows: tuple[Row, ...]) -> None:
+        """Take in the whole table."""
+        for row in rows:
+            if row.key.key == self._key:
+                self._take(row.value)
+
+    def change(self, change: Change) -> None:
+        """Take in one change of the table."""
+        if change.key.key == self._key and change.value is not None:
+            self._take(change.value)
+
+    def _take(self, value: bytes) -> None:
+        try:
+            configuration = self._decode(value)
+        except ValueError as error:
+            logger.error("configuration is not applied: %s", error)
+            return
+        if self.current is not None and configuration.version <= self.current.version:
+            return
+        log_decision(
+            "configuration applied",
+            configuration=configuration.version,
+            before=self.current and self.current.version,
+            routes=len(configuration.routes),
+        )
+        self.current = configuration
+        self.on_change()
+
+
+class EngineCopy:
+    """Brings the engine list into the directory; skips rows it can't read."""
+
+    def __init__(
+        self,
+        directory: EngineDirectory,
+        decode: Callable[[str, bytes], EngineEntry],
+    ) -> None:
+        self._directory = directory
+        self._decode = decode
+        self.on_change: Callable[[], None] = lambda: None
+
+    def replace(self, rows: tuple[Row, ...]) -> None:
+        """Take in the whole table."""
+        decoded = (self._entry(row.key.key, row.value) for row in rows)
+        entries = [entry for entry in decoded if entry is not None]
+        self._directory.replace(entries)
+        log_decision("engine list read", engines=len(entries), rows=len(rows))
+        self.on_change()
+
+    def change(self, change: Change) -> None:
+        """Take in one change of the table."""
+        engine_id = change.key.key
+        entry = None if change.value is None else self._entry(engine_id, change.value)
+        if entry is None:
+            self._directory.remove(engine_id)
+        else:
+            self._directory.put(entry)
+        log_decision(
+            "engine changed",
+            engine=engine_id,
+            state="gone"
+            if entry is None
+            else "draining"
+            if entry.draining
+            else "ready",
+            version=change.version,
+        )
+        self.on_change()
+
+    def _entry(self, engine_id: str, value: bytes) -> EngineEntry | None:
+        try:
+            return self._decode(engine_id, value)
+        except ValueError as error:
+            logger.warning("engine row is skipped: %s", error)
+            return None
--- /dev/null
+++ b/src/aspenbridge/entry/_host.py
@@ -0,0 +1,220 @@
+"""Joins the parts of one entry host; does no I/O of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any, Self
+
+from aspenbridge.fleet import (
+    HOSTS_TABLE,
+    EngineDirectory,
+    EngineHealth,
+    EngineView,
+    Follower,
+    Heartbeat,
+    HostRecord,
+    HostTable,
+    LoadBoard,
+    LoadExchange,
+)
+from aspenbridge.jobs import (
+    HEADS_TABLE,
+    JobClaims,
+    JobDesk,
+    JobDirectory,
+    JobLedger,
+    JobWorker,
+)
+from aspenbridge.relay import OnlinePlacing, Relay
+from aspenbridge.store import Store
+
+from ._copies import ConfigurationCopy, EngineCopy
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Iterable
+    from types import TracebackType
+
+    from ._ports import EntryPorts
+    from ._settings import EntrySettings
+
+logger = logging.getLogger(__name__)
+HAND_OVER_LIMIT_S = 3.0  # a part of the time that a shutdown may take
+
+
+class EntryHost:
+    """Online requests and batch jobs of one host; entering it starts its loops."""
+
+    def __init__(self, settings: EntrySettings, ports: EntryPorts) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.incarnation = f"{settings.host}-{ports.random.randbytes(6).hex()}"
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.fault = asyncio.Event()
+        self.leaving = False
+        clock, random = ports.clock, ports.random
+        store = Store(ports.table, clock, random)
+        self.configuration = ConfigurationCopy(
+            ports.tables.configuration_key, ports.tables.decode_configuration
+        )
+        directory = EngineDirectory(clock)
+        self._engines = EngineCopy(directory, ports.tables.decode_engine)
+        self.board = LoadBoard(clock)
+        health = EngineHealth(clock)
+        self.view = EngineView(
+            directory, self.board, health, settings.failure_domain, settings.regions
+        )
+        self.hosts = HostTable(clock)
+        self.hosts.on_gone = self.board.forget
+        port = settings.peer_ports[0]
+        self._heartbeat = Heartbeat(
+            store,
+            clock,
+            HostRecord(
+                host=settings.host,
+                incarnation=self.incarnation,
+                ip=settings.ip,
+                port=port,
+                failure_domain=settings.failure_domain,
+                beat=0,
+            ),
+        )
+        self.exchange = LoadExchange(
+            self.incarnation, (settings.ip, port), self.board, self._peers
+        )
+        self.relay = Relay(
+            OnlinePlacing(self.view, random), self.board, health, ports.caller, clock
+        )
+        self._heads = JobDirectory()
+        ledger = JobLedger(
+            store,
+            ports.feed,
+            ports.objects,
+            self._heads,
+            clock,
+            random,
+            self.incarnation,
+            settings.store_limits.row_bytes,
+        )
+        self.worker = JobWorker(
+            self.incarnation,
+            self.incarnation,
+            self._heads,
+            ledger,
+            self.view,
+            self.board,
+            health,
+            ports.caller,
+            clock,
+            random,
+            lambda: self.configuration.current,
+        )
+        self._heads.on_change = self.worker.head_changed
+        for source in (self.board, self.exchange, self._engines, self.configuration):
+            self._wake_on(source)
+        self._claims = JobClaims(
+            settings.host,
+            self._heads,
+            self.hosts,
+            ledger,
+            self.worker,
+            clock,
+            self.incarnation,
+        )
+        self._followers = self._make_followers()
+        self._follow_configuration, _, _, heads = self._followers
+        self._followers[1].on_return = directory.store_returned
+        self._followers[2].on_return = self.hosts.store_returned
+        self.desk = JobDesk(
+            self._heads,
+            heads,
+            store,
+            ports.feed,
+            ports.objects,
+            self.worker,
+            clock,
+            self.incarnation,
+        )
+
+    def _wake_on(self, source: Any) -> None:
+        """Have the worker look again when placing may decide otherwise."""
+        for name in ("on_room", "on_report", "on_change"):
+            if hasattr(source, name):
+                setattr(source, name, self.worker.wake)
+
+    def _make_followers(self) -> tuple[Follower, Follower, Follower, Follower]:
+        tables, ports = self.ports.tables, self.ports
+        common = (ports.feed, ports.clock, ports.random)
+        return (
+            Follower(*common, tables.configuration_table, self.configuration),
+            Follower(*common, tables.engines_table, self._engines),
+            Follower(*common, HOSTS_TABLE, self.hosts),
+            Follower(*common, HEADS_TABLE, self._heads, parts=True),
+        )
+
+    def _peers(self) -> Iterable[tuple[str, int]]:
+        return [
+            (record.ip, record.port)
+            for record in self.hosts.live()
+            if record.incarnation != self.incarnation
+        ]
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        return self.configuration.current is not None and not self.leaving
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self.exchange)
+        self._stack.push_async_callback(self._stop_tasks)
+        for follower in self._followers:
+            self._start(follower.run())
+        for coroutine in (
+            self._heartbeat.run(),
+            self.exchange.run(),
+            self.worker.run(),
+            self._claims.run(),
+            self._enable_claims(),
+        ):
+            self._start(coroutine)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def hand_over(self) -> None:
+        """Leave batch jobs to other hosts; online requests go on."""
+        deadline_s = self.ports.clock.now_s() + HAND_OVER_LIMIT_S
+        self._claims.enabled = False
+        await self.worker.hand_over(deadline_s)
+        await self._heartbeat.leave(deadline_s)
+
+    async def _enable_claims(self) -> None:
+        """Claim jobs only once every host could show that it lives."""
+        await self._followers[2].loaded.wait()
+        await self._followers[3].loaded.wait()
+        self._claims.enabled = True
+        await asyncio.Event().wait()
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        logger.error("background task died", exc_info=task.exception())
+        self.fault.set()
+
+    async def _stop_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/src/aspenbridge/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""Routes, engines and the load on them, as one host knows them."""
+
+from __future__ import annotations
+
+from ._engines import EngineDirectory, EngineEntry
+from ._exchange import LoadExchange
+from ._follower import Follower, TableCopy
+from ._health import EngineHealth
+from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
+from ._load import EngineLoad, LoadBoard
+from ._placement import Candidate, Refused, place_batch, place_online
+from ._routes import Configuration, RequestLimits, Route, RouteKind, Target
+from ._view import EngineView
+from ._yielding import items_to_stop
+
+__all__ = [
+    "HOSTS_TABLE",
+    "Candidate",
+    "Configuration",
+    "EngineDirectory",
+    "EngineEntry",
+    "EngineHealth",
+    "EngineLoad",
+    "EngineView",
+    "Follower",
+    "Heartbeat",
+    "HostRecord",
+    "HostTable",
+    "LoadBoard",
+    "LoadExchange",
+    "Refused",
+    "RequestLimits",
+    "Route",
+    "RouteKind",
+    "TableCopy",
+    "Target",
+    "items_to_stop",
+    "place_batch",
+    "place_online",
+    "rank",
+]
--- /dev/null
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -0,0 +1,123 @@
+"""Load reports between hosts, as datagrams that carry the whole state."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Self
+
+import msgspec
+
+from ._load import EngineLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from types import TracebackType
+
+    from ._load import LoadBoard
+
+logger = logging.getLogger(__name__)
+SEND_SPACING_S = 0.02  # a few steps of an engine; what changes meanwhile is merged
+REPEAT_INTERVAL_S = 1.0  # a report is valid for three of these
+REPORT_LIMIT_BYTES = 8192
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one host has on engines: id, online, batch."""
+
+    host: str
+    sequence: int
+    engines: list[tuple[str, int, int]]
+
+
+class LoadExchange(asyncio.DatagramProtocol):
+    """Sends this host's load to the others and takes in theirs."""
+
+    def __init__(
+        self,
+        host: str,
+        address: tuple[str, int],
+        board: LoadBoard,
+        peers: Callable[[], Iterable[tuple[str, int]]],
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._board = board
+        self._peers = peers
+        self._decoder = msgspec.msgpack.Decoder(LoadReport)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._sequence = 0
+        self._heard: dict[str, int] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._stack = AsyncExitStack()
+        self.on_report: Callable[[], None] = lambda: None
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind(self._address)
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self._transport = transport
+        self._stack.callback(transport.close)
+        self._stack.callback(self._stop_timer)
+        self._board.on_own_change = self._schedule
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def run(self) -> None:
+        """Repeat the report, for hosts that are new or lost one."""
+        while True:
+            self._send()
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in the report of another host, unless a newer one came first."""
+        try:
+            report = self._decoder.decode(data)
+        except msgspec.DecodeError as error:
+            logger.warning("load report from %s can't be read: %s", addr, error)
+            return
+        if report.sequence <= self._heard.get(report.host, 0):
+            return
+        self._heard[report.host] = report.sequence
+        loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
+        self._board.hear(report.host, loads)
+        self.on_report()
+
+    def error_received(self, exc: Exception) -> None:
+        """Log that a datagram could not be sent; the next one repeats it."""
+        logger.debug("load report was not sent: %s", exc)
+
+    def _schedule(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(SEND_SPACING_S, self._send)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _send(self) -> None:
+        self._stop_timer()
+        if self._transport is None:
+            return
+        self._sequence += 1
+        engines = [
+            (engine, load.online, load.batch)
+            for engine, load in self._board.own_report().items()
+        ]
+        report = self._encoder.encode(LoadReport(self._host, self._sequence, engines))
+        for peer in self._peers():
+            self._transport.sendto(report, peer)
--- /dev/null
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -0,0 +1,126 @@
+"""The hosts of the fleet and which of them live, from rows that they renew."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+from returns.result import Failure
+
+from aspenbridge.ports import RowKey
+from aspenbridge.store import Changes, decode_record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aspenbridge.ports import Change, Clock, Row
+    from aspenbridge.store import Store
+
+logger = logging.getLogger(__name__)
+HOSTS_TABLE = "hosts"
+BEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 3.2  # three beats, and the way of the last one
+
+
+@attrs.frozen
+class HostRecord:
+    """One start of a host, and where others reach it."""
+
+    host: str
+    incarnation: str
+    ip: str
+    port: int
+    failure_domain: str
+    beat: int
+
+
+@attrs.frozen
+class _Seen:
+    record: HostRecord
+    heard_s: float
+
+
+class HostTable:
+    """The rows of all hosts; a host lives while its row changes."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._seen: dict[str, _Seen] = {}
+        self.on_gone: Callable[[str], None] = lambda host: None
+
+    def replace(self, rows: tuple[Row, ...]) -> None:
+        """Take in the whole table."""
+        records = [decode_record(row.value, HostRecord) for row in rows]
+        for host in self._seen.keys() - {record.host for record in records}:
+            self._remove(host)
+        for record in records:
+            self._take(record)
+
+    def change(self, change: Change) -> None:
+        """Take in one change of the table."""
+        if change.value is None:
+            self._remove(change.key.key)
+        else:
+            self._take(decode_record(change.value, HostRecord))
+
+    def store_returned(self) -> None:
+        """Give every host the time to renew its row again."""
+        now_s = self._clock.now_s()
+        self._seen = {
+            host: attrs.evolve(seen, heard_s=now_s) for host, seen in self._seen.items()
+        }
+
+    def live(self) -> list[HostRecord]:
+        """Return the hosts that renewed their rows in time."""
+        oldest_s = self._clock.now_s() - SILENCE_LIMIT_S
+        return [s.record for s in self._seen.values() if s.heard_s >= oldest_s]
+
+    def lives(self, incarnation: str) -> bool:
+        """Whether an incarnation renewed its row in time."""
+        return any(record.incarnation == incarnation for record in self.live())
+
+    def _take(self, record: HostRecord) -> None:
+        known = self._seen.get(record.host)
+        if known is None or known.record != record:
+            self._seen[record.host] = _Seen(record, self._clock.now_s())
+
+    def _remove(self, host: str) -> None:
+        if self._seen.pop(host, None) is not None:
+            self.on_gone(host)
+
+
+class Heartbeat:
+    """Renews this host's row while the host runs."""
+
+    def __init__(self, store: Store, clock: Clock, record: HostRecord) -> None:
+        self._store = store
+        self._clock = clock
+        self._record = record
+        self._key = RowKey(HOSTS_TABLE, record.host)
+
+    async def run(self) -> None:
+        """Renew the row until cancelled."""
+        while True:
+            due_s = self._clock.now_s() + BEAT_INTERVAL_S
+            self._record = attrs.evolve(self._record, beat=self._record.beat + 1)
+            written = await self._store.commit(
+                Changes().put(self._key, self._record), deadline_s=due_s
+            )
+            if isinstance(written, Failure):
+                logger.debug("heartbeat was not written: %s", written.failure())
+            await self._clock.sleep_until(due_s)
+
+    async def leave(self, deadline_s: float) -> None:
+        """Remove the row, so that other hosts take over at once."""
+        removed = await self._store.commit(
+            Changes().delete(self._key), deadline_s=deadline_s
+        )
+        if isinstance(removed, Failure):
+            logger.warning("host row was not removed: %s", removed.failure())
+
+
+def rank(host: str, subject: str) -> int:
+    """Return a host's place in the order for a subject; the lowest comes first."""
+    return xxhash.xxh64_intdigest(f"{host}\0{subject}")
--- /dev/null
+++ b/src/aspenbridge/fleet/_load.py
@@ -0,0 +1,96 @@
+"""How much runs on each engine: exact for this host, reported by others."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from aspenbridge.ports import Clock
+
+REPORT_LIFETIME_S = 3.0  # three reports are sent in this time
+
+
+@attrs.frozen
+class EngineLoad:
+    """Requests of one host, or of all hosts, on one engine."""
+
+    online: int = 0
+    batch: int = 0
+
+    @property
+    def total(self) -> int:
+        """All requests."""
+        return self.online + self.batch
+
+
+NO_LOAD = EngineLoad()
+
+
+@attrs.frozen
+class HostLoad:
+    """What one host has on engines."""
+
+    by_engine: Mapping[str, EngineLoad]
+    valid_until_s: float
+
+
+class LoadBoard:
+    """The load on every engine, summed over the hosts."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._own: dict[str, EngineLoad] = defaultdict(EngineLoad)
+        self._others: dict[str, HostLoad] = {}
+        self.on_own_change: Callable[[], None] = lambda: None
+        self.on_room: Callable[[], None] = lambda: None
+
+    def add(self, engine_id: str, *, online: int = 0, batch: int = 0) -> None:
+        """Count requests that this host starts, or ends when negative."""
+        load = self._own[engine_id]
+        changed = EngineLoad(load.online + online, load.batch + batch)
+        if changed.total:
+            self._own[engine_id] = changed
+        else:
+            del self._own[engine_id]
+        self.on_own_change()
+        if online < 0 or batch < 0:
+            self.on_room()
+
+    def hear(self, host: str, by_engine: Mapping[str, EngineLoad]) -> None:
+        """Take in the report of another host."""
+        valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S
+        self._others[host] = HostLoad(by_engine, valid_until_s)
+        self.on_room()
+
+    def forget(self, host: str) -> None:
+        """Drop the report of a host that is gone."""
+        self._others.pop(host, None)
+
+    def own(self, engine_id: str) -> EngineLoad:
+        """Return what this host has on an engine."""
+        return self._own.get(engine_id, NO_LOAD)
+
+    def own_report(self) -> dict[str, EngineLoad]:
+        """Return what this host has on all engines."""
+        return dict(self._own)
+
+    def by_host(self, engine_id: str) -> dict[str, EngineLoad]:
+        """Return what other hosts have on an engine, by host."""
+        now_s = self._clock.now_s()
+        return {
+            host: report.by_engine[engine_id]
+            for host, report in self._others.items()
+            if engine_id in report.by_engine and now_s < report.valid_until_s
+        }
+
+    def load(self, engine_id: str) -> EngineLoad:
+        """Return what all hosts have on an engine."""
+        loads = [self.own(engine_id), *self.by_host(engine_id).values()]
+        return EngineLoad(
+            sum(load.online for load in loads), sum(load.batch for load in loads)
+        )
--- /dev/null
+++ b/src/aspenbridge/fleet/_routes.py
@@ -0,0 +1,103 @@
+"""Routes of a configuration and how a request finds its own."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+
+class RouteKind(Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+    BATCH = "batch"
+
+
+@attrs.frozen
+class Target:
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Requests of one virtual host and path prefix, and how to serve them."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    targets: tuple[Target, ...]
+    request_limit_s: float
+    goal_s: float
+    pause_goal_s: float
+    max_engines: int
+    resumable: bool
+    priority: int
+    completion_goal_s: float
+    retention_s: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
+    def pick_service(self, random: Random) -> str:
+        """Return a service, drawn by the weights."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return random.choices(self.targets, weights)[0].service
+
+
+@attrs.frozen
+class RequestLimits:
+    """What a caller may send."""
+
+    header_bytes: int
+    body_bytes: int
+    idle_s: float
+
+
+@attrs.frozen
+class Configuration:
+    """One version of the operator's configuration, in full."""
+
+    version: int
+    routes: tuple[Route, ...]
+    limits: RequestLimits
+    _by_host: dict[str, Sequence[Route]] = attrs.field(init=False, eq=False)
+
+    @_by_host.default
+    def _index(self) -> dict[str, Sequence[Route]]:
+        hosts: dict[str, list[Route]] = defaultdict(list)
+        for route in self.routes:
+            hosts[route.host].append(route)
+        for routes in hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        return dict(hosts)
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def batch_route(self, host: str) -> Route | None:
+        """Return a route of a virtual host that takes batch jobs."""
+        routes = self._by_host.get(host, ())
+        return next((r for r in routes if r.kind is RouteKind.BATCH), None)
--- /dev/null
+++ b/src/aspenbridge/jobs/__init__.py
@@ -0,0 +1,24 @@
+"""Batch jobs that are read by position, run by one owner at a time."""
+
+from __future__ import annotations
+
+from ._claims import JobClaims
+from ._desk import JobDesk
+from ._directory import JobDirectory
+from ._ledger import JobLedger
+from ._messages import ItemResult, JobSubmission, ResultPage, SubmittedItem
+from ._records import HEADS_TABLE
+from ._worker import JobWorker
+
+__all__ = [
+    "HEADS_TABLE",
+    "ItemResult",
+    "JobClaims",
+    "JobDesk",
+    "JobDirectory",
+    "JobLedger",
+    "JobSubmission",
+    "JobWorker",
+    "ResultPage",
+    "SubmittedItem",
+]
--- /dev/null
+++ b/src/aspenbridge/jobs/_desk.py
@@ -0,0 +1,241 @@
+"""Calls of callers on batch jobs: submit, read results and bodies, end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from aspenbridge.observability import log_decision
+from aspenbridge.ports import Conflict, Unavailable
+from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.store import Changes, Stored, decode_record
+
+from ._messages import ItemResult, ResultPage, decode_items, encode_items
+from ._records import (
+    JobHead,
+    JobState,
+    ResultRecord,
+    head_key,
+    items_object,
+    result_key,
+)
+
+if TYPE_CHECKING:
+    from aspenbridge.fleet import Follower, Route
+    from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
+    from aspenbridge.store import Store
+
+    from ._directory import JobDirectory
+    from ._messages import JobSubmission, SubmittedItem
+
+ACCEPT_LIMIT_S = 2.5  # the caller tries another host well before its deadline
+END_LIMIT_S = 2.0
+FRESH_LIMIT_S = 2.5  # a feed without news is confirmed more often than this
+STORE_RETRY_S = 0.5
+PAGE_BYTES = 900_000  # callers take one megabyte
+
+
+class OwnedJobs(Protocol):
+    """The batch jobs that this host runs."""
+
+    def adopt(self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]) -> None:
+        """Run a job that this host has just accepted."""
+
+    def items(self, job_id: str) -> tuple[SubmittedItem, ...] | None:
+        """Return the items of a job that is run here."""
+
+
+class JobDesk:
+    """Answers callers from the store and from this host's copy of the heads."""
+
+    def __init__(
+        self,
+        directory: JobDirectory,
+        follower: Follower,
+        store: Store,
+        feed: ChangeFeed,
+        objects: ObjectStore,
+        owned: OwnedJobs,
+        clock: Clock,
+        incarnation: str,
+    ) -> None:
+        self._directory = directory
+        self._follower = follower
+        self._store = store
+        self._feed = feed
+        self._objects = objects
+        self._owned = owned
+        self._clock = clock
+        self._incarnation = incarnation
+
+    async def submit(
+        self, submission: JobSubmission, route: Route
+    ) -> Result[None, Problem]:
+        """Accept a job once; a repeat is accepted again without effect."""
+        if self._directory.get(submission.id) is not None:
+            return Success(None)
+        stored = await self._objects.put(
+            items_object(submission.id), encode_items(submission.items)
+        )
+        if isinstance(stored, Failure):
+            return Failure(_store_down(stored.failure(), maybe_applied=False))
+        head = self._new_head(submission, route)
+        key = head_key(head.id)
+        committed = await self._store.commit(
+            Changes().absent(key).put(key, head),
+            deadline_s=self._clock.now_s() + ACCEPT_LIMIT_S,
+        )
+        if isinstance(committed, Failure):
+            return self._not_committed(head.id, committed.failure())
+        fresh = Stored(key, head, committed.unwrap().versions[key])
+        self._directory.take(fresh)
+        self._owned.adopt(fresh, submission.items)
+        log_decision("job accepted", job=head.id, items=head.total, route=route.name)
+        return Success(None)
+
+    def _new_head(self, submission: JobSubmission, route: Route) -> JobHead:
+        now_s = self._clock.wall_s()
+        return JobHead(
+            id=submission.id,
+            host=submission.host,
+            owner=self._incarnation,
+            state=JobState.OPEN,
+            total=len(submission.items),
+            accepted_wall_s=now_s,
+            due_wall_s=now_s + route.completion_goal_s,
+            expires_wall_s=now_s + route.retention_s,
+        )
+
+    def _not_committed(
+        self, job_id: str, error: Conflict | Unavailable
+    ) -> Result[None, Problem]:
+        if isinstance(error, Conflict):
+            log_decision("job known", job=job_id)
+            return Success(None)
+        log_decision("job not accepted", job=job_id, reason=error.reason)
+        return Failure(_store_down(error, maybe_applied=error.maybe_applied))
+
+    async def results(
+        self, job_id: str, first: int, wait_s: float
+    ) -> Result[ResultPage, Problem]:
+        """Return results from a position on; may wait for the next one."""
+        until_s = self._clock.now_s() + wait_s
+        while True:
+            found = await self._head(job_id)
+            if isinstance(found, Failure):
+                return found
+            head = found.unwrap().record
+            left_s = until_s - self._clock.now_s()
+            listed = len(head.listed)
+            if first < listed or listed == head.total or left_s <= 0:
+                break
+            await self._directory.wait_change(job_id, left_s)
+        if first >= listed:
+            return Success(ResultPage(head.total, first, ()))
+        return await self._page(head, first, listed)
+
+    async def body(self, job_id: str, item_id: str) -> Result[bytes, Problem]:
+        """Return the body of an item of a job that has not ended."""
+        found = await self._head(job_id)
+        if isinstance(found, Failure):
+            return found
+        items = self._owned.items(job_id)
+        if items is None:
+            read = await self._objects.get(items_object(job_id))
+            if isinstance(read, Failure):
+                return Failure(_store_down(read.failure(), maybe_applied=False))
+            stored = read.unwrap()
+            items = decode_items(stored) if stored is not None else ()
+        for item in items:
+            if item.id == item_id:
+                return Success(item.body)
+        detail = f"batch job {job_id!r} has no item {item_id!r}"
+        return Failure(Problem(ResultCode.NOT_FOUND, detail))
+
+    async def end(self, job_id: str) -> Result[None, Problem]:
+        """End a job; what is listed stays, nothing else is run."""
+        found = await self._head(job_id, current=True)
+        limit_s = self._clock.now_s() + END_LIMIT_S
+        while not isinstance(found, Failure):
+            stored = found.unwrap()
+            if stored.record.state is not JobState.OPEN:
+                return Success(None)
+            ended = attrs.evolve(stored.record, state=JobState.ENDED)
+            committed = await self._store.commit(
+                Changes().unchanged(stored).put(stored.key, ended), deadline_s=limit_s
+            )
+            if not isinstance(committed, Failure):
+                version = committed.unwrap().versions[stored.key]
+                self._directory.take(Stored(stored.key, ended, version))
+                log_decision("job ended", job=job_id, listed=len(ended.listed))
+                return Success(None)
+            error = committed.failure()
+            if isinstance(error, Unavailable):
+                return Failure(_store_down(error, maybe_applied=True))
+            found = await self._head(job_id, current=True)
+        return found
+
+    async def _head(
+        self, job_id: str, *, current: bool = False
+    ) -> Result[Stored[JobHead], Problem]:
+        """Return a job's head, from the store unless the copy is enough."""
+        known = self._directory.get(job_id)
+        if known is not None and not current:
+            finished = known.record.state is JobState.COMPLETE
+            if finished or self._follower.age_s < FRESH_LIMIT_S:
+                return Success(known)
+        read = await self._store.get(head_key(job_id), JobHead)
+        if isinstance(read, Failure):
+            return Failure(_store_down(read.failure(), maybe_applied=False))
+        stored = read.unwrap()
+        if stored is None:
+            detail = f"there is no batch job {job_id!r}"
+            return Failure(Problem(ResultCode.NOT_FOUND, detail))
+        self._directory.take(stored)
+        return Success(stored)
+
+    async def _page(
+        self, head: JobHead, first: int, listed: int
+    ) -> Result[ResultPage, Problem]:
+        start = result_key(head.id, first)
+        end = result_key(head.id, listed)
+        read = await self._feed.rows(
+            start.table, start.part, start=start.key, end=end.key
+        )
+        if isinstance(read, Failure):
+            return Failure(_store_down(read.failure(), maybe_applied=False))
+        results: list[ItemResult] = []
+        size_bytes = 0
+        for row in read.unwrap().rows:
+            record = decode_record(row.value, ResultRecord)
+            loaded = await self._text(record)
+            if isinstance(loaded, Failure):
+                return loaded
+            text = loaded.unwrap()
+            size_bytes += len(text or "")
+            if results and size_bytes > PAGE_BYTES:
+                break
+            results.append(ItemResult(record.item_id, text))
+        return Success(ResultPage(head.total, first, tuple(results)))
+
+    async def _text(self, record: ResultRecord) -> Result[str | None, Problem]:
+        if not record.text_object:
+            return Success(record.text)
+        read = await self._objects.get(record.text_object)
+        if isinstance(read, Failure):
+            return Failure(_store_down(read.failure(), maybe_applied=False))
+        body = read.unwrap()
+        if body is None:
+            detail = f"object {record.text_object!r} is missing"
+            return Failure(Problem(ResultCode.INTERNAL_ERROR, detail))
+        return Success(body.decode())
+
+
+def _store_down(error: Unavailable, *, maybe_applied: bool) -> Problem:
+    if maybe_applied:
+        return Problem(ResultCode.OUTCOME_UNKNOWN, error.reason)
+    return Problem(
+        ResultCode.STORE_UNAVAILABLE, error.reason, retry_after_s=STORE_RETRY_S
+    )
--- /dev/null
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -0,0 +1,202 @@
+"""Writes what a job's owner decides: listed results, claims, releases."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from returns.result import Failure
+
+from aspenbridge.observability import log_decision
+from aspenbridge.ports import Conflict
+from aspenbridge.store import Changes, Stored, decode_record
+
+from ._messages import decode_items
+from ._records import (
+    HEADS_TABLE,
+    PROGRESS_TABLE,
+    JobHead,
+    JobState,
+    ProgressRecord,
+    ResultRecord,
+    items_object,
+    part_of,
+    progress_key,
+    result_key,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
+    from aspenbridge.store import Store
+
+    from ._directory import JobDirectory
+    from ._messages import SubmittedItem
+    from ._owned import FinishedItem, ItemState, OwnedJob
+
+LISTED_AT_ONCE = 20  # a transaction takes 100 rows
+BYTES_AT_ONCE = 500_000  # and one megabyte, in base64
+ROW_TEXT_SHARE = 0.6  # of a row's limit; JSON may escape characters
+COMMIT_LIMIT_S = 3.0
+
+
+class JobLedger:
+    """Conditional writes to the rows of jobs; each is lost with the ownership."""
+
+    def __init__(
+        self,
+        store: Store,
+        feed: ChangeFeed,
+        objects: ObjectStore,
+        directory: JobDirectory,
+        clock: Clock,
+        random: Random,
+        incarnation: str,
+        row_bytes: int,
+    ) -> None:
+        self._store = store
+        self._feed = feed
+        self._objects = objects
+        self._directory = directory
+        self._clock = clock
+        self._random = random
+        self._incarnation = incarnation
+        self._text_bytes = int(row_bytes * ROW_TEXT_SHARE)
+
+    async def list_finished(self, job: OwnedJob) -> bool:
+        """
+        Give the finished items the next positions.
+
+        :return: whether something is settled: they are listed, or the job is
+            lost. False asks for another try.
+        """
+        batch = _fitting(job.finished)
+        head = job.head
+        changes = Changes().unchanged(job.stored)
+        for offset, finished in enumerate(batch):
+            record = await self._result(job, finished)
+            if record is None:
+                return False
+            changes.put(result_key(head.id, len(head.listed) + offset), record)
+            if finished.state.saved:
+                changes.delete(progress_key(head.id, finished.state.index))
+        listed = (*head.listed, *(finished.state.index for finished in batch))
+        state = JobState.COMPLETE if len(listed) == head.total else JobState.OPEN
+        head = attrs.evolve(head, listed=listed, state=state)
+        if await self._write(job, changes, head, self._clock.now_s() + COMMIT_LIMIT_S):
+            del job.finished[: len(batch)]
+            log_decision("results listed", job=head.id, listed=len(listed))
+            return True
+        return False
+
+    async def _result(
+        self, job: OwnedJob, finished: FinishedItem
+    ) -> ResultRecord | None:
+        """Return the record of a result; None when its text can't be stored."""
+        index, text = finished.state.index, finished.text
+        item_id = job.items[index].id
+        if text is None or len(text.encode()) <= self._text_bytes:
+            return ResultRecord(index, item_id, text)
+        name = f"text-{job.head.id}-{index}-{self._random.randbytes(8).hex()}"
+        stored = await self._objects.put(name, text.encode())
+        if isinstance(stored, Failure):
+            return None
+        return ResultRecord(index, item_id, "", name)
+
+    async def _write(
+        self, job: OwnedJob, changes: Changes, head: JobHead, deadline_s: float
+    ) -> bool:
+        """Write a job's head with other changes; tell whether it is written."""
+        key = job.stored.key
+        committed = await self._store.commit(
+            changes.put(key, head), deadline_s=deadline_s
+        )
+        if isinstance(committed, Failure):
+            error = committed.failure()
+            if isinstance(error, Conflict):
+                await self._refresh(job)
+            log_decision(
+                "job not written",
+                job=head.id,
+                reason=getattr(error, "reason", "conflict"),
+            )
+            return False
+        job.stored = Stored(key, head, committed.unwrap().versions[key])
+        self._directory.take(job.stored)
+        return True
+
+    async def _refresh(self, job: OwnedJob) -> None:
+        """Read the head again; the directory tells the worker what it means."""
+        read = await self._store.get(job.stored.key, JobHead)
+        if isinstance(read, Failure) or (stored := read.unwrap()) is None:
+            return
+        self._directory.take(stored)
+        if stored.record.owner == self._incarnation:
+            job.stored = stored
+
+    async def release(self, job: OwnedJob, deadline_s: float) -> bool:
+        """Give a job up with the progress of its items."""
+        head = attrs.evolve(job.head, owner="")
+        changes = Changes().unchanged(job.stored)
+        size_bytes = 0
+        for state in job.unfinished():
+            size_bytes += sum(map(len, state.events))
+            if not state.events or size_bytes > BYTES_AT_ONCE:
+                continue
+            changes.put(progress_key(head.id, state.index), _progress(state))
+        return await self._write(job, changes, head, deadline_s)
+
+    async def claim(self, stored: Stored[JobHead]) -> Stored[JobHead] | None:
+        """Make this host the owner; None when another one was faster."""
+        head = attrs.evolve(stored.record, owner=self._incarnation)
+        committed = await self._store.commit(
+            Changes().unchanged(stored).put(stored.key, head),
+            deadline_s=self._clock.now_s() + COMMIT_LIMIT_S,
+        )
+        if isinstance(committed, Failure):
+            return None
+        claimed = Stored(stored.key, head, committed.unwrap().versions[stored.key])
+        self._directory.take(claimed)
+        return claimed
+
+    async def items(self, job_id: str) -> tuple[SubmittedItem, ...] | None:
+        """Return a job's items; None when they can't be read now."""
+        read = await self._objects.get(items_object(job_id))
+        if isinstance(read, Failure) or (body := read.unwrap()) is None:
+            return None
+        return decode_items(body)
+
+    async def progress(self, job_id: str) -> list[tuple[int, ProgressRecord]] | None:
+        """Return the progress of a job's items; None when it can't be read."""
+        read = await self._feed.rows(
+            PROGRESS_TABLE, part_of(job_id), start=f"{job_id}/", end=f"{job_id}0"
+        )
+        if isinstance(read, Failure):
+            return None
+        return [
+            (
+                int(row.key.key.rpartition("/")[2]),
+                decode_record(row.value, ProgressRecord),
+            )
+            for row in read.unwrap().rows
+        ]
+
+
+def _progress(state: ItemState) -> ProgressRecord:
+    return ProgressRecord(state.last_event_id or 0, tuple(state.events))
+
+
+def _fitting(finished: list[FinishedItem]) -> list[FinishedItem]:
+    """Return the first items that fit into one transaction."""
+    batch: list[FinishedItem] = []
+    size_bytes = 0
+    for entry in finished[:LISTED_AT_ONCE]:
+        size_bytes += len(entry.text or "")
+        if batch and size_bytes > BYTES_AT_ONCE:
+            break
+        batch.append(entry)
+    return batch
+
+
+__all__ = ["HEADS_TABLE", "JobLedger"]
--- /dev/null
+++ b/src/aspenbridge/jobs/_owned.py
@@ -0,0 +1,107 @@
+"""A batch job that this host runs: which items wait, run and are done."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from aspenbridge.store import Stored
+
+    from ._messages import SubmittedItem
+    from ._records import JobHead, ProgressRecord
+
+RETRY_PAUSE_S = 0.15  # an engine frees a place about this often
+LONGEST_RETRY_PAUSE_S = 1.0
+
+
+@attrs.define
+class ItemState:
+    """What was generated of an item, and how often it failed."""
+
+    index: int
+    events: list[str] = attrs.field(factory=list)
+    last_event_id: int | None = None
+    failures: int = 0
+    interruptions: int = 0
+    not_before_s: float = 0.0
+    saved: bool = False  # the store has a progress row
+
+    def restore(self, record: ProgressRecord) -> None:
+        """Go on from what another host had generated."""
+        self.events = list(record.events)
+        self.last_event_id = record.last_event_id
+        self.saved = True
+
+    def pause(self, now_s: float) -> None:
+        """Wait before the next try, longer after each interruption."""
+        self.interruptions += 1
+        pause_s = min(RETRY_PAUSE_S * self.interruptions, LONGEST_RETRY_PAUSE_S)
+        self.not_before_s = now_s + pause_s
+
+
+@attrs.define
+class FinishedItem:
+    """An item that has to be listed; without a text it was given up."""
+
+    state: ItemState
+    text: str | None
+
+
+class OwnedJob:
+    """The items of one job on this host."""
+
+    def __init__(
+        self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]
+    ) -> None:
+        self.stored = stored
+        self.items = items
+        listed = set(stored.record.listed)
+        self.waiting = deque(
+            ItemState(index) for index in range(len(items)) if index not in listed
+        )
+        self.running: dict[int, ItemState] = {}
+        self.finished: list[FinishedItem] = []
+        self.listing = False
+
+    @property
+    def head(self) -> JobHead:
+        """The job's head as this host last wrote or read it."""
+        return self.stored.record
+
+    def restore(self, records: Iterable[tuple[int, ProgressRecord]]) -> None:
+        """Take over what another host had generated."""
+        by_item = dict(records)
+        for state in self.waiting:
+            if state.index in by_item:
+                state.restore(by_item[state.index])
+
+    def ready(self, now_s: float) -> ItemState | None:
+        """Return the next item that may be tried."""
+        for state in self.waiting:
+            if state.not_before_s <= now_s:
+                return state
+        return None
+
+    def start(self, state: ItemState) -> None:
+        """Move an item from waiting to running."""
+        self.waiting.remove(state)
+        self.running[state.index] = state
+
+    def requeue(self, state: ItemState) -> None:
+        """Put an item that did not finish back, ahead of those not begun."""
+        del self.running[state.index]
+        self.waiting.appendleft(state)
+
+    def finish(self, state: ItemState, text: str | None) -> None:
+        """Move an item from running to finished."""
+        del self.running[state.index]
+        self.finished.append(FinishedItem(state, text))
+
+    def unfinished(self) -> list[ItemState]:
+        """Return the items that are neither listed nor finished."""
+        return [*self.running.values(), *self.waiting]
--- /dev/null
+++ b/src/aspenbridge/jobs/_worker.py
@@ -0,0 +1,304 @@
+"""Runs the batch jobs that this host owns."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from aspenbridge.fleet import items_to_stop, place_batch
+from aspenbridge.observability import log_decision
+from aspenbridge.ports import CallOutcome
+
+from ._item_run import ItemOutcome, ItemRun, run_item
+from ._order import next_item
+from ._owned import OwnedJob
+from ._records import JobState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from aspenbridge.fleet import (
+        Configuration,
+        EngineEntry,
+        EngineHealth,
+        EngineView,
+        LoadBoard,
+        Route,
+    )
+    from aspenbridge.ports import Clock, EngineCaller
+    from aspenbridge.store import Stored
+
+    from ._directory import JobDirectory
+    from ._ledger import JobLedger
+    from ._messages import SubmittedItem
+    from ._owned import ItemState
+    from ._records import JobHead
+
+logger = logging.getLogger(__name__)
+HEADROOM = 1  # places of an engine that batch items leave free
+# Hosts that see the same free place start one item each within this time,
+# and hear of each other's before they start the next.
+START_SPACING_S = 0.06
+DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
+LISTING_RETRY_S = 0.3
+
+
+class JobWorker:
+    """Gives items of owned jobs to engines and has their results listed."""
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        directory: JobDirectory,
+        ledger: JobLedger,
+        view: EngineView,
+        board: LoadBoard,
+        health: EngineHealth,
+        caller: EngineCaller,
+        clock: Clock,
+        random: Random,
+        configuration: Callable[[], Configuration | None],
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._directory = directory
+        self._ledger = ledger
+        self._view = view
+        self._board = board
+        self._health = health
+        self._caller = caller
+        self._clock = clock
+        self._random = random
+        self._configuration = configuration
+        self._jobs: dict[str, OwnedJob] = {}
+        self._runs: dict[asyncio.Task[None], tuple[OwnedJob, ItemState, str]] = {}
+        self._listings: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self._stopping = False
+
+    def wake(self) -> None:
+        """Look for items to start, or to stop, soon."""
+        self._wake.set()
+
+    def items(self, job_id: str) -> tuple[SubmittedItem, ...] | None:
+        """Return the items of a job that is run here."""
+        job = self._jobs.get(job_id)
+        return None if job is None else job.items
+
+    def owns(self, job_id: str) -> bool:
+        """Whether the job is run here."""
+        return job_id in self._jobs
+
+    def adopt(
+        self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]
+    ) -> OwnedJob:
+        """Run a job whose head names this host as its owner."""
+        job = OwnedJob(stored, items)
+        self._jobs[stored.record.id] = job
+        self.wake()
+        return job
+
+    def head_changed(self, job_id: str) -> None:
+        """Drop a job that has ended or that another host runs now."""
+        job = self._jobs.get(job_id)
+        stored = self._directory.get(job_id)
+        if job is None:
+            return
+        if stored is not None and (
+            stored.version == job.stored.version or self._still_mine(stored.record)
+        ):
+            return
+        log_decision(
+            "job dropped",
+            job=job_id,
+            owner=stored and stored.record.owner,
+            state=stored and stored.record.state.value,
+        )
+        self._drop(job)
+
+    def _still_mine(self, head: JobHead) -> bool:
+        return head.state is JobState.OPEN and head.owner == self._incarnation
+
+    def _drop(self, job: OwnedJob) -> None:
+        self._jobs.pop(job.head.id, None)
+        for task, (owner, _, _) in self._runs.items():
+            if owner is job:
+                task.cancel()
+
+    async def run(self) -> None:
+        """Start and stop items until cancelled."""
+        while True:
+            self._wake.clear()
+            self._give_places_back()
+            spaced = self._start_items()
+            try:
+                async with asyncio.timeout(
+                    START_SPACING_S if spaced else DISPATCH_INTERVAL_S
+                ):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            if spaced:
+                await asyncio.sleep(START_SPACING_S)
+
+    async def hand_over(self, deadline_s: float) -> None:
+        """Stop all items and leave the jobs, with their progress, to others."""
+        self._stopping = True
+        tasks = list(self._runs)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._listings, return_exceptions=True)
+        for job in list(self._jobs.values()):
+            released = await self._ledger.release(job, deadline_s)
+            log_decision("job handed over", job=job.head.id, released=released)
+        self._jobs.clear()
+
+    def _give_places_back(self) -> None:
+        """Stop items on engines that have more requests than places."""
+        for engine_id in {engine for _, _, engine in self._runs.values()}:
+            engine = self._view.engine(engine_id)
+            if engine is None:
+                continue
+            count = items_to_stop(
+                engine.slots,
+                self._host,
+                self._board.own(engine_id),
+                self._board.by_host(engine_id),
+            )
+            for task in self._newest_runs(engine_id)[:count]:
+                task.cancel()
+
+    def _newest_runs(self, engine_id: str) -> list[asyncio.Task[None]]:
+        runs = [t for t, (_, _, e) in self._runs.items() if e == engine_id]
+        return [task for task in reversed(runs) if not task.cancelling()]
+
+    def _start_items(self) -> bool:
+        """Start at most one item on each engine; return whether one started."""
+        configuration = self._configuration()
+        if self._stopping or configuration is None:
+            return False
+        used: set[str] = set()
+        while True:
+            now_s = self._clock.now_s()
+            found = next_item(self._jobs.values(), now_s)
+            if found is None:
+                return bool(used)
+            job, state = found
+            item = job.items[state.index]
+            path = item.target.partition("?")[0]
+            route = configuration.route_for(job.head.host, path)
+            if route is None or self._clock.wall_s() > job.head.expires_wall_s:
+                self._give_up(job, state, "route is gone" if route is None else "late")
+                continue
+            service = route.pick_service(self._random)
+            engine = place_batch(self._view.candidates(service, without=used), HEADROOM)
+            if engine is None:
+                return bool(used)
+            used.add(engine.id)
+            self._start(job, state, route, engine)
+
+    def _give_up(self, job: OwnedJob, state: ItemState, reason: str) -> None:
+        job.start(state)
+        self._finish(job, state, None, reason)
+
+    def _start(
+        self, job: OwnedJob, state: ItemState, route: Route, engine: EngineEntry
+    ) -> None:
+        job.start(state)
+        self._board.add(engine.id, batch=1)
+        task = asyncio.create_task(self._run_item(job, state, route, engine))
+        self._runs[task] = (job, state, engine.id)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        job, state, engine_id = self._runs.pop(task)
+        self._board.add(engine_id, batch=-1)
+        if state.index in job.running:  # the run was cancelled
+            job.requeue(state)
+            state.pause(self._clock.now_s())
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.error("run of an item failed", exc_info=error)
+        self.wake()
+
+    async def _run_item(
+        self, job: OwnedJob, state: ItemState, route: Route, engine: EngineEntry
+    ) -> None:
+        item = job.items[state.index]
+        left_s = job.head.expires_wall_s - self._clock.wall_s()
+        run = await run_item(
+            self._caller,
+            self._clock,
+            engine,
+            job.head.host,
+            item,
+            state,
+            self._clock.now_s() + left_s,
+        )
+        log_decision(
+            "item run",
+            job=job.head.id,
+            request=item.id,
+            engine=engine.id,
+            outcome=run.outcome.value,
+            reason=run.reason,
+            last_event=state.last_event_id,
+        )
+        self._judge_engine(engine, run)
+        if run.outcome is ItemOutcome.COMPLETE:
+            self._finish(job, state, "\n".join(state.events), "")
+        elif run.outcome is ItemOutcome.IMPOSSIBLE:
+            self._finish(job, state, None, run.reason)
+        else:
+            self._judge_item(job, state, route, run)
+
+    def _judge_engine(self, engine: EngineEntry, run: ItemRun) -> None:
+        if run.call_outcome is CallOutcome.NOT_SENT:
+            self._health.unreachable(engine.id)
+        elif run.call_outcome is CallOutcome.REFUSED:
+            self._health.full(engine.id)
+        elif run.call_outcome is None:
+            self._health.answered(engine.id)
+
+    def _judge_item(
+        self, job: OwnedJob, state: ItemState, route: Route, run: ItemRun
+    ) -> None:
+        if run.outcome is ItemOutcome.FAILED:
+            state.failures += 1
+            if state.failures >= route.max_engines:
+                self._finish(job, state, None, run.reason)
+                return
+        job.requeue(state)
+        state.pause(self._clock.now_s())
+
+    def _finish(
+        self, job: OwnedJob, state: ItemState, text: str | None, reason: str
+    ) -> None:
+        if text is None:
+            log_decision(
+                "item given up",
+                job=job.head.id,
+                request=job.items[state.index].id,
+                failures=state.failures,
+                reason=reason,
+            )
+        job.finish(state, text)
+        if not job.listing:
+            job.listing = True
+            task = asyncio.create_task(self._list(job))
+            self._listings.add(task)
+            task.add_done_callback(self._listings.discard)
+
+    async def _list(self, job: OwnedJob) -> None:
+        """List finished items until there are none or the job is lost."""
+        try:
+            while job.finished and self.owns(job.head.id):
+                if not await self._ledger.list_finished(job):
+                    await asyncio.sleep(LISTING_RETRY_S)
+        finally:
+            job.listing = False
+        if job.head.state is not JobState.OPEN:
+            self._jobs.pop(job.head.id, None)
--- /dev/null
+++ b/src/aspenbridge/platform/__main__.py
@@ -0,0 +1,25 @@
+"""Start an entry host on the platform."""
+
+from __future__ import annotations
+
+import sys
+
+from aspenbridge.loop import run_on_loop
+from aspenbridge.observability import configure_decision_log
+from aspenbridge.platform import SettingsError, serve_entry
+
+BAD_SETTINGS = 2
+
+
+def run() -> int:
+    """Run an entry host and return the exit code of the process."""
+    configure_decision_log("info")
+    try:
+        return run_on_loop(serve_entry())
+    except SettingsError as error:
+        print(error, file=sys.stderr)  # noqa: T201
+        return BAD_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/src/aspenbridge/platform/_ingress.py
@@ -0,0 +1,304 @@
+"""The HTTP surface of a host: callers' requests, batch jobs, readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Self, TypeVar
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from returns.result import Failure
+
+from aspenbridge.fleet import RouteKind
+from aspenbridge.loop import listening_socket
+from aspenbridge.relay import CallerRequest
+from aspenbridge.result_codes import Problem, ResultCode
+
+from . import _names as names
+from ._decode import MessageError, decode_submission, encode_results
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from types import TracebackType
+
+    from returns.result import Result
+
+    from aspenbridge.entry import Address, EntryHost
+    from aspenbridge.fleet import Configuration
+    from aspenbridge.ports import AnswerHead
+
+logger = logging.getLogger(__name__)
+LARGEST_BODY_BYTES = 16 * 1024 * 1024  # four times the largest limit configured
+LARGEST_HEADER_BYTES = 32 * 1024  # twice the largest limit configured
+# Callers reuse connections for four fifths of the idle limit, 15 s as configured.
+KEEPALIVE_S = 60.0
+LONGEST_WAIT_S = 5.0
+DEFAULT_DEADLINE_S = 30.0
+JSON = "application/json"
+Value = TypeVar("Value")
+
+
+class HttpReply:
+    """Writes one answer to a caller."""
+
+    def __init__(self, request: web.BaseRequest, host: EntryHost) -> None:
+        self._request = request
+        self._host = host
+        self.response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send status and headers."""
+        response = web.StreamResponse(status=head.status)
+        for name, value in head.headers:
+            response.headers.add(name, value)
+        response.enable_chunked_encoding()
+        if self._host.leaving:
+            response.force_close()
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the body."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """End the connection in the middle of the answer."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+
+    async def refuse(self, problem: Problem) -> None:
+        """Answer with a failure of this system's own."""
+        self.response = problem_response(problem)
+
+
+def problem_response(problem: Problem) -> web.Response:
+    """Return the answer that stands for a problem."""
+    response = web.json_response(
+        {
+            "code": int(problem.code),
+            "error": problem.detail,
+            "execution": problem.execution.value,
+        },
+        status=problem.status,
+    )
+    if problem.retry_after_s is not None:
+        response.headers[names.RETRY_AFTER] = f"{problem.retry_after_s:.3f}"
+    return response
+
+
+class Ingress:
+    """Serves callers on one address and readiness on another."""
+
+    def __init__(self, host: EntryHost, callers: Address, readiness: Address) -> None:
+        self._host = host
+        self._callers = callers
+        self._readiness = readiness
+        self._stack = AsyncExitStack()
+        self._servers: list[asyncio.Server] = []
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._web = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            request_factory=_request,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=LARGEST_HEADER_BYTES,
+            max_field_size=LARGEST_HEADER_BYTES,
+            access_log=None,
+        )
+
+    async def __aenter__(self) -> Self:
+        ready = web.Server(self._handle_ready, access_log=None)
+        for server, address in ((ready, self._readiness), (self._web, self._callers)):
+            sock = listening_socket(address.ip, address.port)
+            self._stack.callback(sock.close)
+            loop = asyncio.get_running_loop()
+            listener = await loop.create_server(server, sock=sock)
+            self._stack.push_async_callback(server.shutdown, 0.5)
+            self._stack.callback(listener.close)
+            self._servers.append(listener)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def close_idle(self, limit_s: float) -> bool:
+        """
+        Take no new connections, close unused ones, wait for running requests.
+
+        :return: whether all requests ended in time.
+        """
+        self._servers[-1].close()
+        self._web.pre_shutdown()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    @property
+    def running(self) -> int:
+        """The number of requests that are being served."""
+        return self._running
+
+    async def _handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if self._host.ready else 503)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._running += 1
+        self._idle.clear()
+        try:
+            response = await self._serve(request)
+            if self._host.leaving:
+                response.force_close()
+            return response
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        received_s = self._host.ports.clock.now_s()
+        configuration = self._host.configuration.current
+        body = await request.read()
+        if configuration is None:
+            detail = "this host has not read a configuration yet"
+            return problem_response(
+                Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=0.3)
+            )
+        action = self._job_call(request, configuration, body)
+        if action is not None:
+            return await action
+        reply = HttpReply(request, self._host)
+        caller_request = _caller_request(request, body, received_s)
+        await self._host.relay.serve(caller_request, configuration, reply)
+        assert reply.response is not None
+        return reply.response
+
+    def _job_call(
+        self, request: web.BaseRequest, configuration: Configuration, body: bytes
+    ) -> Awaitable[web.StreamResponse] | None:
+        """Return the call on a batch job that a request is, or None."""
+        host, path = _host_name(request), request.raw_path.partition("?")[0]
+        route = configuration.route_for(host, path)
+        if route is not None and route.kind is RouteKind.BATCH:
+            if request.method == "POST":
+                return self._submit(request, host, configuration, body)
+            return None
+        if route is not None:
+            return None
+        if path.startswith(names.RESULTS_PATH):
+            job_id = path.removeprefix(names.RESULTS_PATH)
+            if request.method == "DELETE":
+                return self._end(job_id)
+            return self._results(request, job_id)
+        if path.startswith(names.BODIES_PATH):
+            return self._item_body(request, path.removeprefix(names.BODIES_PATH))
+        return None
+
+    async def _submit(
+        self,
+        request: web.BaseRequest,
+        host: str,
+        configuration: Configuration,
+        body: bytes,
+    ) -> web.StreamResponse:
+        route = configuration.route_for(host, request.raw_path.partition("?")[0])
+        assert route is not None
+        job_id = request.headers.get(names.REQUEST_ID, "")
+        try:
+            submission = decode_submission(job_id, host, body)
+        except MessageError as error:
+            return problem_response(Problem(ResultCode.MALFORMED_BODY, str(error)))
+        accepted = await self._host.desk.submit(submission, route)
+        return _reply(accepted, lambda _: web.Response(status=202))
+
+    async def _results(
+        self, request: web.BaseRequest, job_id: str
+    ) -> web.StreamResponse:
+        try:
+            first = int(request.query.get("after", "0"))
+            wait_s = float(request.headers.get(names.WAIT, "0")) / 1000
+        except ValueError as error:
+            return problem_response(Problem(ResultCode.INVALID_PARAMETER, str(error)))
+        page = await self._host.desk.results(
+            job_id, max(0, first), min(wait_s, LONGEST_WAIT_S)
+        )
+        return _reply(
+            page, lambda p: web.Response(body=encode_results(p), content_type=JSON)
+        )
+
+    async def _item_body(
+        self, request: web.BaseRequest, job_id: str
+    ) -> web.StreamResponse:
+        body = await self._host.desk.body(job_id, request.query.get("id", ""))
+        return _reply(body, lambda found: web.Response(body=found))
+
+    async def _end(self, job_id: str) -> web.StreamResponse:
+        ended = await self._host.desk.end(job_id)
+        return _reply(ended, lambda _: web.Response(status=200))
+
+
+def _reply(
+    result: Result[Value, Problem], make: Callable[[Value], web.Response]
+) -> web.Response:
+    if isinstance(result, Failure):
+        return problem_response(result.failure())
+    return make(result.unwrap())
+
+
+def _request(
+    message: web.RawRequestMessage,
+    payload: object,
+    protocol: RequestHandler[web.BaseRequest],
+    writer: object,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=LARGEST_BODY_BYTES,
+    )
+
+
+def _host_name(request: web.BaseRequest) -> str:
+    return request.headers.get("Host", "").partition(":")[0].lower()
+
+
+def _caller_request(
+    request: web.BaseRequest, body: bytes, received_s: float
+) -> CallerRequest:
+    headers = request.headers
+    resume_after = headers.get(names.RESUME_AFTER, "")
+    deadline_ms = headers.get(names.DEADLINE, "")
+    left_s = float(deadline_ms) / 1000 if deadline_ms.isdigit() else DEFAULT_DEADLINE_S
+    return CallerRequest(
+        request_id=headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        target=request.raw_path,
+        host=headers.get("Host", ""),
+        headers=tuple(headers.items()),
+        body=body,
+        received_s=received_s,
+        deadline_s=received_s + left_s,
+        resume_after=int(resume_after) if resume_after.isdigit() else None,
+    )
--- /dev/null
+++ b/src/aspenbridge/platform/_names.py
@@ -0,0 +1,30 @@
+"""Names on the wire: headers, paths, tables."""
+
+from __future__ import annotations
+
+SETTINGS_VARIABLE = "ASPENBRIDGE_BOOT"
+
+REQUEST_ID = "X-Aspenbridge-Attempt-Id"  # one try of a caller; retries differ
+DEADLINE = "X-Aspenbridge-Deadline-Ms"  # milliseconds left, not a point in time
+RESUME_AFTER = "Last-Event-Id"
+STAMP = "X-Aspenbridge-Server-Stamp"
+EXPECTED_ENGINE = "X-Aspenbridge-Expect-Instance"
+NOT_EXECUTED = "X-Aspenbridge-Not-Executed"
+WAIT = "X-Aspenbridge-Wait-Ms"
+RETRY_AFTER = "Retry-After"
+
+READY_PATH = "/readyz"
+RESULTS_PATH = "/lots/"
+BODIES_PATH = "/items/"
+
+TRANSACT_PATH = "/rows-tx"
+ROWS_PATH = "/rows-get"
+PARTS_PATH = "/rows-parts"
+CHANGES_PATH = "/rows-feed"
+OBJECT_PUT_PATH = "/blob-put/"
+OBJECT_GET_PATH = "/blob-get/"
+OBJECT_DELETE_PATH = "/blob-drop/"
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+ENGINES_TABLE = "servers"
--- a/src/aspenbridge/ports/__init__.py
+++ b/src/aspenbridge/ports/__init__.py
@@ -18,9 +18,18 @@
     ServiceReply,
 )
 from ._clock import Clock
+from ._feed import Change, ChangeFeed, ChangePage, HistoryLost, RowRange
 from ._hosts import HostEntry, HostList
 from ._objects import ObjectStore
 from ._peers import PeerAddress, PeerHandler, PeerTransport, PeerUnreachableError
+from ._relayed import (
+    AnswerHead,
+    AttemptError,
+    EngineCaller,
+    Headers,
+    RelayedAnswer,
+    RelayedCall,
+)
 from ._table import (
     Check,
     Committed,
@@ -38,19 +47,27 @@
 
 __all__ = [
     "ADAPTER_MARK",
+    "AnswerHead",
+    "AttemptError",
     "CallOutcome",
+    "Change",
+    "ChangeFeed",
+    "ChangePage",
     "Check",
     "Clock",
     "Committed",
     "Conflict",
     "Delete",
     "Engine",
+    "EngineCaller",
     "EngineClient",
     "EngineFailure",
     "EngineLoad",
     "EngineOrder",
     "Generate",
     "GeneratedChunk",
+    "Headers",
+    "HistoryLost",
     "HostEntry",
     "HostList",
     "Metrics",
@@ -62,8 +79,11 @@
     "PeerTransport",
     "PeerUnreachableError",
     "Put",
+    "RelayedAnswer",
+    "RelayedCall",
     "Row",
     "RowKey",
+    "RowRange",
     "ServiceCall",
     "ServiceClient",
     "ServiceFailure",
--- a/src/aspenbridge/ports/_table.py
+++ b/src/aspenbridge/ports/_table.py
@@ -13,10 +13,15 @@
 
 
 class RowKey(NamedTuple):
-    """Where a row is: its table and its key in that table."""
+    """
+    Where a row is: its table, its key, and the part of the table it is in.
+
+    A store that has parts applies a transaction to the rows of one part.
+    """
 
     table: str
     key: str
+    part: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/aspenbridge/relay/__init__.py
@@ -0,0 +1,17 @@
+"""Online requests: their way to an engine and the answer's way back."""
+
+from __future__ import annotations
+
+from ._events import EventError, EventSplitter, StreamEvent
+from ._placing import OnlinePlacing
+from ._relay import CallerRequest, Relay, Reply
+
+__all__ = [
+    "CallerRequest",
+    "EventError",
+    "EventSplitter",
+    "OnlinePlacing",
+    "Relay",
+    "Reply",
+    "StreamEvent",
+]
--- /dev/null
+++ b/src/aspenbridge/relay/_relay.py
@@ -0,0 +1,338 @@
+"""Takes a caller's request to an engine and the answer back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from aspenbridge.fleet import Refused, RouteKind
+from aspenbridge.observability import log_decision
+from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.result_codes import Problem, ResultCode
+
+from ._events import EventError, EventSplitter
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from aspenbridge.fleet import (
+        Configuration,
+        EngineEntry,
+        EngineHealth,
+        LoadBoard,
+        Route,
+    )
+    from aspenbridge.ports import (
+        AnswerHead,
+        Clock,
+        EngineCaller,
+        Headers,
+        RelayedAnswer,
+    )
+
+    from ._placing import OnlinePlacing
+
+logger = logging.getLogger(__name__)
+# A repeatable request moves on when an engine is silent for this long: two
+# first events of a full engine, or twenty usual pauses between events.
+FIRST_EVENT_LIMIT_S = 0.6
+PAUSE_LIMIT_S = 0.6
+SHORTEST_SEND_S = 0.05  # less time than a first event takes
+SERVER_ERROR = 500
+
+
+@attrs.frozen
+class CallerRequest:
+    """A request as its caller sent it, read whole."""
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    received_s: float
+    deadline_s: float
+    resume_after: int | None
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class Reply(Protocol):
+    """The way back to the caller."""
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send status and headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the body."""
+
+    def abort(self) -> None:
+        """End the connection, so that the answer does not look complete."""
+
+    async def refuse(self, problem: Problem) -> None:
+        """Answer with a failure of this system's own."""
+
+
+@attrs.define
+class _Progress:
+    """What has become of one request so far."""
+
+    call: RelayedCall
+    route: Route
+    reply: Reply
+    events: EventSplitter
+    received_s: float
+    begun: bool = False
+    sends: int = 0
+    may_have_run: bool = False
+    tried: set[str] = attrs.field(factory=set)
+    first_event_s: float | None = None
+
+    @property
+    def may_send_again(self) -> bool:
+        """Whether the route allows one more engine."""
+        if self.may_have_run and not self.route.repeatable:
+            return False
+        return self.sends < self.route.max_engines
+
+
+class Relay:
+    """Serves the online requests of one host."""
+
+    def __init__(
+        self,
+        placing: OnlinePlacing,
+        board: LoadBoard,
+        health: EngineHealth,
+        caller: EngineCaller,
+        clock: Clock,
+    ) -> None:
+        self._placing = placing
+        self._board = board
+        self._health = health
+        self._caller = caller
+        self._clock = clock
+
+    async def serve(
+        self, request: CallerRequest, configuration: Configuration, reply: Reply
+    ) -> None:
+        """Answer one request."""
+        route = configuration.route_for(request.host, request.path)
+        if route is None or route.kind is RouteKind.BATCH:
+            detail = f"no route for {request.path!r} at {request.host!r}"
+            await reply.refuse(Problem(ResultCode.NOT_FOUND, detail))
+            return
+        progress = _Progress(
+            call=self._call(request, route),
+            route=route,
+            reply=reply,
+            events=EventSplitter(request.resume_after),
+            received_s=request.received_s,
+        )
+        outcome = "cancelled"
+        try:
+            outcome = await self._serve(progress)
+        finally:
+            self._log(request, progress, configuration.version, outcome)
+
+    def _call(self, request: CallerRequest, route: Route) -> RelayedCall:
+        limit_s = request.received_s + route.request_limit_s
+        return RelayedCall(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            host=request.host,
+            headers=request.headers,
+            body=request.body,
+            deadline_s=min(request.deadline_s, limit_s),
+            resume_after=request.resume_after,
+        )
+
+    async def _serve(self, progress: _Progress) -> str:
+        """Try engines until one gives the answer; return what came of it."""
+        service = self._placing.service(progress.route)
+        while True:
+            placed = self._placing.place(
+                service,
+                progress.route,
+                progress.tried,
+                self._clock.now_s() - progress.received_s,
+            )
+            if isinstance(placed, Refused):
+                return await self._give_up(progress, placed)
+            try:
+                with self._counted(placed):
+                    await self._attempt(progress, placed)
+                return "answered"
+            except AttemptError as error:
+                self._judge(progress, placed, error)
+            if not self._may_go_on(progress):
+                return await self._give_up(progress, Refused(RETRY_LATER_S))
+
+    @contextmanager
+    def _counted(self, engine: EngineEntry) -> Iterator[None]:
+        self._board.add(engine.id, online=1)
+        try:
+            yield
+        finally:
+            self._board.add(engine.id, online=-1)
+
+    def _may_go_on(self, progress: _Progress) -> bool:
+        left_s = progress.call.deadline_s - self._clock.now_s()
+        return progress.may_send_again and left_s > SHORTEST_SEND_S
+
+    def _judge(
+        self, progress: _Progress, engine: EngineEntry, error: AttemptError
+    ) -> None:
+        """Note what a failed attempt tells of the engine and the request."""
+        progress.tried.add(engine.id)
+        if error.outcome is CallOutcome.NOT_SENT:
+            self._health.unreachable(engine.id)
+        else:
+            progress.sends += 1
+        if error.outcome is CallOutcome.REFUSED:
+            self._health.full(engine.id)
+        if error.outcome is CallOutcome.BROKEN:
+            progress.may_have_run = True
+        log_decision(
+            "attempt failed",
+            request=progress.call.request_id,
+            engine=engine.id,
+            outcome=error.outcome.value,
+            reason=error.reason,
+            sends=progress.sends,
+        )
+
+    async def _give_up(self, progress: _Progress, refused: Refused) -> str:
+        """Tell the caller at once that no answer will come."""
+        if progress.begun:
+            progress.reply.abort()
+            return "broken off"
+        if progress.may_have_run:
+            detail = "the engine may have run the request"
+            await progress.reply.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
+            return "unknown"
+        await progress.reply.refuse(
+            Problem(
+                ResultCode.OVERLOADED,
+                "no engine can serve in time",
+                retry_after_s=refused.retry_after_s,
+            )
+        )
+        return "refused"
+
+    async def _attempt(self, progress: _Progress, engine: EngineEntry) -> None:
+        """
+        Send the request to one engine and pass its answer on.
+
+        :raises AttemptError: when the answer is not whole.
+        """
+        call = progress.call
+        if progress.begun:
+            call = attrs.evolve(call, resume_after=progress.events.last_id)
+        answer = await self._caller.open(
+            engine.id, engine.address, call, self._answer_deadline_s(progress)
+        )
+        try:
+            self._health.answered(engine.id)
+            if answer.head.streams and answer.head.status < SERVER_ERROR:
+                await self._pass_events(progress, answer)
+            else:
+                await self._pass_whole(progress, answer)
+        finally:
+            answer.close()
+
+    def _answer_deadline_s(self, progress: _Progress) -> float:
+        """Return when a silent engine is left for another one."""
+        if (
+            progress.route.repeatable
+            and progress.sends + 1 < progress.route.max_engines
+        ):
+            limit_s = self._clock.now_s() + FIRST_EVENT_LIMIT_S
+            return min(limit_s, progress.call.deadline_s)
+        return progress.call.deadline_s
+
+    async def _pass_events(self, progress: _Progress, answer: RelayedAnswer) -> None:
+        progress.events.restart()
+        async for chunk in self._timed(progress, answer):
+            try:
+                events = progress.events.feed(chunk)
+            except EventError as error:
+                raise AttemptError(CallOutcome.BROKEN, str(error)) from error
+            if not events:
+                continue
+            if progress.first_event_s is None:
+                progress.first_event_s = self._clock.now_s()
+            if not progress.begun:
+                progress.begun = True
+                await progress.reply.begin(answer.head)
+            await progress.reply.write(b"".join(event.raw for event in events))
+        if progress.events.pending:
+            raise AttemptError(CallOutcome.BROKEN, "stream ended within an event")
+        if not progress.begun:
+            progress.begun = True
+            await progress.reply.begin(answer.head)
+        await progress.reply.finish()
+
+    async def _pass_whole(self, progress: _Progress, answer: RelayedAnswer) -> None:
+        """Pass on an answer that is not a stream, once it is complete."""
+        body = b"".join([chunk async for chunk in self._timed(progress, answer)])
+        failed = answer.head.status >= SERVER_ERROR
+        another = progress.sends + 1 < progress.route.max_engines
+        if progress.begun or (failed and progress.route.repeatable and another):
+            reason = f"engine answered with {answer.head.status}"
+            raise AttemptError(CallOutcome.BROKEN, reason)
+        progress.begun = True
+        await progress.reply.begin(answer.head)
+        await progress.reply.write(body)
+        await progress.reply.finish()
+
+    async def _timed(
+        self, progress: _Progress, answer: RelayedAnswer
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; a pause that is too long breaks the attempt."""
+        chunks = answer.body()
+        while True:
+            pause_end_s = progress.call.deadline_s
+            if (
+                progress.route.repeatable
+                and progress.sends + 1 < progress.route.max_engines
+            ):
+                pause_end_s = min(pause_end_s, self._clock.now_s() + PAUSE_LIMIT_S)
+            try:
+                async with asyncio.timeout(pause_end_s - self._clock.now_s()):
+                    chunk = await anext(chunks)
+            except StopAsyncIteration:
+                return
+            except TimeoutError as error:
+                raise AttemptError(CallOutcome.BROKEN, "engine is silent") from error
+            yield chunk
+
+    def _log(
+        self, request: CallerRequest, progress: _Progress, version: int, outcome: str
+    ) -> None:
+        first_s = progress.first_event_s
+        log_decision(
+            "request",
+            request=request.request_id,
+            route=progress.route.name,
+            configuration=version,
+            outcome=outcome,
+            sends=progress.sends + (outcome == "answered"),
+            first_event_ms=first_s and round((first_s - request.received_s) * 1000),
+            total_ms=round((self._clock.now_s() - request.received_s) * 1000),
+        )
+
+
+RETRY_LATER_S = 0.2  # the engines of a refused request have a place again
