--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -65,7 +65,7 @@
 
 def part_of(job_id: str) -> str:
     """Return the part that holds all rows of a job."""
-    return f"p{xxhash.xxh32_intdigest(job_id) % PARTS}"
+    return f"p{xxhash.xxh32_intdigest(job_id.encode()) % PARTS}"
 
 
 def head_key(job_id: str) -> RowKey:
