Connect through the loop alone and serve new connections until the exit

Cause: the connector of the HTTP library gives a connected socket to the loop; cancelled in between, it closes the socket under the transport. Ruled out: requests read and not answered; the log shows that they never came.

--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -20,12 +19,6 @@
 
     from aspenbridge.ports import Clock, Headers, RelayedCall
 
-CONNECT_LIMIT_S = 0.25  # four one-way trips between regions, and the handshake
-# An acknowledgement takes 60 ms between regions; a path is dead without one.
-UNACKNOWLEDGED_LIMIT_MS = 1000
-KEEPALIVE_PROBE_S = 1  # the shortest that the socket option takes
-KEEPALIVE_PROBES = 2
-READ_BYTES = 65536
 # Headers that concern one connection; the client library makes its own.
 PER_CONNECTION = frozenset(
     {
@@ -42,7 +35,6 @@
         "expect",
     }
 )
-ADDED_BY_LIBRARY = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 MISDIRECTED = 421
 
 
@@ -54,39 +46,6 @@
     return tuple((n, v) for n, v in headers if n.lower() not in dropped)
 
 
-def open_engine_session() -> aiohttp.ClientSession:
-    """
-    Return a session that uses each connection for one request.
-
-    An engine may answer a request twice, or close a kept connection as the
-    next request arrives; neither can reach another request this way.
-    """
-    connector = aiohttp.TCPConnector(
-        limit=0, force_close=True, socket_factory=_engine_socket
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        skip_auto_headers=ADDED_BY_LIBRARY,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S),
-        read_bufsize=READ_BYTES,
-    )
-
-
-def _engine_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
-    )
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
-
-
 @attrs.define
 class HttpAnswer:
     """An engine's answer that is being read."""
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -35,6 +35,7 @@
 # Callers reuse connections for four fifths of the idle limit, 15 s as configured.
 KEEPALIVE_S = 60.0
 LONGEST_WAIT_S = 5.0
+QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
 DEFAULT_DEADLINE_S = 30.0
 JSON = "application/json"
 Value = TypeVar("Value")
@@ -102,8 +103,8 @@
         self._callers = callers
         self._readiness = readiness
         self._stack = AsyncExitStack()
-        self._servers: list[asyncio.Server] = []
         self._running = 0
+        self._ended_s = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
         self._web = web.Server(
@@ -125,7 +126,6 @@
             listener = await loop.create_server(server, sock=sock)
             self._stack.push_async_callback(server.shutdown, 0.5)
             self._stack.callback(listener.close)
-            self._servers.append(listener)
         return self
 
     async def __aexit__(
@@ -136,21 +136,27 @@
     ) -> None:
         await self._stack.aclose()
 
-    async def close_idle(self, limit_s: float) -> bool:
+    async def finish(self, limit_s: float) -> bool:
         """
-        Take no new connections, close unused ones, wait for running requests.
+        Serve until no request has run or come for a while.
+
+        New connections are still served: the balancer may send one until it
+        has asked for readiness twice.
 
         :return: whether all requests ended in time.
         """
-        self._servers[-1].close()
-        self._web.pre_shutdown()
         try:
             async with asyncio.timeout(limit_s):
-                await self._idle.wait()
+                while self._running or self._quiet_s() < QUIET_S:
+                    await self._idle.wait()
+                    await asyncio.sleep(QUIET_S / 4)
         except TimeoutError:
-            return False
+            return not self._running
         return True
 
+    def _quiet_s(self) -> float:
+        return self._host.ports.clock.now_s() - self._ended_s
+
     @property
     def running(self) -> int:
         """The number of requests that are being served."""
@@ -169,6 +175,7 @@
             return response
         finally:
             self._running -= 1
+            self._ended_s = self._host.ports.clock.now_s()
             if not self._running:
                 self._idle.set()
 
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -9,15 +9,14 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from aspenbridge.clock import SystemClock
 from aspenbridge.entry import EntryHost, EntryPorts, OperatorTables
 from aspenbridge.loop import settle_garbage_collector
 
 from . import _names as names
+from ._connections import open_engine_session, open_store_session
 from ._decode import decode_configuration, decode_engine
-from ._engine_calls import HttpEngineCaller, open_engine_session
+from ._engine_calls import HttpEngineCaller
 from ._ingress import Ingress
 from ._settings import load_entry_settings, settings_path
 from ._store import StoreClient
@@ -59,9 +58,7 @@
     stack: AsyncExitStack, settings: EntrySettings
 ) -> tuple[EntryHost, Ingress]:
     clock = SystemClock()
-    store_session = await stack.enter_async_context(
-        aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
-    )
+    store_session = await stack.enter_async_context(open_store_session())
     engine_session = await stack.enter_async_context(open_engine_session())
     store = StoreClient(store_session, str(settings.store))
     ports = EntryPorts(
@@ -94,12 +91,12 @@
 
 
 async def _leave(host: EntryHost, ingress: Ingress, settings: EntrySettings) -> None:
-    """Be not ready first, then refuse connections, then let requests end."""
+    """Be not ready first, serve what still comes, end when nothing does."""
     clock = host.ports.clock
     end_s = clock.now_s() + settings.bounds.shutdown_s - EXIT_MARGIN_S
     host.leaving = True
     notice = asyncio.create_task(clock.sleep_until(clock.now_s() + NOTICE_S))
     await host.hand_over()
     await notice
-    if not await ingress.close_idle(end_s - clock.now_s()):
+    if not await ingress.finish(end_s - clock.now_s()):
         logger.warning("%d requests were cut", ingress.running)
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -193,12 +193,10 @@
                 params=query,
                 data=body,
                 headers=sent_headers if body is not None else headers,
-                timeout=aiohttp.ClientTimeout(
-                    total=limit_s, sock_connect=CALL_LIMIT_S / 2
-                ),
+                timeout=aiohttp.ClientTimeout(total=limit_s),
             ) as response:
                 reply = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(Unavailable(str(error), maybe_applied=False))
         except (aiohttp.ClientError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
