--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -8,13 +8,15 @@
 from ._health import EngineHealth
 from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
 from ._load import EngineLoad, LoadBoard
-from ._placement import Candidate, Refused, place_batch, place_online
+from ._placement import Candidate, Refused, place_online
 from ._routes import Configuration, RequestLimits, Route, RouteKind, Target
+from ._sharing import Backlog, deal_places
 from ._view import EngineView
 from ._yielding import items_to_stop
 
 __all__ = [
     "HOSTS_TABLE",
+    "Backlog",
     "Candidate",
     "Configuration",
     "EngineDirectory",
@@ -34,8 +36,8 @@
     "RouteKind",
     "TableCopy",
     "Target",
+    "deal_places",
     "items_to_stop",
-    "place_batch",
     "place_online",
     "rank",
 ]
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -73,12 +73,12 @@
 
     def usable(self, service: str) -> list[EngineEntry]:
         """Return the engines of a service that may get new work."""
+        return [e for e in self.all_usable() if e.service == service]
+
+    def all_usable(self) -> list[EngineEntry]:
+        """Return the engines of all services that may get new work."""
         self._drop_lapsed()
-        return [
-            entry
-            for entry in self._entries.values()
-            if entry.service == service and not entry.draining
-        ]
+        return [e for e in self._entries.values() if not e.draining]
 
     def get(self, engine_id: str) -> EngineEntry | None:
         """Return an engine that is registered."""
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ._load import EngineLoad
+from ._sharing import Backlog
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,11 +26,13 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """What one host has on engines: id, online, batch."""
+    """What one host has on engines (id, online, batch) and what waits there."""
 
     host: str
     sequence: int
     engines: list[tuple[str, int, int]]
+    waiting_items: int
+    due_wall_s: float
 
 
 class LoadExchange(asyncio.DatagramProtocol):
@@ -92,7 +95,8 @@
             return
         self._heard[report.host] = report.sequence
         loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
-        self._board.hear(report.host, loads)
+        backlog = Backlog(report.waiting_items, report.due_wall_s)
+        self._board.hear(report.host, loads, backlog)
         self.on_report()
 
     def error_received(self, exc: Exception) -> None:
@@ -118,6 +122,15 @@
             (engine, load.online, load.batch)
             for engine, load in self._board.own_report().items()
         ]
-        report = self._encoder.encode(LoadReport(self._host, self._sequence, engines))
+        backlog = self._board.own_backlog
+        report = self._encoder.encode(
+            LoadReport(
+                self._host,
+                self._sequence,
+                engines,
+                backlog.items,
+                backlog.due_wall_s,
+            )
+        )
         for peer in self._peers():
             self._transport.sendto(report, peer)
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -7,12 +7,14 @@
 
 import attrs
 
+from ._sharing import Backlog
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from aspenbridge.ports import Clock
 
-REPORT_LIFETIME_S = 3.0  # three reports are sent in this time
+REPORT_LIFETIME_S = 2.2  # two reports are sent in this time
 
 
 @attrs.frozen
@@ -29,6 +31,7 @@
 
 
 NO_LOAD = EngineLoad()
+NO_BACKLOG = Backlog(0, 0.0)
 
 
 @attrs.frozen
@@ -36,6 +39,7 @@
     """What one host has on engines."""
 
     by_engine: Mapping[str, EngineLoad]
+    backlog: Backlog
     valid_until_s: float
 
 
@@ -46,6 +50,7 @@
         self._clock = clock
         self._own: dict[str, EngineLoad] = defaultdict(EngineLoad)
         self._others: dict[str, HostLoad] = {}
+        self._own_backlog = NO_BACKLOG
         self.on_own_change: Callable[[], None] = lambda: None
         self.on_room: Callable[[], None] = lambda: None
 
@@ -61,10 +66,35 @@
         if online < 0 or batch < 0:
             self.on_room()
 
-    def hear(self, host: str, by_engine: Mapping[str, EngineLoad]) -> None:
+    def set_backlog(self, backlog: Backlog) -> None:
+        """Note the batch items that wait at this host."""
+        if backlog != self._own_backlog:
+            self._own_backlog = backlog
+            self.on_own_change()
+
+    @property
+    def own_backlog(self) -> Backlog:
+        """The batch items that wait at this host."""
+        return self._own_backlog
+
+    def backlogs(self, own_host: str) -> dict[str, Backlog]:
+        """Return the batch items that wait, by host."""
+        now_s = self._clock.now_s()
+        backlogs = {
+            host: report.backlog
+            for host, report in self._others.items()
+            if report.backlog.items and now_s < report.valid_until_s
+        }
+        if self._own_backlog.items:
+            backlogs[own_host] = self._own_backlog
+        return backlogs
+
+    def hear(
+        self, host: str, by_engine: Mapping[str, EngineLoad], backlog: Backlog
+    ) -> None:
         """Take in the report of another host."""
         valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S
-        self._others[host] = HostLoad(by_engine, valid_until_s)
+        self._others[host] = HostLoad(by_engine, backlog, valid_until_s)
         self.on_room()
 
     def forget(self, host: str) -> None:
--- a/src/aspenbridge/fleet/_placement.py
+++ b/src/aspenbridge/fleet/_placement.py
@@ -74,18 +74,6 @@
     return best.engine
 
 
-def place_batch(candidates: Sequence[Candidate], headroom: int) -> EngineEntry | None:
-    """
-    Choose the emptiest engine that keeps some places free for online work.
-
-    :param headroom: the places that stay free on the engine.
-    """
-    roomy = [c for c in candidates if c.free > headroom]
-    if not roomy:
-        return None
-    return max(roomy, key=lambda c: (c.free, -c.distance_s)).engine
-
-
 def _expected_delay(candidate: Candidate) -> tuple[float, float]:
     """
     Weigh waiting, distance and crowding.
@@ -102,5 +90,5 @@
 
 
 NO_ENGINE_RETRY_S = 0.5  # engines that crashed or restart take about this long
-EVICTION_S = 0.08  # the news to the host of the item, and the item's end
+EVICTION_S = 0.16  # the news to the item's host, its end, and its second start
 CROWDING_S = 0.06  # what a full engine is slower by over the first event
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -41,6 +41,19 @@
             if engine.id not in without and not self._health.paused(engine.id)
         ]
 
+    def free_places(self, headroom: int) -> dict[str, int]:
+        """
+        Return how many places each engine has for batch items.
+
+        :param headroom: the places of an engine that are left to online work.
+        """
+        free: dict[str, int] = {}
+        for engine in self._directory.all_usable():
+            left = engine.slots - headroom - self._board.load(engine.id).total
+            if left > 0:
+                free[engine.id] = left
+        return free
+
     def engine(self, engine_id: str) -> EngineEntry | None:
         """Return a registered engine."""
         return self._directory.get(engine_id)
--- a/src/aspenbridge/jobs/_order.py
+++ b/src/aspenbridge/jobs/_order.py
@@ -1,5 +1,5 @@
 """
-Which item of which job runs next.
+In which order the items of this host's jobs run.
 
 Answers jobs that arrive in lumps and that count whole: the job that is due
 first gets its items through before a later one starts.
@@ -15,12 +15,12 @@
     from ._owned import ItemState, OwnedJob
 
 
-def next_item(
+def ready_items(
     jobs: Iterable[OwnedJob], now_s: float
-) -> tuple[OwnedJob, ItemState] | None:
-    """Return the first item that may be tried of the job due first."""
-    for job in sorted(jobs, key=lambda job: job.head.due_wall_s):
-        state = job.ready(now_s)
-        if state is not None:
-            return job, state
-    return None
+) -> list[tuple[OwnedJob, ItemState]]:
+    """Return the items that may be tried, those of the job due first ahead."""
+    return [
+        (job, state)
+        for job in sorted(jobs, key=lambda job: job.head.due_wall_s)
+        for state in job.ready(now_s)
+    ]
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -15,7 +15,7 @@
     from ._messages import SubmittedItem
     from ._records import JobHead, ProgressRecord
 
-RETRY_PAUSE_S = 0.15  # an engine frees a place about this often
+RETRY_PAUSE_S = 0.1  # an engine frees a place about this often
 LONGEST_RETRY_PAUSE_S = 1.0
 
 
@@ -27,7 +27,6 @@
     events: list[str] = attrs.field(factory=list)
     last_event_id: int | None = None
     failures: int = 0
-    interruptions: int = 0
     not_before_s: float = 0.0
     saved: bool = False  # the store has a progress row
 
@@ -38,9 +37,8 @@
         self.saved = True
 
     def pause(self, now_s: float) -> None:
-        """Wait before the next try, longer after each interruption."""
-        self.interruptions += 1
-        pause_s = min(RETRY_PAUSE_S * self.interruptions, LONGEST_RETRY_PAUSE_S)
+        """Wait before the next try, longer after each failure."""
+        pause_s = min(RETRY_PAUSE_S * (1 + self.failures), LONGEST_RETRY_PAUSE_S)
         self.not_before_s = now_s + pause_s
 
 
@@ -80,12 +78,9 @@
             if state.index in by_item:
                 state.restore(by_item[state.index])
 
-    def ready(self, now_s: float) -> ItemState | None:
-        """Return the next item that may be tried."""
-        for state in self.waiting:
-            if state.not_before_s <= now_s:
-                return state
-        return None
+    def ready(self, now_s: float) -> list[ItemState]:
+        """Return the items that may be tried."""
+        return [state for state in self.waiting if state.not_before_s <= now_s]
 
     def start(self, state: ItemState) -> None:
         """Move an item from waiting to running."""
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -6,12 +6,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import items_to_stop, place_batch
+from aspenbridge.fleet import Backlog, deal_places, items_to_stop
 from aspenbridge.observability import log_decision
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
-from ._order import next_item
+from ._order import ready_items
 from ._owned import OwnedJob
 from ._records import JobState
 
@@ -38,11 +38,11 @@
 
 logger = logging.getLogger(__name__)
 HEADROOM = 1  # places of an engine that batch items leave free
-# Hosts that see the same free place start one item each within this time,
-# and hear of each other's before they start the next.
+# A report of what was started reaches the hosts of other regions in this time.
 START_SPACING_S = 0.06
 DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
 LISTING_RETRY_S = 0.3
+EXPIRY_SLACK_S = 3.0  # more than the clocks of two hosts differ by
 
 
 class JobWorker:
@@ -170,6 +170,16 @@
                 self._board.by_host(engine_id),
             )
             for task in self._newest_runs(engine_id)[:count]:
+                job, state, _ = self._runs[task]
+                log_decision(
+                    "item yields",
+                    job=job.head.id,
+                    request=job.items[state.index].id,
+                    engine=engine_id,
+                    own_online=self._board.own(engine_id).online,
+                    all=self._board.load(engine_id).total,
+                    last_event=state.last_event_id,
+                )
                 task.cancel()
 
     def _newest_runs(self, engine_id: str) -> list[asyncio.Task[None]]:
@@ -177,29 +187,54 @@
         return [task for task in reversed(runs) if not task.cancelling()]
 
     def _start_items(self) -> bool:
-        """Start at most one item on each engine; return whether one started."""
+        """Start items on the places dealt to this host; tell whether any did."""
         configuration = self._configuration()
         if self._stopping or configuration is None:
             return False
-        used: set[str] = set()
-        while True:
-            now_s = self._clock.now_s()
-            found = next_item(self._jobs.values(), now_s)
-            if found is None:
-                return bool(used)
-            job, state = found
-            item = job.items[state.index]
-            path = item.target.partition("?")[0]
+        waiting = self._waiting(configuration)
+        self._note_backlog(waiting)
+        if not waiting:
+            return False
+        free = self._view.free_places(HEADROOM)
+        places = deal_places(self._host, self._board.backlogs(self._host), free)
+        started = 0
+        for job, state, route in waiting:
+            engine = self._take(places, route.pick_service(self._random))
+            if engine is not None:
+                self._start(job, state, route, engine)
+                started += 1
+        if started:
+            self._note_backlog(self._waiting(configuration))
+        return started > 0
+
+    def _waiting(
+        self, configuration: Configuration
+    ) -> list[tuple[OwnedJob, ItemState, Route]]:
+        """Return the items that may be tried now, in the order of their jobs."""
+        waiting = []
+        for job, state in ready_items(self._jobs.values(), self._clock.now_s()):
+            path = job.items[state.index].target.partition("?")[0]
             route = configuration.route_for(job.head.host, path)
-            if route is None or self._clock.wall_s() > job.head.expires_wall_s:
-                self._give_up(job, state, "route is gone" if route is None else "late")
-                continue
-            service = route.pick_service(self._random)
-            engine = place_batch(self._view.candidates(service, without=used), HEADROOM)
-            if engine is None:
-                return bool(used)
-            used.add(engine.id)
-            self._start(job, state, route, engine)
+            if route is None:
+                self._give_up(job, state, "its route is gone")
+            elif self._clock.wall_s() > job.head.expires_wall_s + EXPIRY_SLACK_S:
+                self._give_up(job, state, "it has expired")
+            else:
+                waiting.append((job, state, route))
+        return waiting
+
+    def _note_backlog(self, waiting: list[tuple[OwnedJob, ItemState, Route]]) -> None:
+        due_wall_s = waiting[0][0].head.due_wall_s if waiting else 0.0
+        self._board.set_backlog(Backlog(len(waiting), due_wall_s))
+
+    def _take(self, places: list[str], service: str) -> EngineEntry | None:
+        """Take the first place at an engine of a service out of a list."""
+        usable = {c.engine.id: c.engine for c in self._view.candidates(service)}
+        for engine_id in places:
+            if engine_id in usable:
+                places.remove(engine_id)
+                return usable[engine_id]
+        return None
 
     def _give_up(self, job: OwnedJob, state: ItemState, reason: str) -> None:
         job.start(state)
--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -28,6 +28,19 @@
 )
 
 
+class AbortingHandler(ResponseHandler):
+    """
+    Resets its connection instead of closing it.
+
+    A close would first send what is still buffered, and the engine would begin
+    to work on a request that nobody waits for.
+    """
+
+    def close(self) -> None:
+        """Reset the connection."""
+        self.abort()
+
+
 class NumericConnector(aiohttp.TCPConnector):
     """
     Connects to IP numbers through the loop alone.
@@ -37,6 +50,8 @@
     and the next connection gets its descriptor.
     """
 
+    make_protocol: Callable[[], ResponseHandler] | None = None
+
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -46,12 +61,11 @@
         client_error: type[Exception] = aiohttp.ClientConnectorError,
         **kwargs: Any,
     ) -> tuple[asyncio.Transport, ResponseHandler]:
-        make_protocol: Callable[[], ResponseHandler] = args[0]
         ip, port = addr_infos[0][4][:2]
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 transport, protocol = await self._loop.create_connection(
-                    make_protocol, ip, port
+                    self.make_protocol or args[0], ip, port
                 )
         except TimeoutError as error:
             raise aiohttp.ConnectionTimeoutError(f"connect to {ip}:{port}") from error
@@ -77,8 +91,11 @@
     An engine may answer a request twice, or close a kept connection as the
     next request arrives; neither can reach another request this way.
     """
+    connector = NumericConnector(limit=0, force_close=True)
+    loop = asyncio.get_running_loop()
+    connector.make_protocol = lambda: AbortingHandler(loop)
     return aiohttp.ClientSession(
-        connector=NumericConnector(limit=0, force_close=True),
+        connector=connector,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -124,7 +124,7 @@
             self._stack.callback(sock.close)
             loop = asyncio.get_running_loop()
             listener = await loop.create_server(server, sock=sock)
-            self._stack.push_async_callback(server.shutdown, 0.5)
+            self._stack.callback(_close_connections, server)
             self._stack.callback(listener.close)
         return self
 
@@ -261,6 +261,12 @@
         return _reply(ended, lambda _: web.Response(status=200))
 
 
+def _close_connections(server: web.Server[web.BaseRequest]) -> None:
+    """Close at once; a request that is read now would not be answered."""
+    for connection in server.connections:
+        connection.force_close()
+
+
 def _reply(
     result: Result[Value, Problem], make: Callable[[Value], web.Response]
 ) -> web.Response:
