Run batch items that can be in time first; let late ones wait

Items that can't be in time any more now go last, and leave first. New hosts get load reports from senders they heard, before the store lists them.

--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -7,7 +7,7 @@
 from ._follower import Follower, TableCopy
 from ._health import EngineHealth
 from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
-from ._load import EngineLoad, LoadBoard
+from ._load import NO_BACKLOG, EngineLoad, LoadBoard
 from ._placement import Candidate, Refused, place_online
 from ._routes import Configuration, RequestLimits, Route, RouteKind, Target
 from ._sharing import Backlog, deal_places
@@ -16,6 +16,7 @@
 
 __all__ = [
     "HOSTS_TABLE",
+    "NO_BACKLOG",
     "Backlog",
     "Candidate",
     "Configuration",
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -22,7 +22,8 @@
 logger = logging.getLogger(__name__)
 SEND_SPACING_S = 0.02  # a few steps of an engine; what changes meanwhile is merged
 REPEAT_INTERVAL_S = 1.0  # a report is valid for three of these
-REPORT_LIMIT_BYTES = 8192
+# Hosts that the store does not list yet, or not any more while it is away.
+SENDER_LIFETIME_S = 3.0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +54,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._sequence = 0
         self._heard: dict[str, int] = {}
+        self._senders: dict[tuple[str, int], float] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._stack = AsyncExitStack()
@@ -97,6 +99,7 @@
         loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
         backlog = Backlog(report.waiting_items, report.due_wall_s)
         self._board.hear(report.host, loads, backlog)
+        self._senders[addr] = asyncio.get_running_loop().time() + SENDER_LIFETIME_S
         self.on_report()
 
     def error_received(self, exc: Exception) -> None:
@@ -132,5 +135,11 @@
                 backlog.due_wall_s,
             )
         )
-        for peer in self._peers():
+        for peer in self._addresses():
             self._transport.sendto(report, peer)
+
+    def _addresses(self) -> set[tuple[str, int]]:
+        """Return the listed hosts and those that sent a report lately."""
+        now_s = asyncio.get_running_loop().time()
+        self._senders = {a: end for a, end in self._senders.items() if end > now_s}
+        return {*self._peers(), *self._senders} - {self._address}
--- a/src/aspenbridge/fleet/_placement.py
+++ b/src/aspenbridge/fleet/_placement.py
@@ -19,9 +19,9 @@
 # A queued online request waits for one of the places of its engine: an answer
 # holds a place for 0.7 s, so that one of eight is free every 0.09 s.
 WAIT_PER_QUEUED_S = 0.09
-# Round trips to another failure domain and to another region.
-FAR_PENALTY_S = 0.06
-NEAR_PENALTY_S = 0.003
+# Two round trips to another region or failure domain: connection and request.
+FAR_PENALTY_S = 0.12
+NEAR_PENALTY_S = 0.004
 
 
 @attrs.frozen
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -6,12 +6,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import Backlog, deal_places, items_to_stop
+from aspenbridge.fleet import NO_BACKLOG, Backlog, deal_places, items_to_stop
 from aspenbridge.observability import log_decision
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
-from ._order import ready_items
+from ._order import Pace, in_time, leaving_order, ready_items
 from ._owned import OwnedJob
 from ._records import JobState
 
@@ -42,6 +42,8 @@
 START_SPACING_S = 0.06
 DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
 LISTING_RETRY_S = 0.3
+# Puts a backlog of items that can't be in time behind all others.
+LATE_RANK_S = 1e6
 EXPIRY_SLACK_S = 3.0  # more than the clocks of two hosts differ by
 
 
@@ -77,6 +79,7 @@
         self._runs: dict[asyncio.Task[None], tuple[OwnedJob, ItemState, str]] = {}
         self._listings: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
+        self._pace = Pace()
         self._stopping = False
 
     def wake(self) -> None:
@@ -169,8 +172,7 @@
                 self._board.own(engine_id),
                 self._board.by_host(engine_id),
             )
-            for task in self._newest_runs(engine_id)[:count]:
-                job, state, _ = self._runs[task]
+            for task, job, state in self._leaving(engine_id)[:count]:
                 log_decision(
                     "item yields",
                     job=job.head.id,
@@ -182,9 +184,18 @@
                 )
                 task.cancel()
 
-    def _newest_runs(self, engine_id: str) -> list[asyncio.Task[None]]:
-        runs = [t for t, (_, _, e) in self._runs.items() if e == engine_id]
-        return [task for task in reversed(runs) if not task.cancelling()]
+    def _leaving(
+        self, engine_id: str
+    ) -> list[tuple[asyncio.Task[None], OwnedJob, ItemState]]:
+        """Return the runs on an engine in the order in which they leave it."""
+        tasks = {
+            id(state): task
+            for task, (_, state, engine) in self._runs.items()
+            if engine == engine_id and not task.cancelling()
+        }
+        runs = [self._runs[task][:2] for task in tasks.values()]
+        ordered = leaving_order(runs, self._pace, self._clock.wall_s())
+        return [(tasks[id(state)], job, state) for job, state in ordered]
 
     def _start_items(self) -> bool:
         """Start items on the places dealt to this host; tell whether any did."""
@@ -212,7 +223,8 @@
     ) -> list[tuple[OwnedJob, ItemState, Route]]:
         """Return the items that may be tried now, in the order of their jobs."""
         waiting = []
-        for job, state in ready_items(self._jobs.values(), self._clock.now_s()):
+        now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
+        for job, state in ready_items(self._jobs.values(), self._pace, now_s, wall_s):
             path = job.items[state.index].target.partition("?")[0]
             route = configuration.route_for(job.head.host, path)
             if route is None:
@@ -224,7 +236,13 @@
         return waiting
 
     def _note_backlog(self, waiting: list[tuple[OwnedJob, ItemState, Route]]) -> None:
-        due_wall_s = waiting[0][0].head.due_wall_s if waiting else 0.0
+        if not waiting:
+            self._board.set_backlog(NO_BACKLOG)
+            return
+        job, state, _ = waiting[0]
+        due_wall_s = job.head.due_wall_s
+        if not in_time(job, state, self._pace, self._clock.wall_s()):
+            due_wall_s += LATE_RANK_S
         self._board.set_backlog(Backlog(len(waiting), due_wall_s))
 
     def _take(self, places: list[str], service: str) -> EngineEntry | None:
@@ -263,6 +281,7 @@
         self, job: OwnedJob, state: ItemState, route: Route, engine: EngineEntry
     ) -> None:
         item = job.items[state.index]
+        started_s, events_before = self._clock.now_s(), len(state.events)
         left_s = job.head.expires_wall_s - self._clock.wall_s()
         run = await run_item(
             self._caller,
@@ -284,6 +303,9 @@
         )
         self._judge_engine(engine, run)
         if run.outcome is ItemOutcome.COMPLETE:
+            events = len(state.events)
+            run_s = self._clock.now_s() - started_s
+            self._pace.note(events, events - events_before, run_s)
             self._finish(job, state, "\n".join(state.events), "")
         elif run.outcome is ItemOutcome.IMPOSSIBLE:
             self._finish(job, state, None, run.reason)
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -97,6 +97,8 @@
     sends: int = 0
     may_have_run: bool = False
     tried: set[str] = attrs.field(factory=set)
+    engine: str = ""
+    queue: tuple[int, int] = (0, 0)  # online and batch found on that engine
     first_event_s: float | None = None
 
     @property
@@ -171,6 +173,8 @@
             )
             if isinstance(placed, Refused):
                 return await self._give_up(progress, placed)
+            load = self._board.load(placed.id)
+            progress.engine, progress.queue = placed.id, (load.online, load.batch)
             try:
                 with self._counted(placed):
                     await self._attempt(progress, placed)
@@ -329,6 +333,9 @@
             route=progress.route.name,
             configuration=version,
             outcome=outcome,
+            engine=progress.engine,
+            found_online=progress.queue[0],
+            found_batch=progress.queue[1],
             sends=progress.sends + (outcome == "answered"),
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round((self._clock.now_s() - request.received_s) * 1000),
