--- a/src/aspenbridge/entry/__init__.py
+++ b/src/aspenbridge/entry/__init__.py
@@ -1,4 +1,4 @@
-"""One entry host on a platform that gives it a store, engines and an operator."""
+"""One entry host on a platform with a store, engines and an operator."""
 
 from __future__ import annotations
 
--- a/src/aspenbridge/entry/_copies.py
+++ b/src/aspenbridge/entry/_copies.py
@@ -1,4 +1,4 @@
-"""This host's copies of the operator's configuration and of the engine list."""
+"""This host's copies of the configuration and of the engine list."""
 
 from __future__ import annotations
 
--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -44,7 +44,7 @@
 
 
 class EntryHost:
-    """Online requests and batch jobs of one host; entering it starts its loops."""
+    """Online requests and batch jobs; entering it starts its loops."""
 
     def __init__(self, settings: EntrySettings, ports: EntryPorts) -> None:
         self.settings = settings
@@ -82,7 +82,12 @@
             ),
         )
         self.exchange = LoadExchange(
-            self.incarnation, (settings.ip, port), self.board, self._peers
+            self.incarnation,
+            (settings.ip, port),
+            self.board,
+            self._peers,
+            ports.datagrams,
+            clock,
         )
         self.relay = Relay(
             OnlinePlacing(self.view, random), self.board, health, ports.caller, clock
--- a/src/aspenbridge/entry/_ports.py
+++ b/src/aspenbridge/entry/_ports.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from aspenbridge.fleet import Configuration, EngineEntry
+    from aspenbridge.fleet import Configuration, Datagrams, EngineEntry
     from aspenbridge.ports import (
         ChangeFeed,
         Clock,
@@ -41,4 +41,5 @@
     feed: ChangeFeed
     objects: ObjectStore
     caller: EngineCaller
+    datagrams: Datagrams
     tables: OperatorTables
--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._datagrams import Datagrams, UdpDatagrams
 from ._engines import EngineDirectory, EngineEntry
 from ._exchange import LoadExchange
 from ._follower import Follower, TableCopy
@@ -20,6 +21,7 @@
     "Backlog",
     "Candidate",
     "Configuration",
+    "Datagrams",
     "EngineDirectory",
     "EngineEntry",
     "EngineHealth",
@@ -37,6 +39,7 @@
     "RouteKind",
     "TableCopy",
     "Target",
+    "UdpDatagrams",
     "deal_places",
     "items_to_stop",
     "place_online",
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -46,7 +46,7 @@
         self._lapses_until_s = 0.0
 
     def store_returned(self) -> None:
-        """Keep engines whose entry is missing until they can have come back."""
+        """Keep engines that are missing until they can have come back."""
         self._lapses_until_s = self._clock.now_s() + LAPSE_GRACE_S
 
     def put(self, entry: EngineEntry) -> None:
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
@@ -17,6 +16,9 @@
     from collections.abc import Callable, Iterable
     from types import TracebackType
 
+    from aspenbridge.ports import Clock
+
+    from ._datagrams import Datagrams, PeerAddress
     from ._load import LoadBoard
 
 logger = logging.getLogger(__name__)
@@ -27,7 +29,7 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """What one host has on engines (id, online, batch) and what waits there."""
+    """What a host has on engines (id, online, batch) and what waits."""
 
     host: str
     sequence: int
@@ -36,38 +38,38 @@
     due_wall_s: float
 
 
-class LoadExchange(asyncio.DatagramProtocol):
+class LoadExchange:
     """Sends this host's load to the others and takes in theirs."""
 
     def __init__(
         self,
         host: str,
-        address: tuple[str, int],
+        address: PeerAddress,
         board: LoadBoard,
-        peers: Callable[[], Iterable[tuple[str, int]]],
+        peers: Callable[[], Iterable[PeerAddress]],
+        datagrams: Datagrams,
+        clock: Clock,
     ) -> None:
         self._host = host
         self._address = address
         self._board = board
         self._peers = peers
+        self._datagrams = datagrams
+        self._clock = clock
         self._decoder = msgspec.msgpack.Decoder(LoadReport)
         self._encoder = msgspec.msgpack.Encoder()
         self._sequence = 0
         self._heard: dict[str, int] = {}
-        self._senders: dict[tuple[str, int], float] = {}
+        self._senders: dict[PeerAddress, float] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._transport: asyncio.DatagramTransport | None = None
+        self._send_to: Callable[[bytes, PeerAddress], None] | None = None
         self._stack = AsyncExitStack()
         self.on_report: Callable[[], None] = lambda: None
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.bind(self._address)
-        transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
-        self._transport = transport
-        self._stack.callback(transport.close)
+        self._send_to = await self._stack.enter_async_context(
+            self._datagrams.open(self._address, self.receive)
+        )
         self._stack.callback(self._stop_timer)
         self._board.on_own_change = self._schedule
         return self
@@ -84,14 +86,14 @@
         """Repeat the report, for hosts that are new or lost one."""
         while True:
             self._send()
-            await asyncio.sleep(REPEAT_INTERVAL_S)
+            await self._clock.sleep_until(self._clock.now_s() + REPEAT_INTERVAL_S)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in the report of another host, unless a newer one came first."""
+    def receive(self, data: bytes, sender: PeerAddress) -> None:
+        """Take in another host's report unless a newer one came first."""
         try:
             report = self._decoder.decode(data)
         except msgspec.DecodeError as error:
-            logger.warning("load report from %s can't be read: %s", addr, error)
+            logger.warning("load report from %s can't be read: %s", sender, error)
             return
         if report.sequence <= self._heard.get(report.host, 0):
             return
@@ -99,13 +101,9 @@
         loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
         backlog = Backlog(report.waiting_items, report.due_wall_s)
         self._board.hear(report.host, loads, backlog)
-        self._senders[addr] = asyncio.get_running_loop().time() + SENDER_LIFETIME_S
+        self._senders[sender] = self._clock.now_s() + SENDER_LIFETIME_S
         self.on_report()
 
-    def error_received(self, exc: Exception) -> None:
-        """Log that a datagram could not be sent; the next one repeats it."""
-        logger.debug("load report was not sent: %s", exc)
-
     def _schedule(self) -> None:
         if self._timer is None:
             loop = asyncio.get_running_loop()
@@ -118,7 +116,7 @@
 
     def _send(self) -> None:
         self._stop_timer()
-        if self._transport is None:
+        if self._send_to is None:
             return
         self._sequence += 1
         engines = [
@@ -136,10 +134,10 @@
             )
         )
         for peer in self._addresses():
-            self._transport.sendto(report, peer)
+            self._send_to(report, peer)
 
-    def _addresses(self) -> set[tuple[str, int]]:
+    def _addresses(self) -> set[PeerAddress]:
         """Return the listed hosts and those that sent a report lately."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock.now_s()
         self._senders = {a: end for a, end in self._senders.items() if end > now_s}
         return {*self._peers(), *self._senders} - {self._address}
--- a/src/aspenbridge/fleet/_follower.py
+++ b/src/aspenbridge/fleet/_follower.py
@@ -121,7 +121,7 @@
         return tuple(part for part in parts.unwrap() if part)
 
     async def _read_part(self, part: str, rows: list[Row]) -> int | None:
-        """Append the rows of a part; return the version of the first answer."""
+        """Append the rows of a part; return the first answer's version."""
         first_version: int | None = None
         start = ""
         while True:
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -122,5 +122,5 @@
 
 
 def rank(host: str, subject: str) -> int:
-    """Return a host's place in the order for a subject; the lowest comes first."""
+    """Return a host's place in the order for a subject, lowest first."""
     return xxhash.xxh64_intdigest(f"{host}\0{subject}".encode())
--- a/src/aspenbridge/jobs/__init__.py
+++ b/src/aspenbridge/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._claims import JobClaims
+from ._claims import JobClaims, my_turn
 from ._desk import JobDesk
 from ._directory import JobDirectory
 from ._ledger import JobLedger
@@ -21,4 +21,5 @@
     "JobWorker",
     "ResultPage",
     "SubmittedItem",
+    "my_turn",
 ]
--- a/src/aspenbridge/jobs/_desk.py
+++ b/src/aspenbridge/jobs/_desk.py
@@ -40,7 +40,9 @@
 class OwnedJobs(Protocol):
     """The batch jobs that this host runs."""
 
-    def adopt(self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]) -> None:
+    def adopt(
+        self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]
+    ) -> object:
         """Run a job that this host has just accepted."""
 
     def items(self, job_id: str) -> tuple[SubmittedItem, ...] | None:
@@ -48,7 +50,7 @@
 
 
 class JobDesk:
-    """Answers callers from the store and from this host's copy of the heads."""
+    """Answers callers from the store and this host's copy of the heads."""
 
     def __init__(
         self,
--- a/src/aspenbridge/jobs/_directory.py
+++ b/src/aspenbridge/jobs/_directory.py
@@ -10,7 +10,7 @@
 from ._records import JobHead
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterator
 
     from aspenbridge.ports import Change, Row
 
@@ -23,7 +23,7 @@
         self._waiting: dict[str, set[asyncio.Event]] = {}
         self.on_change: Callable[[str], None] = lambda job_id: None
 
-    def __iter__(self) -> Iterable[Stored[JobHead]]:
+    def __iter__(self) -> Iterator[Stored[JobHead]]:
         return iter(list(self._heads.values()))
 
     def get(self, job_id: str) -> Stored[JobHead] | None:
--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -12,6 +12,8 @@
 from aspenbridge.relay import EventError, EventSplitter
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from aspenbridge.fleet import EngineEntry
     from aspenbridge.ports import Clock, EngineCaller, RelayedAnswer
 
@@ -86,15 +88,7 @@
     if status != OK:
         return ItemRun(ItemOutcome.FAILED, f"status {status}")
     splitter = EventSplitter(state.last_event_id)
-    chunks = answer.body()
-    while True:
-        try:
-            async with asyncio.timeout(PAUSE_LIMIT_S):
-                chunk = await anext(chunks)
-        except StopAsyncIteration:
-            break
-        except TimeoutError as error:
-            raise AttemptError(CallOutcome.BROKEN, "engine is silent") from error
+    async for chunk in _timed(answer):
         try:
             events = splitter.feed(chunk)
         except EventError as error:
@@ -105,3 +99,17 @@
     if splitter.pending:
         raise AttemptError(CallOutcome.BROKEN, "stream ended within an event")
     return ItemRun(ItemOutcome.COMPLETE)
+
+
+async def _timed(answer: RelayedAnswer) -> AsyncIterator[bytes]:
+    """Yield the body; a pause that is too long breaks the run."""
+    chunks = answer.body()
+    while True:
+        try:
+            async with asyncio.timeout(PAUSE_LIMIT_S):
+                chunk = await anext(chunks)
+        except StopAsyncIteration:
+            return
+        except TimeoutError as error:
+            raise AttemptError(CallOutcome.BROKEN, "engine is silent") from error
+        yield chunk
--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -42,7 +42,7 @@
 
 
 class JobLedger:
-    """Conditional writes to the rows of jobs; each is lost with the ownership."""
+    """Conditional writes to jobs; they fail once the ownership is lost."""
 
     def __init__(
         self,
@@ -93,7 +93,7 @@
     async def _result(
         self, job: OwnedJob, finished: FinishedItem
     ) -> ResultRecord | None:
-        """Return the record of a result; None when its text can't be stored."""
+        """Return a result's record, or None if its text can't be stored."""
         index, text = finished.state.index, finished.text
         item_id = job.items[index].id
         if text is None or len(text.encode()) <= self._text_bytes:
@@ -107,7 +107,7 @@
     async def _write(
         self, job: OwnedJob, changes: Changes, head: JobHead, deadline_s: float
     ) -> bool:
-        """Write a job's head with other changes; tell whether it is written."""
+        """Write a job's head with other changes; tell whether it was."""
         key = job.stored.key
         committed = await self._store.commit(
             changes.put(key, head), deadline_s=deadline_s
@@ -127,7 +127,7 @@
         return True
 
     async def _refresh(self, job: OwnedJob) -> None:
-        """Read the head again; the directory tells the worker what it means."""
+        """Read the head again; the directory tells the worker of it."""
         read = await self._store.get(job.stored.key, JobHead)
         if isinstance(read, Failure) or (stored := read.unwrap()) is None:
             return
--- a/src/aspenbridge/jobs/_order.py
+++ b/src/aspenbridge/jobs/_order.py
@@ -25,7 +25,7 @@
 
 @attrs.define
 class Pace:
-    """Moving averages of an item's length and of the time that an event takes."""
+    """Moving averages of an item's length and of an event's time."""
 
     events: float = EVENTS_AT_FIRST
     event_s: float = FIRST_EVENT_S
@@ -62,7 +62,7 @@
     return sorted(
         found,
         key=lambda entry: (
-            not in_time(*entry, pace, wall_s),
+            not in_time(entry[0], entry[1], pace, wall_s),
             entry[0].head.due_wall_s,
             -len(entry[1].events),
         ),
@@ -76,7 +76,7 @@
     return sorted(
         runs,
         key=lambda entry: (
-            in_time(*entry, pace, wall_s),
+            in_time(entry[0], entry[1], pace, wall_s),
             -entry[0].head.due_wall_s,
             len(entry[1].events),
         ),
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -39,7 +39,7 @@
 logger = logging.getLogger(__name__)
 HEADROOM = 1  # places of an engine that batch items leave free
 # A report of what was started reaches the hosts of other regions in this time.
-START_SPACING_S = 0.06
+REPORT_DELAY_S = 0.06
 DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
 LISTING_RETRY_S = 0.3
 # Puts a backlog of items that can't be in time behind all others.
@@ -80,6 +80,8 @@
         self._listings: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self._pace = Pace()
+        self._announced_items = 0
+        self._heard_s = 0.0  # when the others know what waits here
         self._stopping = False
 
     def wake(self) -> None:
@@ -136,19 +138,19 @@
         while True:
             self._wake.clear()
             self._give_places_back()
-            spaced = self._start_items()
+            if self._start_items():
+                self._heard_s = self._clock.now_s() + REPORT_DELAY_S
+            pause_s = self._heard_s - self._clock.now_s()
             try:
                 async with asyncio.timeout(
-                    START_SPACING_S if spaced else DISPATCH_INTERVAL_S
+                    pause_s if pause_s > 0 else DISPATCH_INTERVAL_S
                 ):
                     await self._wake.wait()
             except TimeoutError:
                 continue
-            if spaced:
-                await asyncio.sleep(START_SPACING_S)
 
     async def hand_over(self, deadline_s: float) -> None:
-        """Stop all items and leave the jobs, with their progress, to others."""
+        """Stop all items; leave the jobs and their progress to others."""
         self._stopping = True
         tasks = list(self._runs)
         for task in tasks:
@@ -198,13 +200,13 @@
         return [(tasks[id(state)], job, state) for job, state in ordered]
 
     def _start_items(self) -> bool:
-        """Start items on the places dealt to this host; tell whether any did."""
+        """Start items on the places dealt to this host; tell if any did."""
         configuration = self._configuration()
         if self._stopping or configuration is None:
             return False
         waiting = self._waiting(configuration)
         self._note_backlog(waiting)
-        if not waiting:
+        if not waiting or not self._announced(len(waiting)):
             return False
         free = self._view.free_places(HEADROOM)
         places = deal_places(self._host, self._board.backlogs(self._host), free)
@@ -218,10 +220,18 @@
             self._note_backlog(self._waiting(configuration))
         return started > 0
 
+    def _announced(self, count: int) -> bool:
+        """Whether the other hosts have heard that these items wait."""
+        now_s = self._clock.now_s()
+        if count > self._announced_items and now_s >= self._heard_s:
+            self._heard_s = now_s + REPORT_DELAY_S
+        self._announced_items = count
+        return now_s >= self._heard_s
+
     def _waiting(
         self, configuration: Configuration
     ) -> list[tuple[OwnedJob, ItemState, Route]]:
-        """Return the items that may be tried now, in the order of their jobs."""
+        """Return the items that may be tried now, in their order."""
         waiting = []
         now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
         for job, state in ready_items(self._jobs.values(), self._pace, now_s, wall_s):
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -67,7 +67,7 @@
 
 
 class HttpEngineCaller:
-    """Sends requests to engines and checks that an answer is the request's own."""
+    """Sends requests to engines; checks that an answer is their own."""
 
     def __init__(self, session: aiohttp.ClientSession, clock: Clock) -> None:
         self._session = session
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Self, TypeVar
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from returns.result import Failure
 
 from aspenbridge.fleet import RouteKind
@@ -23,6 +22,10 @@
     from collections.abc import Awaitable, Callable
     from types import TracebackType
 
+    from aiohttp import StreamReader
+    from aiohttp.abc import AbstractStreamWriter
+    from aiohttp.http import RawRequestMessage
+    from aiohttp.web_protocol import RequestHandler
     from returns.result import Result
 
     from aspenbridge.entry import Address, EntryHost
@@ -32,7 +35,7 @@
 logger = logging.getLogger(__name__)
 LARGEST_BODY_BYTES = 16 * 1024 * 1024  # four times the largest limit configured
 LARGEST_HEADER_BYTES = 32 * 1024  # twice the largest limit configured
-# Callers reuse connections for four fifths of the idle limit, 15 s as configured.
+# Callers reuse connections for four fifths of the idle limit of 15 s.
 KEEPALIVE_S = 60.0
 LONGEST_WAIT_S = 5.0
 QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
@@ -261,7 +264,7 @@
         return _reply(ended, lambda _: web.Response(status=200))
 
 
-def _close_connections(server: web.Server[web.BaseRequest]) -> None:
+def _close_connections(server: web.Server) -> None:
     """Close at once; a request that is read now would not be answered."""
     for connection in server.connections:
         connection.force_close()
@@ -276,10 +279,10 @@
 
 
 def _request(
-    message: web.RawRequestMessage,
-    payload: object,
-    protocol: RequestHandler[web.BaseRequest],
-    writer: object,
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: RequestHandler,
+    writer: AbstractStreamWriter,
     task: asyncio.Task[None],
 ) -> web.BaseRequest:
     return web.BaseRequest(
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -11,6 +11,7 @@
 
 from aspenbridge.clock import SystemClock
 from aspenbridge.entry import EntryHost, EntryPorts, OperatorTables
+from aspenbridge.fleet import UdpDatagrams
 from aspenbridge.loop import settle_garbage_collector
 
 from . import _names as names
@@ -68,6 +69,7 @@
         feed=store,
         objects=store,
         caller=HttpEngineCaller(engine_session, clock),
+        datagrams=UdpDatagrams(),
         tables=OperatorTables(
             configuration_table=names.OPERATOR_TABLE,
             configuration_key=names.CONFIGURATION_KEY,
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -16,6 +16,7 @@
     Committed,
     Conflict,
     HistoryLost,
+    Page,
     Row,
     RowKey,
     RowRange,
@@ -33,6 +34,7 @@
 FEED_SLACK_S = 0.8  # beyond the wait that was asked for
 NOT_STARTED = (502, 503, 429)
 ROWS_PER_CALL = 500  # the most that one answer holds
+LAST_CHARACTER = "\U0010ffff"
 
 
 class StoreClient:
@@ -76,7 +78,7 @@
     async def read(
         self, keys: Sequence[RowKey]
     ) -> Result[tuple[Row | None, ...], Unavailable]:
-        """Return the rows in the order of the keys, each as of its own call."""
+        """Return the rows in the order of the keys, each read by itself."""
         found: list[Row | None] = []
         for key in keys:
             read = await self.rows(
@@ -87,10 +89,23 @@
             found.append(next(iter(read.unwrap().rows), None))
         return Success(tuple(found))
 
+    async def scan(
+        self, table: str, prefix: str, *, after: str = "", limit: int = ROWS_PER_CALL
+    ) -> Result[Page, Unavailable]:
+        """Return rows of the unnamed part whose key has the prefix."""
+        start = after + "\0" if after else prefix
+        read = await self.rows(table, start=start, end=prefix + LAST_CHARACTER)
+        if isinstance(read, Failure):
+            return read
+        found = read.unwrap()
+        rows = found.rows[:limit]
+        complete = found.complete and len(rows) == len(found.rows)
+        return Success(Page(rows, None if complete else rows[-1].key.key))
+
     async def rows(
         self, table: str, part: str = "", *, start: str = "", end: str = ""
     ) -> Result[RowRange, Unavailable]:
-        """Return rows of a part; not complete when one answer can't hold them."""
+        """Return rows of a part; one answer may not hold all."""
         query = {"table": table, "part": part}
         query |= {"from": start} if start else {}
         query |= {"to": end} if end else {}
@@ -122,7 +137,7 @@
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[ChangePage, Unavailable | HistoryLost]:
-        """Return what changed after a version; waits while there is nothing."""
+        """Return what changed after a version; wait if nothing did."""
         query = {
             "table": table,
             "after": str(after),
--- a/src/aspenbridge/ports/_feed.py
+++ b/src/aspenbridge/ports/_feed.py
@@ -57,4 +57,4 @@
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[ChangePage, Unavailable | HistoryLost]:
-        """Return what changed after a version; waits while there is nothing."""
+        """Return what changed after a version; wait if nothing did."""
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class RelayedCall:
-    """One request on its way to an engine; all but the deadline is unchanged."""
+    """A request on its way to an engine, unchanged but for its deadline."""
 
     request_id: str
     method: str
--- /dev/null
+++ b/tests/entry/test_entry_host.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import asyncio
+
+from tests.support.entry_fleet import EntryFleet, make_configuration, make_request
+from tests.support.virtual_loop import run_virtual
+
+
+def with_fleet(check, **options):
+    async def main(clock):
+        async with EntryFleet(clock, **options) as fleet:
+            return await check(fleet)
+
+    return run_virtual(main)
+
+
+def test_host_is_ready_once_it_has_read_a_configuration():
+    async def check(fleet):
+        fleet.store.away = {"late"}
+        late = await fleet.start("late")
+        await asyncio.sleep(3)
+        assert not late.ready
+        fleet.store.away = set()
+        await asyncio.sleep(1.5)
+        assert late.ready
+
+    with_fleet(check)
+
+
+def test_configuration_never_goes_back():
+    async def check(fleet):
+        fleet.configurations[b"7"] = make_configuration(7)
+        fleet.store.write("op", "config", b"7")
+        await asyncio.sleep(0.1)
+        fleet.store.write("op", "config", b"1")
+        fleet.store.forget_history()
+        await asyncio.sleep(2.5)
+        versions = {h.configuration.current.version for h in fleet.hosts.values()}
+        assert versions == {7}
+
+    with_fleet(check)
+
+
+def test_host_cut_from_the_store_goes_on_with_what_it_knows():
+    async def check(fleet):
+        fleet.store.away = {"h0"}
+        await asyncio.sleep(10)
+        assert fleet.hosts["h0"].ready
+        reply = await fleet.relay("h0", make_request())
+        assert reply.finished
+
+    with_fleet(check)
+
+
+def test_engine_that_drains_gets_no_request_after_the_change():
+    async def check(fleet):
+        fleet.store.write("servers", "e0", None)
+        await asyncio.sleep(0.1)
+        for number in range(6):
+            await fleet.relay("h0", make_request(f"r{number}"))
+        assert {run.engine for run in fleet.engines.runs} == {"e1"}
+
+    with_fleet(check)
+
+
+def test_new_host_hears_of_the_load_before_the_store_lists_it():
+    async def check(fleet):
+        tasks = [
+            asyncio.create_task(fleet.relay("h0", make_request(f"r{n}")))
+            for n in range(6)
+        ]
+        fleet.engines.event_s = 0.5
+        fleet.store.away = {"h0", "h1", "h2"}
+        late = await fleet.start("late")
+        await asyncio.sleep(2.2)
+        total = sum(late.board.load(engine).total for engine in fleet.entries)
+        assert total == 6
+        await asyncio.gather(*tasks)
+
+    with_fleet(check)
--- /dev/null
+++ b/tests/fleet/test_follower.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from aspenbridge.fleet import Follower
+from aspenbridge.ports import Check, Put, RowKey, Transaction
+from tests.support.entry_fleet import MemoryStore
+from tests.support.virtual_loop import run_virtual
+
+
+class RecordingCopy:
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+
+    def replace(self, rows):
+        self.values = {row.key.key: row.value for row in rows}
+
+    def change(self, change):
+        if change.value is None:
+            self.values.pop(change.key.key, None)
+        else:
+            self.values[change.key.key] = change.value
+
+
+def followed(check, *, parts=False):
+    async def main(clock):
+        store, copy = MemoryStore(), RecordingCopy()
+        follower = Follower(
+            store.client("h"), clock, random.Random(1), "t", copy, parts=parts
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1)
+        await check(store, follower, copy)
+        task.cancel()
+
+    run_virtual(main)
+
+
+def test_change_is_seen_at_once():
+    async def check(store, follower, copy):
+        store.write("t", "a", b"1")
+        await asyncio.sleep(0.05)
+        assert copy.values == {"a": b"1"}
+        store.write("t", "a", None)
+        await asyncio.sleep(0.05)
+        assert copy.values == {}
+
+    followed(check)
+
+
+@pytest.mark.parametrize("away_s", [1.0, 9.0, 40.0])
+def test_changes_during_an_outage_are_seen_soon_after_it(away_s):
+    async def check(store, follower, copy):
+        returns = []
+        follower.on_return = lambda: returns.append(dict(copy.values))
+        store.write("t", "a", b"1")
+        await asyncio.sleep(0.1)
+        store.away = {"h"}
+        await asyncio.sleep(away_s)
+        store.write("t", "a", None)
+        store.write("t", "b", b"2")
+        store.away = set()
+        await asyncio.sleep(2.5)
+        assert copy.values == {"b": b"2"}
+        # Told before the changes of the outage are taken in. No entry lapses
+        # within three heartbeats, so that a short outage may go unnoticed.
+        assert returns == ([{"a": b"1"}] if away_s > 3.6 else [])
+
+    followed(check)
+
+
+def test_table_is_read_again_when_its_history_is_lost():
+    async def check(store, follower, copy):
+        store.away = {"h"}
+        await asyncio.sleep(3.0)
+        store.write("t", "a", b"1")
+        store.forget_history()
+        store.away = set()
+        await asyncio.sleep(2.5)
+        assert copy.values == {"a": b"1"}
+        store.write("t", "b", b"2")
+        await asyncio.sleep(0.1)
+        assert copy.values == {"a": b"1", "b": b"2"}
+
+    followed(check)
+
+
+def test_rows_of_all_parts_are_read():
+    async def check(store, follower, copy):
+        store.away = {"h"}
+        await asyncio.sleep(3.0)
+        for part in ("p1", "p2"):
+            key = RowKey("t", f"in-{part}", part)
+            store.apply(Transaction(checks=(Check(key, 0),), puts=(Put(key, b"x"),)))
+        store.forget_history()
+        store.away = set()
+        await asyncio.sleep(2.5)
+        assert set(copy.values) == {"in-p1", "in-p2"}
+
+    followed(check, parts=True)
--- /dev/null
+++ b/tests/jobs/test_jobs.py
@@ -0,0 +1,308 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from aspenbridge.jobs import JobSubmission, SubmittedItem
+from aspenbridge.ports import CallOutcome
+from aspenbridge.result_codes import ResultCode
+from tests.support.entry_fleet import (
+    EntryFleet,
+    Fault,
+    make_configuration,
+    make_request,
+    make_route,
+)
+from tests.support.virtual_loop import run_virtual
+
+TEXT = "\n".join(f"t{n}" for n in range(10))
+
+
+def with_fleet(check, **options):
+    async def main(clock):
+        async with EntryFleet(clock, **options) as fleet:
+            return await check(fleet)
+
+    return run_virtual(main)
+
+
+def make_job(job_id="j1", items=3) -> JobSubmission:
+    listed = tuple(
+        SubmittedItem(f"{job_id}-{n}", f"/batch/{n}", (), b"body %d" % n)
+        for n in range(items)
+    )
+    return JobSubmission(job_id, "a.example", listed)
+
+
+async def submit(fleet, host, job):
+    entry = fleet.hosts[host]
+    route = entry.configuration.current.route_for("a.example", "/batch/")
+    return await entry.desk.submit(job, route)
+
+
+async def wait_done(fleet, host, job_id, total, limit_s=30.0):
+    until_s = fleet.clock.now_s() + limit_s
+    while fleet.clock.now_s() < until_s:
+        page = await fleet.hosts[host].desk.results(job_id, 0, 1.0)
+        if isinstance(page, Success) and len(page.unwrap().results) == total:
+            return page.unwrap().results
+        await asyncio.sleep(0.2)
+    raise AssertionError(f"{job_id} is not done after {limit_s} s")
+
+
+def test_items_complete_and_every_host_lists_the_same():
+    async def check(fleet):
+        assert await submit(fleet, "h0", make_job()) == Success(None)
+        listed = await wait_done(fleet, "h0", "j1", 3)
+        assert {r.item_id for r in listed} == {"j1-0", "j1-1", "j1-2"}
+        assert {r.text for r in listed} == {TEXT}
+        for host in ("h1", "h2"):
+            assert await wait_done(fleet, host, "j1", 3) == listed
+
+    with_fleet(check)
+
+
+def test_job_that_comes_again_is_accepted_once():
+    async def check(fleet):
+        results = await asyncio.gather(
+            *(submit(fleet, f"h{n}", make_job()) for n in (0, 1, 2, 0))
+        )
+        assert results == [Success(None)] * 4
+        await wait_done(fleet, "h0", "j1", 3)
+        await asyncio.sleep(3)
+        assert len(fleet.engines.runs) == 3
+
+    with_fleet(check)
+
+
+def test_accepted_job_whose_answer_was_lost_is_run_once():
+    async def check(fleet):
+        fleet.store.lose_answers = 1
+        assert await submit(fleet, "h0", make_job()) == Success(None)
+        await wait_done(fleet, "h0", "j1", 3)
+        assert len(fleet.engines.runs) == 3
+
+    with_fleet(check)
+
+
+def test_job_is_refused_truly_while_the_store_is_away():
+    async def check(fleet):
+        fleet.store.away = {"h0"}
+        refused = await submit(fleet, "h0", make_job())
+        assert refused.failure().code is ResultCode.STORE_UNAVAILABLE
+        fleet.store.away = set()
+        await asyncio.sleep(5)
+        missing = await fleet.hosts["h0"].desk.results("j1", 0, 0.0)
+        assert missing.failure().status == 404
+        assert not fleet.engines.runs
+
+    with_fleet(check)
+
+
+def test_unknown_job_is_not_called_missing_by_a_host_without_the_store():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        fleet.store.away = {"h1"}
+        await asyncio.sleep(4)
+        page = await fleet.hosts["h1"].desk.results("j2", 0, 0.0)
+        assert page.failure().status == 503
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize(
+    ("fault", "runs"), [(Fault(status=422), 1), (Fault(status=500), 3)]
+)
+def test_item_that_can_not_be_done_is_given_up_after_its_attempts(fault, runs):
+    async def check(fleet):
+        fleet.engines.faults["j1-0"] = [fault] * 5
+        await submit(fleet, "h0", make_job())
+        listed = {r.item_id: r.text for r in await wait_done(fleet, "h0", "j1", 3)}
+        assert listed == {"j1-0": None, "j1-1": TEXT, "j1-2": TEXT}
+        assert sum(r.request_id == "j1-0" for r in fleet.engines.runs) == runs
+
+    with_fleet(check)
+
+
+def test_item_goes_on_after_its_last_event_when_an_engine_breaks():
+    async def check(fleet):
+        fleet.engines.faults["j1-0"] = [Fault(break_after=6)]
+        await submit(fleet, "h0", make_job())
+        listed = {r.item_id: r.text for r in await wait_done(fleet, "h0", "j1", 3)}
+        assert listed["j1-0"] == TEXT
+        assert [r.resume_after for r in fleet.engines.runs if "-0" in r.request_id] == [
+            None,
+            5,
+        ]
+
+    with_fleet(check)
+
+
+def test_another_host_finishes_the_job_of_a_killed_one():
+    async def check(fleet):
+        fleet.engines.event_s = 0.2
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.5)
+        await fleet.kill("h0")
+        listed = await wait_done(fleet, "h1", "j1", 3, limit_s=12)
+        assert {r.text for r in listed} == {TEXT}
+
+    with_fleet(check)
+
+
+def test_all_hosts_killed_after_the_acknowledgement_lose_nothing():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        for name in ("h0", "h1", "h2"):
+            await fleet.kill(name)
+        for name in ("h0", "h1", "h2"):
+            await fleet.start(name)
+        listed = await wait_done(fleet, "h2", "j1", 3, limit_s=12)
+        assert {r.text for r in listed} == {TEXT}
+
+    with_fleet(check)
+
+
+def test_host_that_lost_its_job_unawares_can_not_list_results():
+    async def check(fleet):
+        fleet.engines.event_s = 0.6
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.5)
+        fleet.store.away = {"h0"}
+        listed = await wait_done(fleet, "h1", "j1", 3, limit_s=25)
+        fleet.store.away = set()
+        await asyncio.sleep(5)
+        assert await wait_done(fleet, "h0", "j1", 3) == listed
+        assert await wait_done(fleet, "h2", "j1", 3) == listed
+
+    with_fleet(check)
+
+
+def test_host_that_leaves_hands_its_progress_over():
+    async def check(fleet):
+        fleet.engines.event_s = 0.2
+        await submit(fleet, "h0", make_job(items=1))
+        await asyncio.sleep(1.3)
+        await fleet.hosts["h0"].hand_over()
+        await wait_done(fleet, "h1", "j1", 1, limit_s=4)
+        first, second = fleet.engines.runs
+        assert second.resume_after == first.events[-1]
+
+    with_fleet(check)
+
+
+def test_ended_job_runs_no_more_and_keeps_what_is_listed():
+    async def check(fleet):
+        fleet.engines.event_s = 0.5
+        await submit(fleet, "h0", make_job(items=30))
+        await asyncio.sleep(5.5)
+        assert await fleet.hosts["h1"].desk.end("j1") == Success(None)
+        assert await fleet.hosts["h2"].desk.end("j1") == Success(None)
+        await asyncio.sleep(0.5)
+        runs = len(fleet.engines.runs)
+        assert all(run.ended_s is not None for run in fleet.engines.runs)
+        page = (await fleet.hosts["h2"].desk.results("j1", 0, 0.0)).unwrap()
+        assert 0 < len(page.results) < 30
+        await asyncio.sleep(10)
+        assert len(fleet.engines.runs) == runs
+
+    with_fleet(check)
+
+
+def test_items_of_a_dropped_route_are_given_up():
+    async def check(fleet):
+        fleet.engines.event_s = 0.3
+        await submit(fleet, "h0", make_job(items=20))
+        fleet.configurations[b"2"] = make_configuration(2, [make_route()])
+        fleet.store.write("op", "config", b"2")
+        listed = await wait_done(fleet, "h0", "j1", 20)
+        assert None in {r.text for r in listed}
+
+    with_fleet(check)
+
+
+def test_body_is_the_same_at_every_host_and_unknown_items_are_missing():
+    async def check(fleet):
+        fleet.engines.event_s = 1.0
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.2)
+        for host in fleet.hosts.values():
+            assert await host.desk.body("j1", "j1-1") == Success(b"body 1")
+        missing = await fleet.hosts["h1"].desk.body("j1", "j1-9")
+        assert missing.failure().status == 404
+
+    with_fleet(check)
+
+
+def test_text_that_no_row_can_hold_is_kept_whole():
+    async def check(fleet):
+        fleet.engines.events = 12_000
+        fleet.engines.event_s = 0.0001
+        await submit(fleet, "h0", make_job(items=1))
+        listed = await wait_done(fleet, "h1", "j1", 1)
+        assert listed[0].text == "\n".join(f"t{n}" for n in range(12_000))
+
+    with_fleet(check)
+
+
+def test_refused_runs_are_no_failed_attempts():
+    async def check(fleet):
+        refused = Fault(outcome=CallOutcome.REFUSED)
+        fleet.engines.faults["j1-0"] = [refused] * 6
+        await submit(fleet, "h0", make_job())
+        listed = await wait_done(fleet, "h0", "j1", 3)
+        assert {r.text for r in listed} == {TEXT}
+
+    with_fleet(check)
+
+
+def test_batch_yields_its_places_to_an_online_burst_of_other_hosts():
+    """Two engines full of items get fourteen streams through other hosts."""
+
+    async def check(fleet):
+        fleet.engines.events = 100
+        await submit(fleet, "h0", make_job(items=40))
+        await asyncio.sleep(1.0)
+        loads = [fleet.hosts["h0"].board.load(e).batch for e in fleet.entries]
+        assert min(loads) >= 7
+        started_s = fleet.clock.now_s()
+        replies = await asyncio.gather(
+            *(fleet.relay(f"h{1 + n % 2}", make_request(f"r{n}")) for n in range(14))
+        )
+        for reply in replies:
+            assert reply.finished
+            assert reply.first_s - started_s <= 0.3
+
+    with_fleet(check)
+
+
+def test_waiting_items_of_many_hosts_fill_the_engines_without_collisions():
+    async def check(fleet):
+        fleet.engines.events = 100
+        for number in range(3):
+            await submit(fleet, f"h{number}", make_job(f"j{number}", 10))
+        await asyncio.sleep(1.5)
+        board = fleet.hosts["h0"].board
+        loads = [board.load(e).total for e in fleet.entries]
+        assert all(7 <= load <= 8 for load in loads)
+        cut = [r for r in fleet.engines.runs if r.ended_s and len(r.events) < 100]
+        assert len(cut) <= 3
+
+    with_fleet(check)
+
+
+def test_failure_of_the_store_during_listing_is_made_up_for():
+    async def check(fleet):
+        fleet.engines.event_s = 0.1
+        await submit(fleet, "h0", make_job())
+        fleet.store.away = {"*"}
+        await asyncio.sleep(6)
+        page = await fleet.hosts["h0"].desk.results("j1", 0, 0.0)
+        assert isinstance(page, Failure)
+        fleet.store.away = set()
+        listed = await wait_done(fleet, "h1", "j1", 3, limit_s=15)
+        assert {r.text for r in listed} == {TEXT}
+
+    with_fleet(check)
