--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -28,18 +28,27 @@
 )
 
 
-class AbortingHandler(ResponseHandler):
+class EngineConnection(ResponseHandler):
     """
-    Resets its connection instead of closing it.
+    A connection that carries one request to an engine.
 
-    A close would first send what is still buffered, and the engine would begin
-    to work on a request that nobody waits for.
+    It is reset when it is closed: a close would first send what is buffered,
+    and the engine would begin a request that nobody waits for. A body without
+    a length is not complete when the engine resets the connection; the library
+    takes any end of the connection for the end of such a body.
     """
 
     def close(self) -> None:
         """Reset the connection."""
         self.abort()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Break the body that is being read off when there was an error."""
+        body = self._payload
+        if exc is not None and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        super().connection_lost(exc)
+
 
 class NumericConnector(aiohttp.TCPConnector):
     """
@@ -93,7 +102,7 @@
     """
     connector = NumericConnector(limit=0, force_close=True)
     loop = asyncio.get_running_loop()
-    connector.make_protocol = lambda: AbortingHandler(loop)
+    connector.make_protocol = lambda: EngineConnection(loop)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- /dev/null
+++ b/tests/platform/test_decode.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import base64
+import json
+
+import pytest
+
+from aspenbridge.fleet import RouteKind
+from aspenbridge.jobs import ItemResult, ResultPage
+from aspenbridge.platform._decode import (
+    MessageError,
+    decode_configuration,
+    decode_engine,
+    decode_submission,
+    encode_results,
+)
+from aspenbridge.platform._settings import SettingsError, load_entry_settings
+
+ENGINE = {
+    "service": "llm",
+    "addr": "10.0.0.9:8080",
+    "zone": "a-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 4,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "A.example",
+    "prefix": "/a/",
+    "routeKind": "streaming",
+    "timeoutMs": 5000,
+    "latencyGoalMs": 300,
+    "priority": 0,
+    "service": "llm",
+    "maxAttempts": 2,
+    "resumable": True,
+    "gapTargetMs": 300,
+}
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 4194304,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+
+
+def configuration(**route):
+    fields = {"version": 7, "routes": [ROUTE | route], "limits": LIMITS}
+    return decode_configuration(json.dumps(fields).encode())
+
+
+def test_route_is_decoded_into_seconds_and_kinds():
+    route = configuration().routes[0]
+    assert (route.host, route.kind) == ("a.example", RouteKind.STREAMING)
+    assert (route.request_limit_s, route.goal_s) == (5.0, 0.3)
+    assert route.repeatable
+    assert route.targets[0].service == "llm"
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        ("streaming", False, False),
+        ("idempotent", False, True),
+        ("non_idempotent", False, False),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(kind, resumable, repeatable):
+    route = configuration(routeKind=kind, resumable=resumable).routes[0]
+    assert route.repeatable is repeatable
+
+
+def test_split_route_keeps_its_weights():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    targets = configuration(split=split).routes[0].targets
+    assert [(t.service, t.weight) for t in targets] == [("a", 90.0), ("b", 10.0)]
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"version": 1}', b"\xff"])
+def test_configuration_that_can_not_be_read_is_an_error(value):
+    with pytest.raises(MessageError):
+        decode_configuration(value)
+
+
+def test_engine_is_decoded():
+    engine = decode_engine("i-1", json.dumps(ENGINE).encode())
+    assert (engine.id, engine.address, engine.slots) == ("i-1", "10.0.0.9:8080", 8)
+    assert not engine.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"slots": "8"},
+        {"slots": 0},
+        {"slots": True},
+        {"addr": 8080},
+        {"addr": "10.0.0.9"},
+        {"service": ""},
+        {"service": 5},
+        {"zone": None},
+        {"coldLeftMs": "soon"},
+        {"born": "x"},
+    ],
+)
+def test_engine_row_of_another_writer_names_no_engine(change):
+    with pytest.raises(MessageError):
+        decode_engine("i-1", json.dumps(ENGINE | change).encode())
+
+
+@pytest.mark.parametrize("value", [b"", b"null", b"\xff\xfe", b"[1]", b"{}"])
+def test_engine_row_that_can_not_be_read_is_an_error(value):
+    with pytest.raises(MessageError):
+        decode_engine("i-1", value)
+
+
+def test_submission_keeps_items_as_they_were_sent():
+    item = {
+        "id": "x",
+        "path": "/a/1?b=c",
+        "headers": {"Some-Header": "1,2"},
+        "body": base64.b64encode(b"\x00\xff").decode(),
+        "tokens": 5,
+    }
+    body = json.dumps({"requests": [item]}).encode()
+    submission = decode_submission("j", "a.example", body)
+    assert submission.items[0].target == "/a/1?b=c"
+    assert submission.items[0].headers == (("Some-Header", "1,2"),)
+    assert submission.items[0].body == b"\x00\xff"
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"requests": []}', b'{"requests": [{"id": "x"}]}']
+)
+def test_submission_that_can_not_be_read_is_an_error(body):
+    with pytest.raises(MessageError):
+        decode_submission("j", "a.example", body)
+
+
+def test_results_name_the_next_position():
+    page = ResultPage(9, 4, (ItemResult("x", "a\nb"), ItemResult("y", None)))
+    assert json.loads(encode_results(page)) == {
+        "total": 9,
+        "nextToken": 6,
+        "results": [
+            {"id": "x", "state": "completed", "text": "a\nb"},
+            {"id": "y", "state": "dead_letter", "text": ""},
+        ],
+    }
+
+
+def test_settings_name_the_key_that_is_missing(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text('nodeName = "h"\n')
+    with pytest.raises(SettingsError, match="'listen'"):
+        load_entry_settings(path)
+    path.write_text("no toml")
+    with pytest.raises(SettingsError, match=r"node\.toml"):
+        load_entry_settings(path)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,139 @@
+"""The store's client against a stand-in over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import web
+from returns.result import Failure, Success
+
+from aspenbridge.loop import NumericLoop
+from aspenbridge.platform._connections import open_store_session
+from aspenbridge.platform._store import StoreClient
+from aspenbridge.ports import (
+    Check,
+    Conflict,
+    Delete,
+    HistoryLost,
+    Put,
+    Row,
+    RowKey,
+    Transaction,
+    Unavailable,
+)
+
+KEY = RowKey("t", "k", "p1")
+WIRE_ROW = {
+    "table": "t",
+    "part": "p1",
+    "key": "k",
+    "value": base64.b64encode(b"v").decode(),
+    "ver": 5,
+}
+
+
+@asynccontextmanager
+async def store(handle):
+    server = web.Server(handle)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with open_store_session() as session:
+        yield StoreClient(session, f"127.0.0.1:{port}")
+    listener.close()
+    await server.shutdown(0.1)
+
+
+def answered(status, body, call):
+    """Return the result of a call and the request that the store saw."""
+    seen = []
+
+    async def handle(request):
+        seen.append((request.method, request.path_qs, await request.read()))
+        if status is None:
+            request.transport.abort()
+        return web.Response(status=status or 200, body=json.dumps(body).encode())
+
+    async def main():
+        async with store(handle) as client:
+            return await call(client)
+
+    with asyncio.Runner(loop_factory=NumericLoop) as runner:
+        return runner.run(main()), seen[0]
+
+
+def transact(client):
+    return client.transact(
+        Transaction(
+            checks=(Check(KEY, 0),),
+            puts=(Put(KEY, b"v"),),
+            deletes=(Delete(RowKey("t", "old", "p1")),),
+        )
+    )
+
+
+def test_transaction_is_written_as_the_store_reads_it():
+    result, (method, path, body) = answered(200, {"ver": 9, "nowMs": 1}, transact)
+    assert result.unwrap().versions == {KEY: 9}
+    assert (method, path) == ("POST", "/rows-tx")
+    key = {"table": "t", "part": "p1", "key": "k"}
+    assert json.loads(body) == {
+        "expectedRev": [key | {"ver": 0}],
+        "setKeys": [key | {"value": WIRE_ROW["value"]}],
+        "remove": [key | {"key": "old"}],
+    }
+
+
+def test_conflict_tells_the_rows_as_they_are():
+    result, _ = answered(412, {"rows": [WIRE_ROW]}, transact)
+    assert result == Failure(Conflict({KEY: Row(KEY, b"v", 5)}))
+
+
+@pytest.mark.parametrize(
+    ("status", "maybe_applied"), [(503, False), (429, False), (500, True), (None, True)]
+)
+def test_call_without_an_answer_may_have_been_applied(status, maybe_applied):
+    result, _ = answered(status, {}, transact)
+    error = result.failure()
+    assert isinstance(error, Unavailable)
+    assert error.maybe_applied is maybe_applied
+
+
+def test_changes_mark_removed_rows():
+    gone = {"table": "t", "key": "x", "tombstone": True, "ver": 6}
+    result, (_, path, _) = answered(
+        200, {"rows": [WIRE_ROW, gone], "ver": 8}, lambda c: c.changes("t", 4, 0.5)
+    )
+    page = result.unwrap()
+    assert [change.value for change in page.changes] == [b"v", None]
+    assert page.version == 8
+    assert path == "/rows-feed?table=t&after=4&waitMs=500"
+
+
+def test_lost_history_is_told_from_an_outage():
+    result, _ = answered(410, {}, lambda c: c.changes("t", 4, 0.5))
+    assert result == Failure(HistoryLost())
+
+
+def test_range_tells_whether_it_is_complete():
+    result, (_, path, _) = answered(
+        200,
+        {"rows": [WIRE_ROW], "hasMore": True, "ver": 7},
+        lambda c: c.rows("t", "p1", start="a", end="z"),
+    )
+    assert not result.unwrap().complete
+    assert path == "/rows-get?table=t&part=p1&from=a&to=z"
+
+
+def test_object_that_exists_is_left_and_a_missing_one_is_none():
+    assert answered(412, {}, lambda c: c.put("a", b"x"))[0] == Success(None)
+    assert answered(404, {}, lambda c: c.get("a"))[0] == Success(None)
+
+
+def test_full_store_is_an_outage():
+    result, _ = answered(507, {}, lambda c: c.put("a", b"x"))
+    assert isinstance(result.failure(), Unavailable)
