Serve metrics as text, follow the settings file, remove old jobs

Also: a connection whose caller was not told that it closes stays open after SIGTERM; the new process test failed first (a request on it got no answer).

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -25,6 +25,7 @@
     JobDesk,
     JobDirectory,
     JobLedger,
+    JobSweep,
     JobWorker,
 )
 from aspenbridge.relay import OnlinePlacing, Relay
@@ -128,6 +129,14 @@
             clock,
             self.incarnation,
         )
+        self._sweep = JobSweep(
+            settings.host,
+            self._heads,
+            self.hosts,
+            ledger,
+            clock,
+            settings.bounds.results_kept_s,
+        )
         self._followers = self._make_followers()
         self._follow_configuration, _, _, heads = self._followers
         self._followers[1].on_return = directory.store_returned
@@ -175,15 +184,16 @@
         await self._stack.enter_async_context(self.exchange)
         self._stack.push_async_callback(self._stop_tasks)
         for follower in self._followers:
-            self._start(follower.run())
+            self.start(follower.run())
         for coroutine in (
             self._heartbeat.run(),
             self.exchange.run(),
             self.worker.run(),
             self._claims.run(),
+            self._sweep.run(),
             self._enable_claims(),
         ):
-            self._start(coroutine)
+            self.start(coroutine)
         return self
 
     async def __aexit__(
@@ -208,7 +218,8 @@
         self._claims.enabled = True
         await asyncio.Event().wait()
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine that ends only when the host does."""
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._ended)
         self._tasks.append(task)
--- a/src/aspenbridge/jobs/__init__.py
+++ b/src/aspenbridge/jobs/__init__.py
@@ -8,6 +8,7 @@
 from ._ledger import JobLedger
 from ._messages import ItemResult, JobSubmission, ResultPage, SubmittedItem
 from ._records import HEADS_TABLE
+from ._sweep import JobSweep
 from ._worker import JobWorker
 
 __all__ = [
@@ -18,6 +19,7 @@
     "JobDirectory",
     "JobLedger",
     "JobSubmission",
+    "JobSweep",
     "JobWorker",
     "ResultPage",
     "SubmittedItem",
--- a/src/aspenbridge/jobs/_claims.py
+++ b/src/aspenbridge/jobs/_claims.py
@@ -13,7 +13,7 @@
 import attrs
 
 from aspenbridge.fleet import rank
-from aspenbridge.observability import log_decision
+from aspenbridge.observability import log_decision, metrics
 
 from ._records import JobState
 
@@ -124,4 +124,5 @@
             version=stored.version,
         )
         if claimed is not None:
+            metrics.JOBS.labels("claimed").inc()
             self._worker.adopt(claimed, items).restore(progress)
--- a/src/aspenbridge/jobs/_desk.py
+++ b/src/aspenbridge/jobs/_desk.py
@@ -7,7 +7,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from aspenbridge.observability import log_decision
+from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes, Stored, decode_record
@@ -94,6 +94,7 @@
         fresh = Stored(key, head, committed.unwrap().versions[key])
         self._directory.take(fresh)
         self._owned.adopt(fresh, submission.items)
+        metrics.JOBS.labels("accepted").inc()
         log_decision("job accepted", job=head.id, items=head.total, route=route.name)
         return Success(None)
 
@@ -116,6 +117,7 @@
         if isinstance(error, Conflict):
             log_decision("job known", job=job_id)
             return Success(None)
+        metrics.JOBS.labels("not accepted").inc()
         log_decision("job not accepted", job=job_id, reason=error.reason)
         return Failure(_store_down(error, maybe_applied=error.maybe_applied))
 
--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -28,13 +28,22 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
+    from returns.result import Result
+
+    from aspenbridge.ports import (
+        ChangeFeed,
+        Clock,
+        Committed,
+        ObjectStore,
+        Unavailable,
+    )
     from aspenbridge.store import Store
 
     from ._directory import JobDirectory
     from ._messages import SubmittedItem
     from ._owned import FinishedItem, ItemState, OwnedJob
 
+ROWS_AT_ONCE = 90  # a transaction takes 100 rows
 LISTED_AT_ONCE = 20  # a transaction takes 100 rows
 BYTES_AT_ONCE = 500_000  # and one megabyte, in base64
 ROW_TEXT_SHARE = 0.6  # of a row's limit; JSON may escape characters
@@ -147,6 +156,27 @@
             changes.put(progress_key(head.id, state.index), _progress(state))
         return await self._write(job, changes, head, deadline_s)
 
+    async def remove(
+        self, stored: Stored[JobHead]
+    ) -> Result[Committed, Conflict | Unavailable]:
+        """Remove a job's rows and its items; the head goes last."""
+        head = stored.record
+        deadline_s = self._clock.now_s() + COMMIT_LIMIT_S
+        keys = [result_key(head.id, place) for place in range(len(head.listed))]
+        keys += [progress_key(head.id, item) for item in range(head.total)]
+        for first in range(0, len(keys), ROWS_AT_ONCE):
+            changes = Changes()
+            for key in keys[first : first + ROWS_AT_ONCE]:
+                changes.delete(key)
+            removed = await self._store.commit(changes, deadline_s=deadline_s)
+            if isinstance(removed, Failure):
+                return removed
+        dropped = await self._objects.delete(items_object(head.id))
+        if isinstance(dropped, Failure):
+            return dropped
+        changes = Changes().unchanged(stored).delete(stored.key)
+        return await self._store.commit(changes, deadline_s=deadline_s)
+
     async def claim(self, stored: Stored[JobHead]) -> Stored[JobHead] | None:
         """Make this host the owner; None when another one was faster."""
         head = attrs.evolve(stored.record, owner=self._incarnation)
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -16,7 +16,7 @@
     from ._records import JobHead, ProgressRecord
 
 RETRY_PAUSE_S = 0.1  # an engine frees a place about this often
-LONGEST_RETRY_PAUSE_S = 1.0
+MOST_DOUBLINGS = 6  # 6.4 s; an engine that crashed is back by then
 
 
 @attrs.define
@@ -27,6 +27,8 @@
     events: list[str] = attrs.field(factory=list)
     last_event_id: int | None = None
     failures: int = 0
+    breaks: int = 0  # runs in a row that ended without a new event
+    events_at_pause: int = 0
     not_before_s: float = 0.0
     saved: bool = False  # the store has a progress row
 
@@ -37,8 +39,10 @@
         self.saved = True
 
     def pause(self, now_s: float) -> None:
-        """Wait before the next try, longer after each failure."""
-        pause_s = min(RETRY_PAUSE_S * (1 + self.failures), LONGEST_RETRY_PAUSE_S)
+        """Wait before the next try, twice as long after each in vain."""
+        self.events_at_pause = len(self.events)
+        tries = min(self.failures + self.breaks, MOST_DOUBLINGS)
+        pause_s = RETRY_PAUSE_S * 2**tries
         self.not_before_s = now_s + pause_s
 
 
--- /dev/null
+++ b/src/aspenbridge/jobs/_sweep.py
@@ -0,0 +1,71 @@
+"""Removes jobs whose results need not be kept any longer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from aspenbridge.fleet import rank
+from aspenbridge.observability import log_decision
+
+from ._records import JobState
+
+if TYPE_CHECKING:
+    from aspenbridge.fleet import HostTable
+    from aspenbridge.ports import Clock
+    from aspenbridge.store import Stored
+
+    from ._directory import JobDirectory
+    from ._ledger import JobLedger
+    from ._records import JobHead
+
+SWEEP_INTERVAL_S = 10.0  # a small part of the time that results are kept
+CLOCK_SLACK_S = 10.0  # more than the clocks of hosts differ by, steps included
+
+
+class JobSweep:
+    """Removes old jobs; each is the task of one living host."""
+
+    def __init__(
+        self,
+        host: str,
+        directory: JobDirectory,
+        hosts: HostTable,
+        ledger: JobLedger,
+        clock: Clock,
+        kept_s: float,
+    ) -> None:
+        self._host = host
+        self._directory = directory
+        self._hosts = hosts
+        self._ledger = ledger
+        self._clock = clock
+        self._kept_s = kept_s
+
+    async def run(self) -> None:
+        """Look for old jobs until cancelled."""
+        while True:
+            await self._clock.sleep_until(self._clock.now_s() + SWEEP_INTERVAL_S)
+            for stored in self._directory:
+                if self._is_old(stored.record) and self._is_mine(stored.record.id):
+                    await self._remove(stored)
+
+    def _is_old(self, head: JobHead) -> bool:
+        if head.state is JobState.OPEN:
+            return False
+        age_s = self._clock.wall_s() - head.accepted_wall_s
+        return age_s > self._kept_s + CLOCK_SLACK_S
+
+    def _is_mine(self, job_id: str) -> bool:
+        live = {self._host, *(record.host for record in self._hosts.live())}
+        return min(live, key=lambda host: rank(host, job_id)) == self._host
+
+    async def _remove(self, stored: Stored[JobHead]) -> None:
+        removed = await self._ledger.remove(stored)
+        if isinstance(removed, Failure):
+            log_decision(
+                "job not removed", job=stored.record.id, reason=str(removed.failure())
+            )
+        else:
+            log_decision("job removed", job=stored.record.id)
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from aspenbridge.fleet import NO_BACKLOG, Backlog, deal_places, items_to_stop
-from aspenbridge.observability import log_decision
+from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
@@ -175,6 +175,7 @@
                 self._board.by_host(engine_id),
             )
             for task, job, state in self._leaving(engine_id)[:count]:
+                metrics.ITEM_YIELDS.inc()
                 log_decision(
                     "item yields",
                     job=job.head.id,
@@ -302,6 +303,7 @@
             state,
             self._clock.now_s() + left_s,
         )
+        metrics.ITEM_RUNS.labels(run.outcome.value).inc()
         log_decision(
             "item run",
             job=job.head.id,
@@ -339,6 +341,8 @@
                 self._finish(job, state, None, run.reason)
                 return
         job.requeue(state)
+        grown = len(state.events) > state.events_at_pause
+        state.breaks = 0 if grown else state.breaks + 1
         state.pause(self._clock.now_s())
 
     def _finish(
--- a/src/aspenbridge/observability/__init__.py
+++ b/src/aspenbridge/observability/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from . import _metrics as metrics
 from ._lines import LineHandler, configure_decision_log, log_decision
+from ._metrics import metrics_text
 
-__all__ = ["LineHandler", "configure_decision_log", "log_decision"]
+__all__ = [
+    "LineHandler",
+    "configure_decision_log",
+    "log_decision",
+    "metrics",
+    "metrics_text",
+]
--- a/src/aspenbridge/observability/_lines.py
+++ b/src/aspenbridge/observability/_lines.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ._metrics import LINES_DROPPED
+
 LINES_PER_S = 200  # ten times what the heaviest day measured for one host
 BURST_LINES = 400
 DECISION = "decision"
@@ -49,13 +51,17 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record, or count it as dropped."""
         if not self._allowed(record):
-            self.dropped += 1
+            self._drop()
             return
         line = self._encoder.encode(self._fields(record)) + b"\n"
         if self._write(line):
             self.dropped = 0
         else:
-            self.dropped += 1
+            self._drop()
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        LINES_DROPPED.inc()
 
     def _allowed(self, record: logging.LogRecord) -> bool:
         now_s = time.monotonic()
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -10,8 +10,10 @@
 from aiohttp import web
 from returns.result import Failure
 
+from aspenbridge.entry import Address
 from aspenbridge.fleet import RouteKind
 from aspenbridge.loop import listening_socket
+from aspenbridge.observability import metrics_text
 from aspenbridge.relay import CallerRequest
 from aspenbridge.result_codes import Problem, ResultCode
 
@@ -28,7 +30,7 @@
     from aiohttp.web_protocol import RequestHandler
     from returns.result import Result
 
-    from aspenbridge.entry import Address, EntryHost
+    from aspenbridge.entry import EntryHost
     from aspenbridge.fleet import Configuration
     from aspenbridge.ports import AnswerHead
 
@@ -38,6 +40,7 @@
 # Callers reuse connections for four fifths of the idle limit of 15 s.
 KEEPALIVE_S = 60.0
 LONGEST_WAIT_S = 5.0
+METRICS_PORT = 9464  # as in deploy/system.toml
 QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
 DEFAULT_DEADLINE_S = 30.0
 JSON = "application/json"
@@ -122,7 +125,12 @@
 
     async def __aenter__(self) -> Self:
         ready = web.Server(self._handle_ready, access_log=None)
-        for server, address in ((ready, self._readiness), (self._web, self._callers)):
+        metrics = web.Server(_handle_metrics, access_log=None)
+        for server, address in (
+            (metrics, Address(self._callers.ip, METRICS_PORT)),
+            (ready, self._readiness),
+            (self._web, self._callers),
+        ):
             sock = listening_socket(address.ip, address.port)
             self._stack.callback(sock.close)
             loop = asyncio.get_running_loop()
@@ -173,7 +181,8 @@
         self._idle.clear()
         try:
             response = await self._serve(request)
-            if self._host.leaving:
+            # A caller that was not told may use the connection again.
+            if self._host.leaving and not response.prepared:
                 response.force_close()
             return response
         finally:
@@ -264,6 +273,10 @@
         return _reply(ended, lambda _: web.Response(status=200))
 
 
+async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(body=metrics_text(), content_type="text/plain")
+
+
 def _close_connections(server: web.Server) -> None:
     """Close at once; a request that is read now would not be answered."""
     for connection in server.connections:
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -19,6 +19,7 @@
 from ._decode import decode_configuration, decode_engine
 from ._engine_calls import HttpEngineCaller
 from ._ingress import Ingress
+from ._reload import SettingsWatch
 from ._settings import load_entry_settings, settings_path
 from ._store import StoreClient
 
@@ -38,7 +39,8 @@
     :return: the exit code of the process; not 0 after the death of a task.
     :raises SettingsError: when the settings can't be read.
     """
-    settings = load_entry_settings(settings_path())
+    path = settings_path()
+    settings = load_entry_settings(path)
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -46,7 +48,11 @@
     loop.add_signal_handler(signal.SIGHUP, reloading.set)
     logger.info("host %s starts", settings.host)
     async with AsyncExitStack() as stack:
-        host, ingress = await _open(stack, settings)
+        host, ingress, store = await _open(stack, settings)
+        watch = SettingsWatch(
+            path, settings, reloading, lambda new: store.move_to(str(new.store))
+        )
+        host.start(watch.run())
         settle_garbage_collector()
         logger.info("host %s listens on %s", settings.host, settings.callers)
         await _stopped_or_faulty(stopping, host)
@@ -57,7 +63,7 @@
 
 async def _open(
     stack: AsyncExitStack, settings: EntrySettings
-) -> tuple[EntryHost, Ingress]:
+) -> tuple[EntryHost, Ingress, StoreClient]:
     clock = SystemClock()
     store_session = await stack.enter_async_context(open_store_session())
     engine_session = await stack.enter_async_context(open_engine_session())
@@ -82,7 +88,7 @@
     ingress = Ingress(host, settings.callers, settings.readiness)
     await stack.enter_async_context(host)
     await stack.enter_async_context(ingress)
-    return host, ingress
+    return host, ingress, store
 
 
 async def _stopped_or_faulty(stopping: asyncio.Event, host: EntryHost) -> None:
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import time
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -10,6 +11,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from aspenbridge.observability import metrics
 from aspenbridge.ports import (
     Change,
     ChangePage,
@@ -44,6 +46,10 @@
         self._session = session
         self._base = f"http://{address}"
 
+    def move_to(self, address: str) -> None:
+        """Send further calls to another address."""
+        self._base = f"http://{address}"
+
     async def transact(
         self, transaction: Transaction
     ) -> Result[Committed, Conflict | Unavailable]:
@@ -200,6 +206,7 @@
         good: tuple[int, ...] = (200,),
         limit_s: float = CALL_LIMIT_S,
     ) -> Result[tuple[int, bytes], Unavailable]:
+        started_s = time.perf_counter()
         sent_headers = {"Content-Type": "application/json"} | (headers or {})
         try:
             async with self._session.request(
@@ -212,10 +219,13 @@
             ) as response:
                 reply = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            _measure(path, "not sent", started_s)
             return Failure(Unavailable(str(error), maybe_applied=False))
         except (aiohttp.ClientError, TimeoutError) as error:
+            _measure(path, "no answer", started_s)
             reason = str(error) or type(error).__name__
             return Failure(Unavailable(reason, maybe_applied=True))
+        _measure(path, str(response.status), started_s)
         if response.status in good:
             return Success((response.status, reply))
         return Failure(
@@ -226,6 +236,14 @@
         )
 
 
+def _measure(path: str, outcome: str, started_s: float) -> None:
+    if path == names.CHANGES_PATH:
+        return  # waits for as long as it was asked to
+    call = path.split("/")[1]
+    duration_s = time.perf_counter() - started_s
+    metrics.STORE_CALL_S.labels(call, outcome).observe(duration_s)
+
+
 def _wire_key(key: RowKey) -> dict[str, Any]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -10,7 +10,7 @@
 import attrs
 
 from aspenbridge.fleet import Refused, RouteKind
-from aspenbridge.observability import log_decision
+from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.result_codes import Problem, ResultCode
 
@@ -209,6 +209,7 @@
             self._health.full(engine.id)
         if error.outcome is CallOutcome.BROKEN:
             progress.may_have_run = True
+        metrics.ATTEMPT_FAILURES.labels(error.outcome.value).inc()
         log_decision(
             "attempt failed",
             request=progress.call.request_id,
@@ -327,6 +328,11 @@
         self, request: CallerRequest, progress: _Progress, version: int, outcome: str
     ) -> None:
         first_s = progress.first_event_s
+        total_s = self._clock.now_s() - request.received_s
+        metrics.REQUESTS.labels(outcome).inc()
+        metrics.REQUEST_S.observe(total_s)
+        if first_s is not None:
+            metrics.FIRST_EVENT_S.observe(first_s - request.received_s)
         log_decision(
             "request",
             request=request.request_id,
@@ -338,7 +344,7 @@
             found_batch=progress.queue[1],
             sends=progress.sends + (outcome == "answered"),
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
-            total_ms=round((self._clock.now_s() - request.received_s) * 1000),
+            total_ms=round(total_s * 1000),
         )
 
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -306,3 +306,29 @@
         assert {r.text for r in listed} == {TEXT}
 
     with_fleet(check)
+
+
+def test_old_job_is_removed_whole_and_an_open_one_is_kept():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        await wait_done(fleet, "h0", "j1", 3)
+        await asyncio.sleep(100)
+        assert await wait_done(fleet, "h1", "j1", 3)
+        await asyncio.sleep(50)
+        assert not fleet.store.objects
+        tables = {key.table for key in fleet.store.rows_by_key}
+        assert tables == {"op", "servers", "hosts"}
+
+    with_fleet(check)
+
+
+def test_item_that_breaks_engines_without_an_event_is_tried_ever_more_rarely():
+    async def check(fleet):
+        broken = Fault(break_after=0)
+        fleet.engines.faults["j1-0"] = [broken] * 50
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(30)
+        tries = [r.started_s for r in fleet.engines.runs if r.request_id == "j1-0"]
+        assert 6 <= len(tries) <= 12
+
+    with_fleet(check)
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,239 @@
+"""An entry host as a process, with the store's stand-in on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import socket
+import sys
+import tomllib
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from aspenbridge.loop import NumericLoop
+from aspenbridge.platform import _ingress
+
+SYSTEM = Path(__file__).parents[2] / "deploy" / "system.toml"
+REQUEST_ID = "X-Aspenbridge-Attempt-Id"
+
+
+def free_ports(count):
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def settings_text(ports, store_port):
+    callers, ready, peers = ports
+    return f"""
+nodeName = "h1"
+zone = "a-1"
+region = "a"
+ip = "127.0.0.1"
+portRange = [{peers},{peers}]
+[zones]
+a-1 = "a"
+[listen]
+frontend = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+[limits]
+memoryMb = 200
+[bounds]
+drainMs = 3000
+graceS = 8
+cancelMs = 3000
+statusS = 120
+[platform]
+addr = "127.0.0.1:{store_port}"
+rowBytes = 65536
+blobBytes = 8388608
+"""
+
+
+def row(table, key, fields, version):
+    value = base64.b64encode(json.dumps(fields).encode()).decode()
+    return {"table": table, "part": "", "key": key, "value": value, "ver": version}
+
+
+class StoreStandIn:
+    """Serves fixed rows; takes every write."""
+
+    def __init__(self, engine_port):
+        engine = {
+            "service": "llm",
+            "addr": f"127.0.0.1:{engine_port}",
+            "zone": "a-1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+        }
+        route = {
+            "name": "r",
+            "host": "a.example",
+            "prefix": "/a/",
+            "routeKind": "streaming",
+            "timeoutMs": 5000,
+            "latencyGoalMs": 300,
+            "service": "llm",
+            "maxAttempts": 1,
+        }
+        limits = {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "idleTimeoutMs": 15000,
+        }
+        config = {"version": 3, "routes": [route], "limits": limits}
+        self.rows = {
+            "op": [row("op", "config", config, 1)],
+            "servers": [row("servers", "i-1", engine, 2)],
+        }
+
+    async def handle(self, request):
+        if request.path == "/rows-feed":
+            await asyncio.sleep(int(request.query["waitMs"]) / 1000)
+            return web.json_response({"rows": [], "ver": 9})
+        if request.path == "/rows-get":
+            rows = self.rows.get(request.query["table"], [])
+            return web.json_response({"rows": rows, "ver": 9})
+        if request.path == "/rows-parts":
+            return web.json_response({"parts": []})
+        return web.json_response({"ver": 10})
+
+
+async def engine(request):
+    await request.read()
+    response = web.StreamResponse(
+        headers={
+            REQUEST_ID: request.headers[REQUEST_ID],
+            "X-Aspenbridge-Server-Stamp": "s",
+            "Content-Type": "text/event-stream",
+        }
+    )
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    for number in range(20):
+        await response.write(f"id: {number}\ndata: w\n\n".encode())
+        await asyncio.sleep(0.05)
+    return response
+
+
+@asynccontextmanager
+async def host_process(tmp_path):
+    loop = asyncio.get_running_loop()
+    engine_server = await loop.create_server(web.Server(engine), "127.0.0.1", 0)
+    engine_port = engine_server.sockets[0].getsockname()[1]
+    store = StoreStandIn(engine_port)
+    store_server = await loop.create_server(web.Server(store.handle), "127.0.0.1", 0)
+    store_port = store_server.sockets[0].getsockname()[1]
+    ports = free_ports(3)
+    path = tmp_path / "node.toml"
+    path.write_text(settings_text(ports, store_port))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "aspenbridge.platform",
+        env=os.environ | {"ASPENBRIDGE_BOOT": str(path)},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    try:
+        yield process, ports, path
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        engine_server.close()
+        store_server.close()
+
+
+async def wait_status(session, url, status):
+    for _ in range(300):
+        try:
+            async with session.get(url) as response:
+                if response.status == status:
+                    return
+        except aiohttp.ClientError:
+            pass
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"{url} did not answer {status}")
+
+
+def ask(session, ports, path="/a/x"):
+    return session.post(
+        f"http://127.0.0.1:{ports[0]}{path}",
+        data=b"q",
+        headers={"Host": "a.example", REQUEST_ID: "r1"},
+    )
+
+
+def on_loop(coroutine):
+    with asyncio.Runner(loop_factory=NumericLoop) as runner:
+        return runner.run(coroutine)
+
+
+def test_process_serves_reloads_and_stops_without_cutting_a_stream(tmp_path):
+    async def check():
+        async with (
+            host_process(tmp_path) as (process, ports, path),
+            aiohttp.ClientSession() as session,
+        ):
+            ready_url = f"http://127.0.0.1:{ports[1]}/readyz"
+            await wait_status(session, ready_url, 200)
+            async with ask(session, ports, "/b/x") as missing:
+                assert missing.status == 404
+            path.write_text(path.read_text() + "\n# changed\n")
+            process.send_signal(signal.SIGHUP)
+            async with ask(session, ports) as response:
+                process.send_signal(signal.SIGTERM)
+                await wait_status(session, ready_url, 503)
+                body = await response.read()
+                assert body.count(b"data: w") == 20
+            async with ask(session, ports) as late:
+                assert late.status == 200
+                assert late.headers["Connection"] == "close"
+                assert (await late.read()).count(b"data: w") == 20
+            output, _ = await process.communicate()
+            return process.returncode, output.decode()
+
+    code, output = on_loop(check())
+    assert code == 0
+    lines = [json.loads(line) for line in output.splitlines()]
+    events = [line["event"] for line in lines]
+    assert "host h1 starts" in events
+    assert "settings reloaded, changed: nothing" in events
+    assert "host h1 stops" in events
+    requests = [line for line in lines if line["event"] == "request"]
+    assert [line["outcome"] for line in requests] == ["answered", "answered"]
+
+
+def test_process_without_settings_says_what_is_missing(tmp_path):
+    async def check():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "aspenbridge.platform",
+            env=os.environ | {"ASPENBRIDGE_BOOT": str(tmp_path / "none.toml")},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        return process.returncode, errors.decode()
+
+    code, errors = on_loop(check())
+    assert code == 2
+    assert "none.toml" in errors
+
+
+def test_metrics_port_is_the_one_that_is_deployed():
+    role = tomllib.loads(SYSTEM.read_text())["roles"]["entry"]
+    assert role["metrics"] == f"{_ingress.METRICS_PORT}/metrics"
