--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -90,6 +90,8 @@
             ports.datagrams,
             clock,
         )
+        self.exchange.store_reached = lambda: self._heartbeat.store_reached
+        self.exchange.on_alive = self.hosts.hear
         self.relay = Relay(
             OnlinePlacing(self.view, random), self.board, health, ports.caller, clock
         )
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -36,6 +36,7 @@
     engines: list[tuple[str, int, int]]
     waiting_items: int
     due_wall_s: float
+    store_reached: bool
 
 
 class LoadExchange:
@@ -65,6 +66,8 @@
         self._send_to: Callable[[bytes, PeerAddress], None] | None = None
         self._stack = AsyncExitStack()
         self.on_report: Callable[[], None] = lambda: None
+        self.store_reached: Callable[[], bool] = lambda: False
+        self.on_alive: Callable[[str], None] = lambda host: None
 
     async def __aenter__(self) -> Self:
         self._send_to = await self._stack.enter_async_context(
@@ -101,6 +104,8 @@
         loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
         backlog = Backlog(report.waiting_items, report.due_wall_s)
         self._board.hear(report.host, loads, backlog)
+        if report.store_reached:
+            self.on_alive(report.host)
         self._senders[sender] = self._clock.now_s() + SENDER_LIFETIME_S
         self.on_report()
 
@@ -131,6 +136,7 @@
                 engines,
                 backlog.items,
                 backlog.due_wall_s,
+                self.store_reached(),
             )
         )
         for peer in self._addresses():
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -21,6 +21,7 @@
 logger = logging.getLogger(__name__)
 HOSTS_TABLE = "hosts"
 BEAT_INTERVAL_S = 1.0
+REACHED_S = 2.5  # two and a half beats
 SILENCE_LIMIT_S = 3.2  # three beats, and the way of the last one
 
 
@@ -48,6 +49,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._seen: dict[str, _Seen] = {}
+        self._reported_s: dict[str, float] = {}  # by incarnation
         self.on_gone: Callable[[str], None] = lambda host: None
 
     def replace(self, rows: tuple[Row, ...]) -> None:
@@ -65,6 +67,14 @@
         else:
             self._take(decode_record(change.value, HostRecord))
 
+    def hear(self, incarnation: str) -> None:
+        """
+        Note that a host says itself that it reaches the store.
+
+        A feed may be silent for seconds without an error.
+        """
+        self._reported_s[incarnation] = self._clock.now_s()
+
     def store_returned(self) -> None:
         """Give every host the time to renew its row again."""
         now_s = self._clock.now_s()
@@ -73,22 +83,32 @@
         }
 
     def live(self) -> list[HostRecord]:
-        """Return the hosts that renewed their rows in time."""
-        oldest_s = self._clock.now_s() - SILENCE_LIMIT_S
-        return [s.record for s in self._seen.values() if s.heard_s >= oldest_s]
+        """Return the listed hosts that were heard of in time."""
+        records = (seen.record for seen in self._seen.values())
+        return [record for record in records if self.lives(record.incarnation)]
 
     def lives(self, incarnation: str) -> bool:
-        """Whether an incarnation renewed its row in time."""
-        return any(record.incarnation == incarnation for record in self.live())
+        """Whether an incarnation renewed its row or reported in time."""
+        oldest_s = self._clock.now_s() - SILENCE_LIMIT_S
+        if self._reported_s.get(incarnation, oldest_s - 1) >= oldest_s:
+            return True
+        return any(
+            seen.record.incarnation == incarnation and seen.heard_s >= oldest_s
+            for seen in self._seen.values()
+        )
 
     def _take(self, record: HostRecord) -> None:
         known = self._seen.get(record.host)
+        if known is not None and known.record.incarnation != record.incarnation:
+            self._remove(record.host)
         if known is None or known.record != record:
             self._seen[record.host] = _Seen(record, self._clock.now_s())
 
     def _remove(self, host: str) -> None:
-        if self._seen.pop(host, None) is not None:
-            self.on_gone(host)
+        seen = self._seen.pop(host, None)
+        if seen is not None:
+            self._reported_s.pop(seen.record.incarnation, None)
+            self.on_gone(seen.record.incarnation)
 
 
 class Heartbeat:
@@ -99,6 +119,12 @@
         self._clock = clock
         self._record = record
         self._key = RowKey(HOSTS_TABLE, record.host)
+        self._written_s = float("-inf")
+
+    @property
+    def store_reached(self) -> bool:
+        """Whether the row was written within two and a half beats."""
+        return self._clock.now_s() - self._written_s < REACHED_S
 
     async def run(self) -> None:
         """Renew the row until cancelled."""
@@ -110,6 +136,8 @@
             )
             if isinstance(written, Failure):
                 logger.debug("heartbeat was not written: %s", written.failure())
+            else:
+                self._written_s = self._clock.now_s()
             await self._clock.sleep_until(due_s)
 
     async def leave(self, deadline_s: float) -> None:
--- a/src/aspenbridge/relay/_placing.py
+++ b/src/aspenbridge/relay/_placing.py
@@ -4,17 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import place_online
+from aspenbridge.fleet import Refused, place_online
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from random import Random
 
-    from aspenbridge.fleet import EngineEntry, EngineView, Refused, Route
+    from aspenbridge.fleet import EngineEntry, EngineView, Route
 
 # The part of the goal that may pass in a queue; the rest is for the way to
 # the engine and the first step there.
 QUEUE_SHARE = 0.7
+RETURN_SPREAD = 1.5  # callers that were refused together return apart
 
 
 class OnlinePlacing:
@@ -42,4 +43,8 @@
         if not candidates and tried:
             candidates = self._view.candidates(service)
         patience_s = max(0.0, route.goal_s * QUEUE_SHARE - waited_s)
-        return place_online(candidates, patience_s)
+        placed = place_online(candidates, patience_s)
+        if isinstance(placed, Refused):
+            spread = self._random.uniform(1.0, RETURN_SPREAD)
+            return Refused(placed.retry_after_s * spread)
+        return placed
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -332,3 +332,17 @@
         assert 6 <= len(tries) <= 12
 
     with_fleet(check)
+
+
+def test_jobs_stay_with_their_hosts_while_feeds_are_silent_without_an_error():
+    async def check(fleet):
+        fleet.engines.event_s = 1.0
+        for number in range(3):
+            await submit(fleet, f"h{number}", make_job(f"j{number}"))
+        await asyncio.sleep(0.5)
+        fleet.store.deaf_until_s = fleet.clock.now_s() + 6.0
+        for number in range(3):
+            await wait_done(fleet, f"h{number}", f"j{number}", 3)
+        assert len(fleet.engines.runs) == 9
+
+    with_fleet(check)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -54,6 +54,7 @@
         self.history: list[Change] = []
         self.objects: dict[str, bytes] = {}
         self.version = 0
+        self.deaf_until_s = 0.0  # feeds hear nothing, without an error
         self.away: set[str] = set()  # hosts that get no answer; "*" for all
         self.lose_answers = 0
         self.history_from = 0
@@ -169,14 +170,17 @@
                 return Failure(Unavailable("away", maybe_applied=False))
             if after < self._store.history_from:
                 return Failure(HistoryLost())
+            deaf = asyncio.get_running_loop().time() < self._store.deaf_until_s
             found = tuple(
                 change
                 for change in self._store.history
-                if change.key.table == table and change.version > after
+                if not deaf and change.key.table == table and change.version > after
             )
             left_s = until_s - asyncio.get_running_loop().time()
             if found or left_s <= 0:
-                return Success(ChangePage(found, self._store.version))
+                return Success(
+                    ChangePage(found, after if deaf else self._store.version)
+                )
             try:
                 async with asyncio.timeout(left_s):
                     await self._store.changed.wait()
