--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -142,7 +142,7 @@
             return
         self._directory.take(stored)
         if stored.record.owner == self._incarnation:
-            job.stored = stored
+            job.adopt(stored)
 
     async def release(self, job: OwnedJob, deadline_s: float) -> bool:
         """Give a job up with the progress of its items."""
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -75,6 +75,17 @@
         """The job's head as this host last wrote or read it."""
         return self.stored.record
 
+    def adopt(self, stored: Stored[JobHead]) -> None:
+        """
+        Go on from a head that was read again.
+
+        A listing that was never answered may have been written after all; its
+        items must not be listed a second time.
+        """
+        self.stored = stored
+        listed = set(stored.record.listed)
+        self.finished = [f for f in self.finished if f.state.index not in listed]
+
     def restore(self, records: Iterable[tuple[int, ProgressRecord]]) -> None:
         """Take over what another host had generated."""
         by_item = dict(records)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -346,3 +346,26 @@
         assert len(fleet.engines.runs) == 9
 
     with_fleet(check)
+
+
+def test_item_is_listed_once_when_its_listing_was_written_but_never_answered():
+    async def check(fleet):
+        fleet.engines.faults["j1-2"] = [Fault(break_after=5)]
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.1)
+        fleet.store.away_after_loss = {"*"}
+        fleet.store.lose_table = "job_results"
+        fleet.store.lose_answers = 1
+        while not fleet.store.away:
+            await asyncio.sleep(0.01)
+        written = fleet.store.rows_by_key
+        await asyncio.sleep(4.5)
+        fleet.store.away = set()
+        fleet.store.away_after_loss = set()
+        listed = await wait_done(fleet, "h1", "j1", 3)
+        assert sorted(r.item_id for r in listed) == ["j1-0", "j1-1", "j1-2"]
+        await asyncio.sleep(3)
+        results = [key for key in written if key.table == "job_results"]
+        assert len(results) == 3
+
+    with_fleet(check)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -57,6 +57,8 @@
         self.deaf_until_s = 0.0  # feeds hear nothing, without an error
         self.away: set[str] = set()  # hosts that get no answer; "*" for all
         self.lose_answers = 0
+        self.lose_table = ""  # only answers about this one
+        self.away_after_loss: set[str] = set()  # hosts cut off with the answer
         self.history_from = 0
         self.changed = asyncio.Event()
 
@@ -129,8 +131,11 @@
         if not await self._reach():
             return Failure(Unavailable("away", maybe_applied=False))
         result = self._store.apply(transaction)
-        if self._store.lose_answers and isinstance(result, Success):
+        tables = {put.key.table for put in transaction.puts}
+        lost = not self._store.lose_table or self._store.lose_table in tables
+        if self._store.lose_answers and lost and isinstance(result, Success):
             self._store.lose_answers -= 1
+            self._store.away |= self._store.away_after_loss
             return Failure(Unavailable("answer lost", maybe_applied=True))
         return result
 
