--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -14,7 +14,7 @@
 
     from aiohttp.client_reqrep import ClientRequest
 
-CONNECT_LIMIT_S = 0.25  # four one-way trips between regions, and the handshake
+CONNECT_LIMIT_S = 0.15  # two round trips between regions, and the handshake
 # An acknowledgement takes 60 ms between regions; a path is dead without one.
 UNACKNOWLEDGED_LIMIT_MS = 1000
 KEEPALIVE_PROBE_S = 1  # the shortest that the socket option takes
