--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -118,6 +118,11 @@
             if engine_id in report.by_engine and now_s < report.valid_until_s
         }
 
+    def hosts_heard(self) -> int:
+        """Return how many other hosts have sent a report in time."""
+        now_s = self._clock.now_s()
+        return sum(now_s < report.valid_until_s for report in self._others.values())
+
     def load(self, engine_id: str) -> EngineLoad:
         """Return what all hosts have on an engine."""
         loads = [self.own(engine_id), *self.by_host(engine_id).values()]
--- a/src/aspenbridge/fleet/_placement.py
+++ b/src/aspenbridge/fleet/_placement.py
@@ -54,6 +54,7 @@
     """No engine can serve in time; a place is expected after this time."""
 
     retry_after_s: float
+    engines: int = 0  # that could have been chosen
 
 
 def place_online(
@@ -70,7 +71,7 @@
         return Refused(NO_ENGINE_RETRY_S)
     best = min(candidates, key=_expected_delay)
     if best.wait_s > patience_s:
-        return Refused(best.wait_s)
+        return Refused(best.wait_s, len(candidates))
     return best.engine
 
 
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 from returns.result import Failure
 
-from aspenbridge.entry import Address
 from aspenbridge.fleet import RouteKind
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import metrics_text
@@ -30,7 +29,7 @@
     from aiohttp.web_protocol import RequestHandler
     from returns.result import Result
 
-    from aspenbridge.entry import EntryHost
+    from aspenbridge.entry import Address, EntryHost
     from aspenbridge.fleet import Configuration
     from aspenbridge.ports import AnswerHead
 
@@ -40,7 +39,6 @@
 # Callers reuse connections for four fifths of the idle limit of 15 s.
 KEEPALIVE_S = 60.0
 LONGEST_WAIT_S = 5.0
-METRICS_PORT = 9464  # as in deploy/system.toml
 QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
 DEFAULT_DEADLINE_S = 30.0
 JSON = "application/json"
@@ -104,10 +102,13 @@
 class Ingress:
     """Serves callers on one address and readiness on another."""
 
-    def __init__(self, host: EntryHost, callers: Address, readiness: Address) -> None:
+    def __init__(
+        self, host: EntryHost, callers: Address, readiness: Address, metrics: Address
+    ) -> None:
         self._host = host
         self._callers = callers
         self._readiness = readiness
+        self._metrics = metrics
         self._stack = AsyncExitStack()
         self._running = 0
         self._ended_s = 0.0
@@ -127,7 +128,7 @@
         ready = web.Server(self._handle_ready, access_log=None)
         metrics = web.Server(_handle_metrics, access_log=None)
         for server, address in (
-            (metrics, Address(self._callers.ip, METRICS_PORT)),
+            (metrics, self._metrics),
             (ready, self._readiness),
             (self._web, self._callers),
         ):
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from aspenbridge.clock import SystemClock
-from aspenbridge.entry import EntryHost, EntryPorts, OperatorTables
+from aspenbridge.entry import Address, EntryHost, EntryPorts, OperatorTables
 from aspenbridge.fleet import UdpDatagrams
 from aspenbridge.loop import settle_garbage_collector
 
@@ -28,6 +28,7 @@
 
 logger = logging.getLogger(__name__)
 EXIT_FAULT = 5
+METRICS_PORT = 9464  # as in deploy/system.toml
 NOTICE_S = 2.6  # the balancer asks once a second and believes the second answer
 EXIT_MARGIN_S = 0.5  # to close what is open before the platform kills
 
@@ -85,7 +86,8 @@
         ),
     )
     host = EntryHost(settings, ports)
-    ingress = Ingress(host, settings.callers, settings.readiness)
+    metrics = Address(settings.ip, METRICS_PORT)
+    ingress = Ingress(host, settings.callers, settings.readiness, metrics)
     await stack.enter_async_context(host)
     await stack.enter_async_context(ingress)
     return host, ingress, store
--- a/src/aspenbridge/relay/_placing.py
+++ b/src/aspenbridge/relay/_placing.py
@@ -46,5 +46,5 @@
         placed = place_online(candidates, patience_s)
         if isinstance(placed, Refused):
             spread = self._random.uniform(1.0, RETURN_SPREAD)
-            return Refused(placed.retry_after_s * spread)
+            return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -100,6 +100,7 @@
     engine: str = ""
     queue: tuple[int, int] = (0, 0)  # online and batch found on that engine
     first_event_s: float | None = None
+    refused: Refused | None = None
 
     @property
     def may_send_again(self) -> bool:
@@ -221,6 +222,7 @@
 
     async def _give_up(self, progress: _Progress, refused: Refused) -> str:
         """Tell the caller at once that no answer will come."""
+        progress.refused = refused
         if progress.begun:
             progress.reply.abort()
             return "broken off"
@@ -342,6 +344,10 @@
             engine=progress.engine,
             found_online=progress.queue[0],
             found_batch=progress.queue[1],
+            hosts_heard=self._board.hosts_heard(),
+            engines=progress.refused and progress.refused.engines,
+            retry_after_ms=progress.refused
+            and round(progress.refused.retry_after_s * 1000),
             sends=progress.sends + (outcome == "answered"),
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,182 @@
+"""What callers get over real sockets, with store and engines in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from aspenbridge.clock import SystemClock
+from aspenbridge.entry import Address
+from aspenbridge.loop import NumericLoop
+from aspenbridge.platform._ingress import Ingress
+from aspenbridge.ports import CallOutcome
+from tests.support.entry_fleet import EntryFleet, Fault
+
+HEADERS = {"Host": "a.example", "X-Aspenbridge-Deadline-Ms": "5000"}
+
+
+def free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", sock.getsockname()[1])
+
+
+def served(check):
+    @asynccontextmanager
+    async def surface():
+        async with EntryFleet(SystemClock(), hosts=1) as fleet:
+            callers, ready, metrics = (free_address() for _ in range(3))
+            host = fleet.hosts["h0"]
+            async with (
+                Ingress(host, callers, ready, metrics),
+                aiohttp.ClientSession() as session,
+            ):
+                yield fleet, host, session, callers, ready, metrics
+
+    async def main():
+        async with surface() as (fleet, host, session, callers, ready, metrics):
+
+            def call(method, path, request_id="r1", data=None, **headers):
+                return session.request(
+                    method,
+                    f"http://{callers}{path}",
+                    data=data,
+                    headers=HEADERS
+                    | {"X-Aspenbridge-Attempt-Id": request_id}
+                    | headers,
+                )
+
+            await check(fleet, call, (session, host, ready, metrics))
+
+    with asyncio.Runner(loop_factory=NumericLoop) as runner:
+        runner.run(main())
+
+
+def job_body(*ids):
+    items = [
+        {
+            "id": item_id,
+            "path": f"/batch/{item_id}",
+            "headers": {},
+            "body": base64.b64encode(item_id.encode()).decode(),
+            "tokens": 10,
+        }
+        for item_id in ids
+    ]
+    return json.dumps({"requests": items}).encode()
+
+
+def test_stream_comes_with_the_engines_status_and_whole_body():
+    async def check(fleet, call, _):
+        async with call("POST", "/online/x", data=b"q") as response:
+            assert response.status == 200
+            assert response.content_type == "text/event-stream"
+            assert (await response.read()).count(b"data: t") == 10
+
+    served(check)
+
+
+def test_broken_stream_does_not_look_complete():
+    async def check(fleet, call, _):
+        fleet.engines.faults["r1"] = [Fault(break_after=4)]
+        async with call("POST", "/once/x", data=b"q") as response:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await response.read()
+
+    served(check)
+
+
+def test_refusal_tells_when_to_come_back():
+    async def check(fleet, call, _):
+        refused = Fault(outcome=CallOutcome.REFUSED)
+        fleet.engines.faults["r1"] = [refused]
+        async with call("POST", "/once/x", data=b"q") as response:
+            assert response.status == 503
+            assert 0 < float(response.headers["Retry-After"]) < 2
+            assert (await response.json())["execution"] == "not run"
+
+    served(check)
+
+
+def test_engine_stops_within_half_a_second_of_the_callers_leaving():
+    async def check(fleet, call, _):
+        fleet.engines.event_s = 0.3
+        response = await call("POST", "/online/x", data=b"q")
+        response.close()
+        await asyncio.sleep(0.4)
+        assert fleet.engines.runs[0].ended_s is not None
+
+    served(check)
+
+
+def test_job_is_submitted_read_by_position_and_ended():
+    async def check(fleet, call, _):
+        async with call("POST", "/batch/j1", "j1", job_body("a", "b")) as response:
+            assert response.status == 202
+        async with call("POST", "/batch/j1", "j1", job_body("a", "b")) as response:
+            assert response.status == 202
+        async with call("GET", "/items/j1?id=b") as response:
+            assert await response.read() == b"b"
+        results = []
+        while len(results) < 2:
+            path = f"/lots/j1?after={len(results)}"
+            async with call("GET", path, **{"X-Aspenbridge-Wait-Ms": "1000"}) as found:
+                page = await found.json()
+            results += page["results"]
+            assert (page["total"], page["nextToken"]) == (2, len(results))
+        assert {r["id"] for r in results} == {"a", "b"}
+        assert {r["state"] for r in results} == {"completed"}
+        for _ in range(2):
+            async with call("DELETE", "/lots/j1") as response:
+                assert response.status == 200
+
+    served(check)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/lots/unknown?after=0", 404),
+        ("GET", "/items/unknown?id=a", 404),
+        ("DELETE", "/lots/unknown", 404),
+        ("POST", "/nowhere/x", 404),
+        ("GET", "/lots/j1?after=x", 400),
+    ],
+)
+def test_what_is_not_there_is_said_to_be_missing(method, path, status):
+    async def check(fleet, call, _):
+        async with call(method, path) as response:
+            assert response.status == status
+
+    served(check)
+
+
+def test_job_that_can_not_be_read_is_refused_as_malformed():
+    async def check(fleet, call, _):
+        async with call("POST", "/batch/j1", "j1", b"{}") as response:
+            assert response.status == 400
+
+    served(check)
+
+
+def test_host_that_leaves_is_not_ready_and_still_serves():
+    async def check(fleet, call, surface):
+        session, host, ready, metrics = surface
+        async with session.get(f"http://{ready}/readyz") as response:
+            assert response.status == 200
+        host.leaving = True
+        async with session.get(f"http://{ready}/readyz") as response:
+            assert response.status == 503
+        async with call("POST", "/online/x", data=b"q") as response:
+            assert response.headers["Connection"] == "close"
+            assert (await response.read()).count(b"data: t") == 10
+        async with session.get(f"http://{metrics}/metrics") as response:
+            assert "requests_total" in await response.text()
+
+    served(check)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 
 from aspenbridge.loop import NumericLoop
-from aspenbridge.platform import _ingress
+from aspenbridge.platform import _serve
 
 SYSTEM = Path(__file__).parents[2] / "deploy" / "system.toml"
 REQUEST_ID = "X-Aspenbridge-Attempt-Id"
@@ -236,4 +236,4 @@
 
 def test_metrics_port_is_the_one_that_is_deployed():
     role = tomllib.loads(SYSTEM.read_text())["roles"]["entry"]
-    assert role["metrics"] == f"{_ingress.METRICS_PORT}/metrics"
+    assert role["metrics"] == f"{_serve.METRICS_PORT}/metrics"
