--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -70,6 +70,8 @@
             *(submit(fleet, f"h{n}", make_job()) for n in (0, 1, 2, 0))
         )
         assert results == [Success(None)] * 4
+        heads = [c for c in fleet.store.history if c.key.table == "job_heads"]
+        assert len(heads) == 1
         await wait_done(fleet, "h0", "j1", 3)
         await asyncio.sleep(3)
         assert len(fleet.engines.runs) == 3
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -62,6 +62,22 @@
     with_fleet(check)
 
 
+def test_request_that_may_run_once_is_not_sent_again_though_engines_are_left():
+    async def check(fleet):
+        fleet.configurations[b"2"] = make_configuration(
+            2, [make_route("once", resumable=False, max_engines=3)]
+        )
+        fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.5)
+        broken = Fault(outcome=CallOutcome.BROKEN)
+        fleet.engines.faults["r1"] = [broken, broken, broken]
+        reply = await fleet.relay("h0", make_request(path="/once/x"))
+        assert reply.status == 502
+        assert len(fleet.engines.faults["r1"]) == 2
+
+    with_fleet(check)
+
+
 @pytest.mark.parametrize("path", ["/once/x", "/online/x"])
 def test_answer_is_not_a_refusal_when_the_engine_may_have_run(path):
     async def check(fleet):
