--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -39,6 +39,7 @@
 # Callers reuse connections for four fifths of the idle limit of 15 s.
 KEEPALIVE_S = 60.0
 LONGEST_WAIT_S = 5.0
+LAST_PART_S = 2.5  # twice the longest streams of a full engine
 QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
 DEFAULT_DEADLINE_S = 30.0
 JSON = "application/json"
@@ -110,6 +111,7 @@
         self._readiness = readiness
         self._metrics = metrics
         self._stack = AsyncExitStack()
+        self._listeners: list[asyncio.Server] = []
         self._running = 0
         self._ended_s = 0.0
         self._idle = asyncio.Event()
@@ -138,6 +140,8 @@
             listener = await loop.create_server(server, sock=sock)
             self._stack.callback(_close_connections, server)
             self._stack.callback(listener.close)
+            if server is self._web:
+                self._listeners.append(listener)
         return self
 
     async def __aexit__(
@@ -152,19 +156,26 @@
         """
         Serve until no request has run or come for a while.
 
-        New connections are still served: the balancer may send one until it
-        has asked for readiness twice.
+        New connections are still served, since the balancer sends some for as
+        long as few other hosts are ready; in the last part of the time they
+        are refused, so that what was taken can end.
 
         :return: whether all requests ended in time.
         """
+        await self._wait_quiet(limit_s - LAST_PART_S)
+        for listener in self._listeners:
+            listener.close()
+        await self._wait_quiet(min(limit_s, LAST_PART_S))
+        return not self._running
+
+    async def _wait_quiet(self, limit_s: float) -> None:
         try:
             async with asyncio.timeout(limit_s):
                 while self._running or self._quiet_s() < QUIET_S:
                     await self._idle.wait()
                     await asyncio.sleep(QUIET_S / 4)
         except TimeoutError:
-            return not self._running
-        return True
+            return
 
     def _quiet_s(self) -> float:
         return self._host.ports.clock.now_s() - self._ended_s
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,12 +7,13 @@
 import json
 import socket
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 import aiohttp
 import pytest
 
 from aspenbridge.clock import SystemClock
-from aspenbridge.entry import Address
+from aspenbridge.entry import Address, EntryHost
 from aspenbridge.loop import NumericLoop
 from aspenbridge.platform._ingress import Ingress
 from aspenbridge.ports import CallOutcome
@@ -27,6 +28,16 @@
         return Address("127.0.0.1", sock.getsockname()[1])
 
 
+class Surface(NamedTuple):
+    """The other addresses and parts of a host under test."""
+
+    session: aiohttp.ClientSession
+    host: EntryHost
+    ready: Address
+    metrics: Address
+    ingress: Ingress
+
+
 def served(check):
     @asynccontextmanager
     async def surface():
@@ -34,13 +45,21 @@
             callers, ready, metrics = (free_address() for _ in range(3))
             host = fleet.hosts["h0"]
             async with (
-                Ingress(host, callers, ready, metrics),
+                Ingress(host, callers, ready, metrics) as ingress,
                 aiohttp.ClientSession() as session,
             ):
-                yield fleet, host, session, callers, ready, metrics
+                yield fleet, host, session, callers, ready, metrics, ingress
 
     async def main():
-        async with surface() as (fleet, host, session, callers, ready, metrics):
+        async with surface() as (
+            fleet,
+            host,
+            session,
+            callers,
+            ready,
+            metrics,
+            ingress,
+        ):
 
             def call(method, path, request_id="r1", data=None, **headers):
                 return session.request(
@@ -52,7 +71,7 @@
                     | headers,
                 )
 
-            await check(fleet, call, (session, host, ready, metrics))
+            await check(fleet, call, Surface(session, host, ready, metrics, ingress))
 
     with asyncio.Runner(loop_factory=NumericLoop) as runner:
         runner.run(main())
@@ -167,7 +186,7 @@
 
 def test_host_that_leaves_is_not_ready_and_still_serves():
     async def check(fleet, call, surface):
-        session, host, ready, metrics = surface
+        session, host, ready, metrics, _ = surface
         async with session.get(f"http://{ready}/readyz") as response:
             assert response.status == 200
         host.leaving = True
@@ -180,3 +199,28 @@
             assert "requests_total" in await response.text()
 
     served(check)
+
+
+def test_stop_ends_in_time_though_requests_go_on_coming():
+    """A zone with few ready hosts gets connections until they are refused."""
+
+    async def check(fleet, call, surface):
+        surface.host.leaving = True
+        refused, cut = [], []
+
+        async def keep_calling():
+            while not refused:
+                try:
+                    async with call("POST", "/online/x", data=b"q") as response:
+                        body = await response.read()
+                        cut.extend([body] if body.count(b"data: t") < 10 else [])
+                except aiohttp.ClientConnectorError as error:
+                    refused.append(error)
+
+        callers = [asyncio.create_task(keep_calling()) for _ in range(3)]
+        assert await surface.ingress.finish(3.5)
+        assert refused
+        await asyncio.gather(*callers)
+        assert not cut
+
+    served(check)
