--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -218,6 +218,7 @@
                     refused.append(error)
 
         callers = [asyncio.create_task(keep_calling()) for _ in range(3)]
+        await asyncio.sleep(0.1)
         assert await surface.ingress.finish(3.5)
         assert refused
         await asyncio.gather(*callers)
