--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -107,7 +107,6 @@
             settings.store_limits.row_bytes,
         )
         self.worker = JobWorker(
-            self.incarnation,
             self.incarnation,
             self._heads,
             ledger,
@@ -120,8 +119,10 @@
             lambda: self.configuration.current,
         )
         self._heads.on_change = self.worker.head_changed
-        for source in (self.board, self.exchange, self._engines, self.configuration):
-            self._wake_on(source)
+        self.board.on_room = self.worker.wake
+        self.exchange.on_report = self.worker.wake
+        self._engines.on_change = self.worker.wake
+        self.configuration.on_change = self.worker.wake
         self._claims = JobClaims(
             settings.host,
             self._heads,
@@ -140,9 +141,9 @@
             settings.bounds.results_kept_s,
         )
         self._followers = self._make_followers()
-        self._follow_configuration, _, _, heads = self._followers
-        self._followers[1].on_return = directory.store_returned
-        self._followers[2].on_return = self.hosts.store_returned
+        _, engines, hosts, heads = self._followers
+        engines.on_return = directory.store_returned
+        hosts.on_return = self.hosts.store_returned
         self.desk = JobDesk(
             self._heads,
             heads,
@@ -154,12 +155,6 @@
             self.incarnation,
         )
 
-    def _wake_on(self, source: Any) -> None:
-        """Have the worker look again when placing may decide otherwise."""
-        for name in ("on_room", "on_report", "on_change"):
-            if hasattr(source, name):
-                setattr(source, name, self.worker.wake)
-
     def _make_followers(self) -> tuple[Follower, Follower, Follower, Follower]:
         tables, ports = self.ports.tables, self.ports
         common = (ports.feed, ports.clock, ports.random)
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -11,6 +11,7 @@
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
+from ._listings import Listings
 from ._order import Pace, in_time, leaving_order, ready_items
 from ._owned import OwnedJob
 from ._records import JobState
@@ -41,7 +42,6 @@
 # A report of what was started reaches the hosts of other regions in this time.
 REPORT_DELAY_S = 0.06
 DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
-LISTING_RETRY_S = 0.3
 # Puts a backlog of items that can't be in time behind all others.
 LATE_RANK_S = 1e6
 EXPIRY_SLACK_S = 3.0  # more than the clocks of two hosts differ by
@@ -52,7 +52,6 @@
 
     def __init__(
         self,
-        host: str,
         incarnation: str,
         directory: JobDirectory,
         ledger: JobLedger,
@@ -64,7 +63,6 @@
         random: Random,
         configuration: Callable[[], Configuration | None],
     ) -> None:
-        self._host = host
         self._incarnation = incarnation
         self._directory = directory
         self._ledger = ledger
@@ -77,7 +75,7 @@
         self._configuration = configuration
         self._jobs: dict[str, OwnedJob] = {}
         self._runs: dict[asyncio.Task[None], tuple[OwnedJob, ItemState, str]] = {}
-        self._listings: set[asyncio.Task[None]] = set()
+        self._listings = Listings(ledger, self._jobs)
         self._wake = asyncio.Event()
         self._pace = Pace()
         self._announced_items = 0
@@ -156,7 +154,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await asyncio.gather(*self._listings, return_exceptions=True)
+        await self._listings.wait()
         for job in list(self._jobs.values()):
             released = await self._ledger.release(job, deadline_s)
             log_decision("job handed over", job=job.head.id, released=released)
@@ -170,7 +168,7 @@
                 continue
             count = items_to_stop(
                 engine.slots,
-                self._host,
+                self._incarnation,
                 self._board.own(engine_id),
                 self._board.by_host(engine_id),
             )
@@ -210,7 +208,9 @@
         if not waiting or not self._announced(len(waiting)):
             return False
         free = self._view.free_places(HEADROOM)
-        places = deal_places(self._host, self._board.backlogs(self._host), free)
+        places = deal_places(
+            self._incarnation, self._board.backlogs(self._incarnation), free
+        )
         started = 0
         for job, state, route in waiting:
             engine = self._take(places, route.pick_service(self._random))
@@ -357,19 +357,4 @@
                 reason=reason,
             )
         job.finish(state, text)
-        if not job.listing:
-            job.listing = True
-            task = asyncio.create_task(self._list(job))
-            self._listings.add(task)
-            task.add_done_callback(self._listings.discard)
-
-    async def _list(self, job: OwnedJob) -> None:
-        """List finished items until there are none or the job is lost."""
-        try:
-            while job.finished and self.owns(job.head.id):
-                if not await self._ledger.list_finished(job):
-                    await asyncio.sleep(LISTING_RETRY_S)
-        finally:
-            job.listing = False
-        if job.head.state is not JobState.OPEN:
-            self._jobs.pop(job.head.id, None)
+        self._listings.begin(job)
--- a/src/aspenbridge/relay/__init__.py
+++ b/src/aspenbridge/relay/__init__.py
@@ -4,7 +4,8 @@
 
 from ._events import EventError, EventSplitter, StreamEvent
 from ._placing import OnlinePlacing
-from ._relay import CallerRequest, Relay, Reply
+from ._relay import Relay
+from ._request import CallerRequest, Reply
 
 __all__ = [
     "CallerRequest",
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -15,6 +14,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._events import EventError, EventSplitter
+from ._request import Progress
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -27,16 +27,14 @@
         Route,
     )
     from aspenbridge.ports import (
-        AnswerHead,
         Clock,
         EngineCaller,
-        Headers,
         RelayedAnswer,
     )
 
     from ._placing import OnlinePlacing
+    from ._request import CallerRequest, Reply
 
-logger = logging.getLogger(__name__)
 # A repeatable request moves on when an engine is silent for this long: two
 # first events of a full engine, or twenty usual pauses between events.
 FIRST_EVENT_LIMIT_S = 0.6
@@ -45,71 +43,6 @@
 SERVER_ERROR = 500
 
 
-@attrs.frozen
-class CallerRequest:
-    """A request as its caller sent it, read whole."""
-
-    request_id: str
-    method: str
-    target: str
-    host: str
-    headers: Headers
-    body: bytes
-    received_s: float
-    deadline_s: float
-    resume_after: int | None
-
-    @property
-    def path(self) -> str:
-        """The target without its query."""
-        return self.target.partition("?")[0]
-
-
-class Reply(Protocol):
-    """The way back to the caller."""
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Send status and headers."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    async def finish(self) -> None:
-        """End the body."""
-
-    def abort(self) -> None:
-        """End the connection, so that the answer does not look complete."""
-
-    async def refuse(self, problem: Problem) -> None:
-        """Answer with a failure of this system's own."""
-
-
-@attrs.define
-class _Progress:
-    """What has become of one request so far."""
-
-    call: RelayedCall
-    route: Route
-    reply: Reply
-    events: EventSplitter
-    received_s: float
-    begun: bool = False
-    sends: int = 0
-    may_have_run: bool = False
-    tried: set[str] = attrs.field(factory=set)
-    engine: str = ""
-    queue: tuple[int, int] = (0, 0)  # online and batch found on that engine
-    first_event_s: float | None = None
-    refused: Refused | None = None
-
-    @property
-    def may_send_again(self) -> bool:
-        """Whether the route allows one more engine."""
-        if self.may_have_run and not self.route.repeatable:
-            return False
-        return self.sends < self.route.max_engines
-
-
 class Relay:
     """Serves the online requests of one host."""
 
@@ -136,7 +69,7 @@
             detail = f"no route for {request.path!r} at {request.host!r}"
             await reply.refuse(Problem(ResultCode.NOT_FOUND, detail))
             return
-        progress = _Progress(
+        progress = Progress(
             call=self._call(request, route),
             route=route,
             reply=reply,
@@ -162,7 +95,7 @@
             resume_after=request.resume_after,
         )
 
-    async def _serve(self, progress: _Progress) -> str:
+    async def _serve(self, progress: Progress) -> str:
         """Try engines until one gives the answer; return what came of it."""
         service = self._placing.service(progress.route)
         while True:
@@ -193,12 +126,12 @@
         finally:
             self._board.add(engine.id, online=-1)
 
-    def _may_go_on(self, progress: _Progress) -> bool:
+    def _may_go_on(self, progress: Progress) -> bool:
         left_s = progress.call.deadline_s - self._clock.now_s()
         return progress.may_send_again and left_s > SHORTEST_SEND_S
 
     def _judge(
-        self, progress: _Progress, engine: EngineEntry, error: AttemptError
+        self, progress: Progress, engine: EngineEntry, error: AttemptError
     ) -> None:
         """Note what a failed attempt tells of the engine and the request."""
         progress.tried.add(engine.id)
@@ -220,7 +153,7 @@
             sends=progress.sends,
         )
 
-    async def _give_up(self, progress: _Progress, refused: Refused) -> str:
+    async def _give_up(self, progress: Progress, refused: Refused) -> str:
         """Tell the caller at once that no answer will come."""
         progress.refused = refused
         if progress.begun:
@@ -239,7 +172,7 @@
         )
         return "refused"
 
-    async def _attempt(self, progress: _Progress, engine: EngineEntry) -> None:
+    async def _attempt(self, progress: Progress, engine: EngineEntry) -> None:
         """
         Send the request to one engine and pass its answer on.
 
@@ -260,7 +193,7 @@
         finally:
             answer.close()
 
-    def _answer_deadline_s(self, progress: _Progress) -> float:
+    def _answer_deadline_s(self, progress: Progress) -> float:
         """Return when a silent engine is left for another one."""
         if (
             progress.route.repeatable
@@ -270,7 +203,7 @@
             return min(limit_s, progress.call.deadline_s)
         return progress.call.deadline_s
 
-    async def _pass_events(self, progress: _Progress, answer: RelayedAnswer) -> None:
+    async def _pass_events(self, progress: Progress, answer: RelayedAnswer) -> None:
         progress.events.restart()
         async for chunk in self._timed(progress, answer):
             try:
@@ -292,7 +225,7 @@
             await progress.reply.begin(answer.head)
         await progress.reply.finish()
 
-    async def _pass_whole(self, progress: _Progress, answer: RelayedAnswer) -> None:
+    async def _pass_whole(self, progress: Progress, answer: RelayedAnswer) -> None:
         """Pass on an answer that is not a stream, once it is complete."""
         body = b"".join([chunk async for chunk in self._timed(progress, answer)])
         failed = answer.head.status >= SERVER_ERROR
@@ -306,7 +239,7 @@
         await progress.reply.finish()
 
     async def _timed(
-        self, progress: _Progress, answer: RelayedAnswer
+        self, progress: Progress, answer: RelayedAnswer
     ) -> AsyncIterator[bytes]:
         """Yield the body; a pause that is too long breaks the attempt."""
         chunks = answer.body()
@@ -327,7 +260,7 @@
             yield chunk
 
     def _log(
-        self, request: CallerRequest, progress: _Progress, version: int, outcome: str
+        self, request: CallerRequest, progress: Progress, version: int, outcome: str
     ) -> None:
         first_s = progress.first_event_s
         total_s = self._clock.now_s() - request.received_s
