--- a/src/aspenbridge/entry/_settings.py
+++ b/src/aspenbridge/entry/_settings.py
@@ -45,9 +45,7 @@
 class TimeBounds:
     """How fast the fleet has to follow; given by the operator."""
 
-    drain_s: float
     shutdown_s: float
-    cancel_s: float
     results_kept_s: float
 
 
@@ -63,7 +61,6 @@
     callers: Address
     readiness: Address
     peer_ports: range
-    memory_bytes: int
     store: Address
     store_limits: StoreLimits
     bounds: TimeBounds
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -212,6 +212,9 @@
             return problem_response(
                 Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=0.3)
             )
+        if len(body) > configuration.limits.body_bytes:
+            detail = f"body of {len(body)} bytes is over the limit"
+            return problem_response(Problem(ResultCode.TOO_LARGE, detail))
         action = self._job_call(request, configuration, body)
         if action is not None:
             return await action
--- a/src/aspenbridge/platform/_settings.py
+++ b/src/aspenbridge/platform/_settings.py
@@ -44,7 +44,7 @@
 
 
 def _decode(fields: dict[str, Any]) -> EntrySettings:
-    listen, limits, store = fields["listen"], fields["limits"], fields["platform"]
+    listen, store = fields["listen"], fields["platform"]
     first_port, last_port = fields["portRange"]
     return EntrySettings(
         host=fields["nodeName"],
@@ -55,7 +55,6 @@
         callers=Address.parse(listen["frontend"]),
         readiness=Address.parse(listen["ready"]),
         peer_ports=range(int(first_port), int(last_port) + 1),
-        memory_bytes=int(limits["memoryMb"]) * 1_000_000,
         store=Address.parse(store["addr"]),
         store_limits=StoreLimits(
             row_bytes=int(store["rowBytes"]),
@@ -67,8 +66,6 @@
 
 def _bounds(bounds: dict[str, Any]) -> TimeBounds:
     return TimeBounds(
-        drain_s=bounds["drainMs"] / 1000,
         shutdown_s=float(bounds["graceS"]),
-        cancel_s=bounds["cancelMs"] / 1000,
         results_kept_s=float(bounds["statusS"]),
     )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -225,3 +225,13 @@
         assert not cut
 
     served(check)
+
+
+def test_body_over_the_configured_limit_is_refused_as_too_large():
+    async def check(fleet, call, _):
+        async with call("POST", "/online/x", data=b"x" * 4_194_305) as response:
+            assert response.status == 413
+        async with call("POST", "/online/x", data=b"x" * 4_194_304) as response:
+            assert response.status == 200
+
+    served(check)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -450,10 +450,9 @@
             callers=Address(ip, 80),
             readiness=Address(ip, 81),
             peer_ports=range(7000, 7010),
-            memory_bytes=10**8,
             store=Address("10.0.2.1", 1),
             store_limits=StoreLimits(65536, 8_000_000),
-            bounds=TimeBounds(3.0, 8.0, 3.0, 120.0),
+            bounds=TimeBounds(8.0, 120.0),
         )
         client = self.store.client(name)
         ports = EntryPorts(
