--- a/src/aspenbridge/jobs/_claims.py
+++ b/src/aspenbridge/jobs/_claims.py
@@ -97,7 +97,8 @@
             if known is None or known.version != stored.version:
                 known = _Orphan(stored.version, now_s)
             orphans[head.id] = known
-            if my_turn(head.id, self._host, live, now_s - known.since_s):
+            own = head.owner == self._incarnation
+            if own or my_turn(head.id, self._host, live, now_s - known.since_s):
                 due.append(stored)
         self._orphans = orphans
         return due
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -108,17 +108,15 @@
         """Drop a job that has ended or that another host runs now."""
         job = self._jobs.get(job_id)
         stored = self._directory.get(job_id)
-        if job is None:
-            return
-        if stored is not None and (
-            stored.version == job.stored.version or self._still_mine(stored.record)
-        ):
+        if job is None or stored is None:
+            return  # a table that was read before the job was accepted lacks it
+        if stored.version == job.stored.version or self._still_mine(stored.record):
             return
         log_decision(
             "job dropped",
             job=job_id,
-            owner=stored and stored.record.owner,
-            state=stored and stored.record.state.value,
+            owner=stored.record.owner,
+            state=stored.record.state.value,
         )
         self._drop(job)
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -371,3 +371,28 @@
         assert len(results) == 3
 
     with_fleet(check)
+
+
+def test_job_is_run_on_though_a_table_read_before_it_lacks_it():
+    async def check(fleet):
+        fleet.engines.event_s = 0.1
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.3)
+        fleet.hosts["h0"]._heads.replace(())
+        await asyncio.sleep(0.1)
+        assert len(fleet.engines.runs) == 3
+        await wait_done(fleet, "h0", "j1", 3, limit_s=3)
+        assert len(fleet.engines.runs) == 3
+
+    with_fleet(check)
+
+
+def test_host_takes_its_own_job_up_again_at_once():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        fleet.hosts["h0"].worker._jobs.clear()  # as after a write that came late
+        started_s = fleet.clock.now_s()
+        await wait_done(fleet, "h0", "j1", 3)
+        assert fleet.clock.now_s() - started_s < 1.5
+
+    with_fleet(check, hosts=8)
