--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -10,7 +10,14 @@
 from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
 from ._load import NO_BACKLOG, EngineLoad, LoadBoard
 from ._placement import Candidate, Refused, place_online
-from ._routes import Configuration, RequestLimits, Route, RouteKind, Target
+from ._routes import (
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Target,
+    virtual_host,
+)
 from ._sharing import Backlog, deal_places
 from ._view import EngineView
 from ._yielding import items_to_stop
@@ -44,4 +51,5 @@
     "items_to_stop",
     "place_online",
     "rank",
+    "virtual_host",
 ]
--- a/src/aspenbridge/fleet/_routes.py
+++ b/src/aspenbridge/fleet/_routes.py
@@ -22,6 +22,11 @@
     BATCH = "batch"
 
 
+def virtual_host(host_header: str) -> str:
+    """Return the name that routes are looked up by, without a port."""
+    return host_header.partition(":")[0].lower()
+
+
 @attrs.frozen
 class Target:
     """A service and its share of a route's requests."""
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from returns.result import Failure
 
-from aspenbridge.fleet import RouteKind
+from aspenbridge.fleet import RouteKind, virtual_host
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import metrics_text
 from aspenbridge.relay import CallerRequest
@@ -228,7 +228,8 @@
         self, request: web.BaseRequest, configuration: Configuration, body: bytes
     ) -> Awaitable[web.StreamResponse] | None:
         """Return the call on a batch job that a request is, or None."""
-        host, path = _host_name(request), request.raw_path.partition("?")[0]
+        host = virtual_host(request.headers.get("Host", ""))
+        path = request.raw_path.partition("?")[0]
         route = configuration.route_for(host, path)
         if route is not None and route.kind is RouteKind.BATCH:
             if request.method == "POST":
@@ -324,10 +325,6 @@
     )
 
 
-def _host_name(request: web.BaseRequest) -> str:
-    return request.headers.get("Host", "").partition(":")[0].lower()
-
-
 def _caller_request(
     request: web.BaseRequest, body: bytes, received_s: float
 ) -> CallerRequest:
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from aspenbridge.fleet import Refused, RouteKind
+from aspenbridge.fleet import Refused, RouteKind, virtual_host
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.result_codes import Problem, ResultCode
@@ -64,7 +64,7 @@
         self, request: CallerRequest, configuration: Configuration, reply: Reply
     ) -> None:
         """Answer one request."""
-        route = configuration.route_for(request.host, request.path)
+        route = configuration.route_for(virtual_host(request.host), request.path)
         if route is None or route.kind is RouteKind.BATCH:
             detail = f"no route for {request.path!r} at {request.host!r}"
             await reply.refuse(Problem(ResultCode.NOT_FOUND, detail))
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -141,6 +141,14 @@
     with_fleet(check)
 
 
+def test_route_is_found_whatever_the_case_and_port_of_the_host():
+    async def check(fleet):
+        reply = await fleet.relay("h0", make_request(host="A.Example:8080"))
+        assert reply.finished
+
+    with_fleet(check)
+
+
 def test_unknown_route_is_not_found():
     async def check(fleet):
         reply = await fleet.relay("h0", make_request(path="/nowhere/x"))
