--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -80,7 +80,10 @@
         :return: whether something is settled: they are listed, or the job is
             lost. False asks for another try.
         """
+        job.drop_listed()
         batch = _fitting(job.finished)
+        if not batch:
+            return True
         head = job.head
         changes = Changes().unchanged(job.stored)
         for offset, finished in enumerate(batch):
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -83,7 +83,11 @@
         items must not be listed a second time.
         """
         self.stored = stored
-        listed = set(stored.record.listed)
+        self.drop_listed()
+
+    def drop_listed(self) -> None:
+        """Forget finished items that have a position already."""
+        listed = set(self.head.listed)
         self.finished = [f for f in self.finished if f.state.index not in listed]
 
     def restore(self, records: Iterable[tuple[int, ProgressRecord]]) -> None:
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -98,7 +98,17 @@
     def adopt(
         self, stored: Stored[JobHead], items: tuple[SubmittedItem, ...]
     ) -> OwnedJob:
-        """Run a job whose head names this host as its owner."""
+        """
+        Run a job whose head names this host as its owner.
+
+        A job that is run already goes on: the answer to its submission may
+        come after this host has found and claimed it.
+        """
+        known = self._jobs.get(stored.record.id)
+        if known is not None:
+            if known.stored.version < stored.version:
+                known.adopt(stored)
+            return known
         job = OwnedJob(stored, items)
         self._jobs[stored.record.id] = job
         self.wake()
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from aspenbridge.jobs import JobSubmission, SubmittedItem
+from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
 from tests.support.entry_fleet import (
@@ -396,3 +397,34 @@
         assert fleet.clock.now_s() - started_s < 1.5
 
     with_fleet(check, hosts=8)
+
+
+def test_item_that_finishes_again_after_it_was_listed_is_not_listed_twice():
+    async def check(fleet):
+        fleet.engines.faults["j1-2"] = [Fault(break_after=9)]
+        await submit(fleet, "h0", make_job())
+        worker = fleet.hosts["h0"].worker
+        await asyncio.sleep(0.35)
+        job = worker._jobs["j1"]
+        assert len(job.head.listed) == 2
+        again = next(s for s in (ItemState(n) for n in job.head.listed))
+        job.finished.append(FinishedItem(again, TEXT))
+        listed = await wait_done(fleet, "h1", "j1", 3)
+        assert sorted(r.item_id for r in listed) == ["j1-0", "j1-1", "j1-2"]
+
+    with_fleet(check)
+
+
+def test_job_that_is_run_already_is_not_adopted_a_second_time():
+    async def check(fleet):
+        fleet.engines.event_s = 0.1
+        await submit(fleet, "h0", make_job())
+        worker = fleet.hosts["h0"].worker
+        job = worker._jobs["j1"]
+        await asyncio.sleep(0.3)
+        # the answer to the submission comes after the host's own claim
+        assert worker.adopt(job.stored, job.items) is job
+        await wait_done(fleet, "h0", "j1", 3)
+        assert len(fleet.engines.runs) == 3
+
+    with_fleet(check)
