Read engines' answers by one piece of code; drop what nothing calls

Cause: online streams and batch items each had the loop that times an answer's parts and cuts them into events; the rule when a send may move stood three times; a submission looked its route up twice. Left: EngineHealth.keep_only has no caller, so pauses of engines that are gone are kept until the process ends.

--- a/src/aspenbridge/fleet/_routes.py
+++ b/src/aspenbridge/fleet/_routes.py
@@ -101,8 +101,3 @@
             if path.startswith(route.prefix):
                 return route
         return None
-
-    def batch_route(self, host: str) -> Route | None:
-        """Return a route of a virtual host that takes batch jobs."""
-        routes = self._by_host.get(host, ())
-        return next((r for r in routes if r.kind is RouteKind.BATCH), None)
--- a/src/aspenbridge/jobs/_claims.py
+++ b/src/aspenbridge/jobs/_claims.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 import attrs
@@ -29,7 +28,6 @@
     from ._records import JobHead
     from ._worker import JobWorker
 
-logger = logging.getLogger(__name__)
 CLAIM_INTERVAL_S = 0.25
 TURN_S = 1.0  # a claim and the reading of the items take a part of this
 
--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
 
-from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
-from aspenbridge.relay import EventError, EventSplitter
+from aspenbridge.ports import AttemptError, RelayedCall
+from aspenbridge.relay import EventSplitter, chunks_in_time, whole_events
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from aspenbridge.fleet import EngineEntry
-    from aspenbridge.ports import Clock, EngineCaller, RelayedAnswer
+    from aspenbridge.ports import CallOutcome, Clock, EngineCaller, RelayedAnswer
 
     from ._messages import SubmittedItem
     from ._owned import ItemState
@@ -88,28 +85,9 @@
     if status != OK:
         return ItemRun(ItemOutcome.FAILED, f"status {status}")
     splitter = EventSplitter(state.last_event_id)
-    async for chunk in _timed(answer):
-        try:
-            events = splitter.feed(chunk)
-        except EventError as error:
-            raise AttemptError(CallOutcome.BROKEN, str(error)) from error
+    chunks = chunks_in_time(answer, lambda: PAUSE_LIMIT_S)
+    async for events in whole_events(chunks, splitter):
         for event in events:
             state.events.append(event.data)
             state.last_event_id = event.id
-    if splitter.pending:
-        raise AttemptError(CallOutcome.BROKEN, "stream ended within an event")
     return ItemRun(ItemOutcome.COMPLETE)
-
-
-async def _timed(answer: RelayedAnswer) -> AsyncIterator[bytes]:
-    """Yield the body; a pause that is too long breaks the run."""
-    chunks = answer.body()
-    while True:
-        try:
-            async with asyncio.timeout(PAUSE_LIMIT_S):
-                chunk = await anext(chunks)
-        except StopAsyncIteration:
-            return
-        except TimeoutError as error:
-            raise AttemptError(CallOutcome.BROKEN, "engine is silent") from error
-        yield chunk
--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -13,7 +13,6 @@
 
 from ._messages import decode_items
 from ._records import (
-    HEADS_TABLE,
     PROGRESS_TABLE,
     JobHead,
     JobState,
@@ -44,8 +43,8 @@
     from ._owned import FinishedItem, ItemState, OwnedJob
 
 ROWS_AT_ONCE = 90  # a transaction takes 100 rows
-LISTED_AT_ONCE = 20  # a transaction takes 100 rows
-BYTES_AT_ONCE = 500_000  # and one megabyte, in base64
+LISTED_AT_ONCE = 20  # results, each a row, perhaps with its progress
+BYTES_AT_ONCE = 500_000  # a transaction takes one megabyte, in base64
 ROW_TEXT_SHARE = 0.6  # of a row's limit; JSON may escape characters
 COMMIT_LIMIT_S = 3.0
 
@@ -230,6 +229,3 @@
             break
         batch.append(entry)
     return batch
-
-
-__all__ = ["HEADS_TABLE", "JobLedger"]
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self, TypeVar
 
@@ -30,10 +29,9 @@
     from returns.result import Result
 
     from aspenbridge.entry import Address, EntryHost
-    from aspenbridge.fleet import Configuration
+    from aspenbridge.fleet import Configuration, Route
     from aspenbridge.ports import AnswerHead
 
-logger = logging.getLogger(__name__)
 LARGEST_BODY_BYTES = 16 * 1024 * 1024  # four times the largest limit configured
 LARGEST_HEADER_BYTES = 32 * 1024  # twice the largest limit configured
 # Callers reuse connections for four fifths of the idle limit of 15 s.
@@ -233,7 +231,7 @@
         route = configuration.route_for(host, path)
         if route is not None and route.kind is RouteKind.BATCH:
             if request.method == "POST":
-                return self._submit(request, host, configuration, body)
+                return self._submit(request, host, route, body)
             return None
         if route is not None:
             return None
@@ -250,11 +248,9 @@
         self,
         request: web.BaseRequest,
         host: str,
-        configuration: Configuration,
+        route: Route,
         body: bytes,
     ) -> web.StreamResponse:
-        route = configuration.route_for(host, request.raw_path.partition("?")[0])
-        assert route is not None
         job_id = request.headers.get(names.REQUEST_ID, "")
         try:
             submission = decode_submission(job_id, host, body)
--- a/src/aspenbridge/relay/__init__.py
+++ b/src/aspenbridge/relay/__init__.py
@@ -4,6 +4,7 @@
 
 from ._events import EventError, EventSplitter, StreamEvent
 from ._placing import OnlinePlacing
+from ._reading import chunks_in_time, whole_events
 from ._relay import Relay
 from ._request import CallerRequest, Reply
 
@@ -15,4 +16,6 @@
     "Relay",
     "Reply",
     "StreamEvent",
+    "chunks_in_time",
+    "whole_events",
 ]
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,8 @@
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.result_codes import Problem, ResultCode
 
-from ._events import EventError, EventSplitter
+from ._events import EventSplitter
+from ._reading import chunks_in_time, whole_events
 from ._request import Progress
 
 if TYPE_CHECKING:
@@ -40,6 +40,7 @@
 FIRST_EVENT_LIMIT_S = 0.6
 PAUSE_LIMIT_S = 0.6
 SHORTEST_SEND_S = 0.05  # less time than a first event takes
+RETRY_LATER_S = 0.2  # the engines of a refused request have a place again
 SERVER_ERROR = 500
 
 
@@ -195,31 +196,21 @@
 
     def _answer_deadline_s(self, progress: Progress) -> float:
         """Return when a silent engine is left for another one."""
-        if (
-            progress.route.repeatable
-            and progress.sends + 1 < progress.route.max_engines
-        ):
+        if progress.may_move:
             limit_s = self._clock.now_s() + FIRST_EVENT_LIMIT_S
             return min(limit_s, progress.call.deadline_s)
         return progress.call.deadline_s
 
     async def _pass_events(self, progress: Progress, answer: RelayedAnswer) -> None:
         progress.events.restart()
-        async for chunk in self._timed(progress, answer):
-            try:
-                events = progress.events.feed(chunk)
-            except EventError as error:
-                raise AttemptError(CallOutcome.BROKEN, str(error)) from error
-            if not events:
-                continue
+        chunks = self._chunks(progress, answer)
+        async for events in whole_events(chunks, progress.events):
             if progress.first_event_s is None:
                 progress.first_event_s = self._clock.now_s()
             if not progress.begun:
                 progress.begun = True
                 await progress.reply.begin(answer.head)
             await progress.reply.write(b"".join(event.raw for event in events))
-        if progress.events.pending:
-            raise AttemptError(CallOutcome.BROKEN, "stream ended within an event")
         if not progress.begun:
             progress.begun = True
             await progress.reply.begin(answer.head)
@@ -227,10 +218,9 @@
 
     async def _pass_whole(self, progress: Progress, answer: RelayedAnswer) -> None:
         """Pass on an answer that is not a stream, once it is complete."""
-        body = b"".join([chunk async for chunk in self._timed(progress, answer)])
+        body = b"".join([chunk async for chunk in self._chunks(progress, answer)])
         failed = answer.head.status >= SERVER_ERROR
-        another = progress.sends + 1 < progress.route.max_engines
-        if progress.begun or (failed and progress.route.repeatable and another):
+        if progress.begun or (failed and progress.may_move):
             reason = f"engine answered with {answer.head.status}"
             raise AttemptError(CallOutcome.BROKEN, reason)
         progress.begun = True
@@ -238,26 +228,16 @@
         await progress.reply.write(body)
         await progress.reply.finish()
 
-    async def _timed(
+    def _chunks(
         self, progress: Progress, answer: RelayedAnswer
     ) -> AsyncIterator[bytes]:
-        """Yield the body; a pause that is too long breaks the attempt."""
-        chunks = answer.body()
-        while True:
-            pause_end_s = progress.call.deadline_s
-            if (
-                progress.route.repeatable
-                and progress.sends + 1 < progress.route.max_engines
-            ):
-                pause_end_s = min(pause_end_s, self._clock.now_s() + PAUSE_LIMIT_S)
-            try:
-                async with asyncio.timeout(pause_end_s - self._clock.now_s()):
-                    chunk = await anext(chunks)
-            except StopAsyncIteration:
-                return
-            except TimeoutError as error:
-                raise AttemptError(CallOutcome.BROKEN, "engine is silent") from error
-            yield chunk
+        """Return the body; a pause that is too long breaks the attempt."""
+
+        def pause_limit_s() -> float:
+            left_s = progress.call.deadline_s - self._clock.now_s()
+            return min(left_s, PAUSE_LIMIT_S) if progress.may_move else left_s
+
+        return chunks_in_time(answer, pause_limit_s)
 
     def _log(
         self, request: CallerRequest, progress: Progress, version: int, outcome: str
@@ -285,6 +265,3 @@
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
         )
-
-
-RETRY_LATER_S = 0.2  # the engines of a refused request have a place again
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -77,3 +77,8 @@
         if self.may_have_run and not self.route.repeatable:
             return False
         return self.sends < self.route.max_engines
+
+    @property
+    def may_move(self) -> bool:
+        """Whether a send under way may be given up for another engine."""
+        return self.route.repeatable and self.sends + 1 < self.route.max_engines
