Refuse batch jobs at once without the store; leave rotation when cut off

Change: a host that has had no answer of the store for 2.5 s, by its own row or by its feed, says so at once, with a short way back if others may reach the store; one that hears nobody at all is not ready. A submission whose items could not be stored is logged now, it was not before. Each start of an item is logged with the load that decided it.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -9,6 +9,7 @@
 
 from aspenbridge.fleet import (
     HOSTS_TABLE,
+    Contact,
     EngineDirectory,
     EngineHealth,
     EngineView,
@@ -28,6 +29,7 @@
     JobSweep,
     JobWorker,
 )
+from aspenbridge.observability import log_decision
 from aspenbridge.relay import OnlinePlacing, Relay
 from aspenbridge.store import Store
 
@@ -55,6 +57,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.fault = asyncio.Event()
         self.leaving = False
+        self._unready = "it has just started"
         clock, random = ports.clock, ports.random
         store = Store(ports.table, clock, random)
         self.configuration = ConfigurationCopy(
@@ -144,9 +147,11 @@
         _, engines, hosts, heads = self._followers
         engines.on_return = directory.store_returned
         hosts.on_return = self.hosts.store_returned
+        self.contact = Contact(self._heartbeat, heads, self.hosts, self.board)
         self.desk = JobDesk(
             self._heads,
             heads,
+            self.contact,
             store,
             ports.feed,
             ports.objects,
@@ -175,7 +180,20 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send new connections here."""
-        return self.configuration.current is not None and not self.leaving
+        reason = self._unready_reason()
+        if reason != self._unready:
+            self._unready = reason
+            log_decision("readiness", ready=not reason, reason=reason)
+        return not reason
+
+    def _unready_reason(self) -> str:
+        if self.leaving:
+            return "the host stops"
+        if self.configuration.current is None:
+            return "no configuration was read yet"
+        if self.contact.cut_off:
+            return "neither the store nor any other host is heard"
+        return ""
 
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self.exchange)
--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._contact import FRESH_LIMIT_S, Contact
 from ._datagrams import Datagrams, UdpDatagrams
 from ._engines import EngineDirectory, EngineEntry
 from ._exchange import LoadExchange
@@ -23,11 +24,13 @@
 from ._yielding import items_to_stop
 
 __all__ = [
+    "FRESH_LIMIT_S",
     "HOSTS_TABLE",
     "NO_BACKLOG",
     "Backlog",
     "Candidate",
     "Configuration",
+    "Contact",
     "Datagrams",
     "EngineDirectory",
     "EngineEntry",
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -97,6 +97,15 @@
             for seen in self._seen.values()
         )
 
+    def known(self) -> int:
+        """Return how many hosts are listed, living or not."""
+        return len(self._seen)
+
+    def any_reported(self) -> bool:
+        """Whether another host has said lately that it reaches the store."""
+        oldest_s = self._clock.now_s() - REACHED_S
+        return any(heard_s >= oldest_s for heard_s in self._reported_s.values())
+
     def _take(self, record: HostRecord) -> None:
         known = self._seen.get(record.host)
         if known is not None and known.record.incarnation != record.incarnation:
--- a/src/aspenbridge/jobs/_desk.py
+++ b/src/aspenbridge/jobs/_desk.py
@@ -7,6 +7,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from aspenbridge.fleet import FRESH_LIMIT_S
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.result_codes import Problem, ResultCode
@@ -23,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from aspenbridge.fleet import Follower, Route
+    from aspenbridge.fleet import Contact, Follower, Route
     from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
     from aspenbridge.store import Store
 
@@ -32,8 +33,9 @@
 
 ACCEPT_LIMIT_S = 2.5  # the caller tries another host well before its deadline
 END_LIMIT_S = 2.0
-FRESH_LIMIT_S = 2.5  # a feed without news is confirmed more often than this
 STORE_RETRY_S = 0.5
+ELSEWHERE_RETRY_S = 0.02  # a caller comes again at another host
+UNREACHED = Unavailable("the store is not reached", maybe_applied=False)
 PAGE_BYTES = 900_000  # callers take one megabyte
 
 
@@ -56,6 +58,7 @@
         self,
         directory: JobDirectory,
         follower: Follower,
+        contact: Contact,
         store: Store,
         feed: ChangeFeed,
         objects: ObjectStore,
@@ -65,6 +68,7 @@
     ) -> None:
         self._directory = directory
         self._follower = follower
+        self._contact = contact
         self._store = store
         self._feed = feed
         self._objects = objects
@@ -78,11 +82,15 @@
         """Accept a job once; a repeat is accepted again without effect."""
         if self._directory.get(submission.id) is not None:
             return Success(None)
+        if not self._contact.store:
+            return self._not_accepted(submission.id, UNREACHED)
         stored = await self._objects.put(
             items_object(submission.id), encode_items(submission.items)
         )
         if isinstance(stored, Failure):
-            return Failure(_store_down(stored.failure(), maybe_applied=False))
+            reason = stored.failure().reason
+            unused = Unavailable(reason, maybe_applied=False)  # no head names it
+            return self._not_accepted(submission.id, unused)
         head = self._new_head(submission, route)
         key = head_key(head.id)
         committed = await self._store.commit(
@@ -117,9 +125,17 @@
         if isinstance(error, Conflict):
             log_decision("job known", job=job_id)
             return Success(None)
+        return self._not_accepted(job_id, error)
+
+    def _not_accepted(self, job_id: str, error: Unavailable) -> Failure[Problem]:
         metrics.JOBS.labels("not accepted").inc()
-        log_decision("job not accepted", job=job_id, reason=error.reason)
-        return Failure(_store_down(error, maybe_applied=error.maybe_applied))
+        log_decision(
+            "job not accepted",
+            job=job_id,
+            reason=error.reason,
+            maybe_applied=error.maybe_applied,
+        )
+        return Failure(self._store_down(error, maybe_applied=error.maybe_applied))
 
     async def results(
         self, job_id: str, first: int, wait_s: float
@@ -149,7 +165,7 @@
         if items is None:
             read = await self._objects.get(items_object(job_id))
             if isinstance(read, Failure):
-                return Failure(_store_down(read.failure(), maybe_applied=False))
+                return Failure(self._store_down(read.failure(), maybe_applied=False))
             stored = read.unwrap()
             items = decode_items(stored) if stored is not None else ()
         for item in items:
@@ -177,7 +193,7 @@
                 return Success(None)
             error = committed.failure()
             if isinstance(error, Unavailable):
-                return Failure(_store_down(error, maybe_applied=True))
+                return Failure(self._store_down(error, maybe_applied=True))
             found = await self._head(job_id, current=True)
         return found
 
@@ -190,9 +206,11 @@
             finished = known.record.state is JobState.COMPLETE
             if finished or self._follower.age_s < FRESH_LIMIT_S:
                 return Success(known)
+        if not self._contact.store:
+            return Failure(self._store_down(UNREACHED, maybe_applied=False))
         read = await self._store.get(head_key(job_id), JobHead)
         if isinstance(read, Failure):
-            return Failure(_store_down(read.failure(), maybe_applied=False))
+            return Failure(self._store_down(read.failure(), maybe_applied=False))
         stored = read.unwrap()
         if stored is None:
             detail = f"there is no batch job {job_id!r}"
@@ -209,7 +227,7 @@
             start.table, start.part, start=start.key, end=end.key
         )
         if isinstance(read, Failure):
-            return Failure(_store_down(read.failure(), maybe_applied=False))
+            return Failure(self._store_down(read.failure(), maybe_applied=False))
         results: list[ItemResult] = []
         size_bytes = 0
         for row in read.unwrap().rows:
@@ -229,17 +247,19 @@
             return Success(record.text)
         read = await self._objects.get(record.text_object)
         if isinstance(read, Failure):
-            return Failure(_store_down(read.failure(), maybe_applied=False))
+            return Failure(self._store_down(read.failure(), maybe_applied=False))
         body = read.unwrap()
         if body is None:
             detail = f"object {record.text_object!r} is missing"
             return Failure(Problem(ResultCode.INTERNAL_ERROR, detail))
         return Success(body.decode())
 
-
-def _store_down(error: Unavailable, *, maybe_applied: bool) -> Problem:
-    if maybe_applied:
-        return Problem(ResultCode.OUTCOME_UNKNOWN, error.reason)
-    return Problem(
-        ResultCode.STORE_UNAVAILABLE, error.reason, retry_after_s=STORE_RETRY_S
-    )
+    def _store_down(self, error: Unavailable, *, maybe_applied: bool) -> Problem:
+        if maybe_applied:
+            return Problem(ResultCode.OUTCOME_UNKNOWN, error.reason)
+        elsewhere = self._contact.store_of_others
+        return Problem(
+            ResultCode.STORE_UNAVAILABLE,
+            error.reason,
+            retry_after_s=ELSEWHERE_RETRY_S if elsewhere else STORE_RETRY_S,
+        )
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -282,6 +282,16 @@
     ) -> None:
         job.start(state)
         self._board.add(engine.id, batch=1)
+        load = self._board.load(engine.id)
+        log_decision(
+            "item starts",
+            job=job.head.id,
+            request=job.items[state.index].id,
+            engine=engine.id,
+            online=load.online,
+            batch=load.batch,
+            last_event=state.last_event_id,
+        )
         task = asyncio.create_task(self._run_item(job, state, route, engine))
         self._runs[task] = (job, state, engine.id)
         task.add_done_callback(self._ended)
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.support.entry_fleet import EntryFleet, make_configuration, make_request
 from tests.support.virtual_loop import run_virtual
 
@@ -52,6 +54,30 @@
     with_fleet(check)
 
 
+def test_host_that_hears_neither_the_store_nor_others_takes_no_new_connections():
+    async def check(fleet):
+        fleet.cut_off("h0")
+        await asyncio.sleep(4.0)
+        assert [fleet.hosts[f"h{n}"].ready for n in range(3)] == [False, True, True]
+        reply = await fleet.relay("h0", make_request())
+        assert reply.status == 200
+        fleet.reconnect()
+        await asyncio.sleep(2.5)
+        assert fleet.hosts["h0"].ready
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("hosts", [1, 3])
+def test_outage_of_the_store_leaves_all_hosts_ready(hosts):
+    async def check(fleet):
+        fleet.store.away = {"*"}
+        await asyncio.sleep(6.0)
+        assert all(host.ready for host in fleet.hosts.values())
+
+    with_fleet(check, hosts=hosts)
+
+
 def test_engine_that_drains_gets_no_request_after_the_change():
     async def check(fleet):
         fleet.store.write("servers", "e0", None)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -104,6 +104,42 @@
     with_fleet(check)
 
 
+@pytest.mark.parametrize(
+    ("cut", "retry_at_most_s"),
+    [({"h0"}, 0.1), ({"*"}, 1.0)],
+)
+def test_job_is_refused_at_once_by_a_host_that_has_lost_the_store(cut, retry_at_most_s):
+    async def check(fleet):
+        fleet.store.away, fleet.store.silent = cut, True
+        await asyncio.sleep(4.0)
+        asked_s = fleet.clock.now_s()
+        problem = (await submit(fleet, "h0", make_job())).failure()
+        assert fleet.clock.now_s() - asked_s < 0.1
+        assert problem.code is ResultCode.STORE_UNAVAILABLE
+        assert problem.retry_after_s <= retry_at_most_s
+        page = await fleet.hosts["h0"].desk.results("j1", 0, 1.0)
+        assert page.failure().code is ResultCode.STORE_UNAVAILABLE
+        assert fleet.clock.now_s() - asked_s < 0.1
+        fleet.store.away = set()
+        await asyncio.sleep(2.0)
+        assert await submit(fleet, "h0", make_job()) == Success(None)
+
+    with_fleet(check)
+
+
+def test_hosts_cut_off_together_send_a_caller_to_the_others_at_once():
+    async def check(fleet):
+        fleet.store.away, fleet.store.silent = {"h0", "h1"}, True
+        fleet.datagrams.groups = [{fleet.address(name) for name in ("h0", "h1")}]
+        await asyncio.sleep(4.0)
+        problem = (await submit(fleet, "h0", make_job())).failure()
+        assert problem.code is ResultCode.STORE_UNAVAILABLE
+        assert problem.retry_after_s <= 0.1
+        assert fleet.hosts["h0"].ready
+
+    with_fleet(check, hosts=5)
+
+
 def test_unknown_job_is_not_called_missing_by_a_host_without_the_store():
     async def check(fleet):
         await submit(fleet, "h0", make_job())
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -43,6 +43,7 @@
 from aspenbridge.relay import CallerRequest
 
 STORE_DELAY_S = 0.004
+SILENT_CALL_S = 1.0  # a call is given up after this
 EVENT_S = 0.02
 
 
@@ -56,6 +57,7 @@
         self.version = 0
         self.deaf_until_s = 0.0  # feeds hear nothing, without an error
         self.away: set[str] = set()  # hosts that get no answer; "*" for all
+        self.silent = False  # while away: gives no answer, not a refusal
         self.lose_answers = 0
         self.lose_table = ""  # only answers about this one
         self.away_after_loss: set[str] = set()  # hosts cut off with the answer
@@ -124,8 +126,10 @@
         self._host = host
 
     async def _reach(self) -> bool:
-        await asyncio.sleep(STORE_DELAY_S)
-        return not self._store.away & {self._host, "*"}
+        reached = not self._store.away & {self._host, "*"}
+        silent = self._store.silent and not reached
+        await asyncio.sleep(SILENT_CALL_S if silent else STORE_DELAY_S)
+        return reached and not self._store.away & {self._host, "*"}
 
     async def transact(self, transaction):
         if not await self._reach():
@@ -311,12 +315,15 @@
     def __init__(self) -> None:
         self.receivers = {}
         self.lost: set[tuple[str, int]] = set()
+        self.groups: list[set[tuple[str, int]]] = []  # hear only each other
 
     @asynccontextmanager
     async def open(self, address, receive):
         self.receivers[address] = receive
 
         def send(data, peer):
+            if any((peer in group) != (address in group) for group in self.groups):
+                return
             if peer not in self.lost and peer in self.receivers:
                 loop = asyncio.get_running_loop()
                 loop.call_later(0.03, self._deliver, peer, data, address)
@@ -482,6 +489,21 @@
         del self.hosts[name]
         await self._stacks.pop(name).aclose()
 
+    def cut_off(self, name: str) -> None:
+        """Take the store and the other hosts away from a host."""
+        self.store.away |= {name}
+        self.datagrams.groups.append({self.address(name)})
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Return where a host hears the others."""
+        settings = self.hosts[name].settings
+        return settings.ip, settings.peer_ports[0]
+
+    def reconnect(self) -> None:
+        """Undo all cuts."""
+        self.store.away = set()
+        self.datagrams.groups = []
+
     async def relay(self, host: str, request: CallerRequest) -> RecordedReply:
         reply = RecordedReply()
         entry = self.hosts[host]
