Close kept connections in the last part of a shutdown

Ruled out: a listener left open (closed at 30.7 s), the platform's notice (not ready from 26.7 s on). Change: when the listener is closed idle connections are closed too and the others after their request. The server library's own call for this stops an idle connection's task and leaves its socket open, so it is done here.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -110,7 +110,7 @@
         self._metrics = metrics
         self._stack = AsyncExitStack()
         self._listeners: list[asyncio.Server] = []
-        self._running = 0
+        self._busy: set[RequestHandler] = set()
         self._ended_s = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -156,20 +156,29 @@
 
         New connections are still served, since the balancer sends some for as
         long as few other hosts are ready; in the last part of the time they
-        are refused, so that what was taken can end.
+        are refused and idle ones closed, so that what was taken can end.
 
         :return: whether all requests ended in time.
         """
         await self._wait_quiet(limit_s - LAST_PART_S)
         for listener in self._listeners:
             listener.close()
+        self._close_after_requests()
         await self._wait_quiet(min(limit_s, LAST_PART_S))
-        return not self._running
+        return not self._busy
+
+    def _close_after_requests(self) -> None:
+        """Close idle connections now, the others after their request."""
+        for connection in self._web.connections:
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     async def _wait_quiet(self, limit_s: float) -> None:
         try:
             async with asyncio.timeout(limit_s):
-                while self._running or self._quiet_s() < QUIET_S:
+                while self._busy or self._quiet_s() < QUIET_S:
                     await self._idle.wait()
                     await asyncio.sleep(QUIET_S / 4)
         except TimeoutError:
@@ -181,13 +190,14 @@
     @property
     def running(self) -> int:
         """The number of requests that are being served."""
-        return self._running
+        return len(self._busy)
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._host.ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._running += 1
+        connection = request.protocol
+        self._busy.add(connection)
         self._idle.clear()
         try:
             response = await self._serve(request)
@@ -196,9 +206,9 @@
                 response.force_close()
             return response
         finally:
-            self._running -= 1
+            self._busy.discard(connection)
             self._ended_s = self._host.ports.clock.now_s()
-            if not self._running:
+            if not self._busy:
                 self._idle.set()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -33,6 +33,7 @@
 
     session: aiohttp.ClientSession
     host: EntryHost
+    callers: Address
     ready: Address
     metrics: Address
     ingress: Ingress
@@ -48,30 +49,22 @@
                 Ingress(host, callers, ready, metrics) as ingress,
                 aiohttp.ClientSession() as session,
             ):
-                yield fleet, host, session, callers, ready, metrics, ingress
+                yield fleet, Surface(session, host, callers, ready, metrics, ingress)
 
     async def main():
-        async with surface() as (
-            fleet,
-            host,
-            session,
-            callers,
-            ready,
-            metrics,
-            ingress,
-        ):
+        async with surface() as (fleet, parts):
 
             def call(method, path, request_id="r1", data=None, **headers):
-                return session.request(
+                return parts.session.request(
                     method,
-                    f"http://{callers}{path}",
+                    f"http://{parts.callers}{path}",
                     data=data,
                     headers=HEADERS
                     | {"X-Aspenbridge-Attempt-Id": request_id}
                     | headers,
                 )
 
-            await check(fleet, call, Surface(session, host, ready, metrics, ingress))
+            await check(fleet, call, parts)
 
     with asyncio.Runner(loop_factory=NumericLoop) as runner:
         runner.run(main())
@@ -186,7 +179,7 @@
 
 def test_host_that_leaves_is_not_ready_and_still_serves():
     async def check(fleet, call, surface):
-        session, host, ready, metrics, _ = surface
+        session, host, _, ready, metrics, _ = surface
         async with session.get(f"http://{ready}/readyz") as response:
             assert response.status == 200
         host.leaving = True
@@ -227,6 +220,24 @@
     served(check)
 
 
+def test_stop_closes_idle_connections_before_its_last_part():
+    """A request on one of them would be taken and then cut."""
+
+    async def check(fleet, call, surface):
+        async with surface.session.get(f"http://{surface.ready}/readyz") as response:
+            assert response.status == 200
+        reader, writer = await asyncio.open_connection(
+            surface.callers.ip, surface.callers.port
+        )
+        surface.host.leaving = True
+        assert await surface.ingress.finish(3.0)
+        async with asyncio.timeout(1.0):
+            assert await reader.read() == b""
+        writer.close()
+
+    served(check)
+
+
 def test_body_over_the_configured_limit_is_refused_as_too_large():
     async def check(fleet, call, _):
         async with call("POST", "/online/x", data=b"x" * 4_194_305) as response:
