Save the progress of running items every two seconds

Change: a transaction a job, conditional on its head, with the items that made 25 events or more since the last. A job with over 99 begun items, or one whose text fits in no row, could not be released by a host that leaves: the same code bounds both now.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -204,6 +204,7 @@
             self._heartbeat.run(),
             self.exchange.run(),
             self.worker.run(),
+            self.worker.save_progress(),
             self._claims.run(),
             self._sweep.run(),
             self._enable_claims(),
--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -25,6 +25,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
     from returns.result import Result
@@ -47,6 +48,7 @@
 BYTES_AT_ONCE = 500_000  # a transaction takes one megabyte, in base64
 ROW_TEXT_SHARE = 0.6  # of a row's limit; JSON may escape characters
 COMMIT_LIMIT_S = 3.0
+SAVE_LIMIT_S = 1.0  # the next save comes soon
 
 
 class JobLedger:
@@ -90,7 +92,7 @@
             if record is None:
                 return False
             changes.put(result_key(head.id, len(head.listed) + offset), record)
-            if finished.state.saved:
+            if finished.state.saved_events:
                 changes.delete(progress_key(head.id, finished.state.index))
         listed = (*head.listed, *(finished.state.index for finished in batch))
         state = JobState.COMPLETE if len(listed) == head.total else JobState.OPEN
@@ -150,14 +152,39 @@
         """Give a job up with the progress of its items."""
         head = attrs.evolve(job.head, owner="")
         changes = Changes().unchanged(job.stored)
-        size_bytes = 0
-        for state in job.unfinished():
-            size_bytes += sum(map(len, state.events))
-            if not state.events or size_bytes > BYTES_AT_ONCE:
-                continue
-            changes.put(progress_key(head.id, state.index), _progress(state))
+        self._put_progress(job, job.unfinished(), changes)
         return await self._write(job, changes, head, deadline_s)
 
+    async def save(self, job: OwnedJob, states: Iterable[ItemState]) -> None:
+        """Write the progress of items, unless the job is lost."""
+        changes = Changes().unchanged(job.stored)
+        self._put_progress(job, states, changes)
+        saved = await self._store.commit(
+            changes, deadline_s=self._clock.now_s() + SAVE_LIMIT_S
+        )
+        if isinstance(saved, Failure):
+            error = saved.failure()
+            log_decision(
+                "progress not saved",
+                job=job.head.id,
+                reason=getattr(error, "reason", "conflict"),
+            )
+
+    def _put_progress(
+        self, job: OwnedJob, states: Iterable[ItemState], changes: Changes
+    ) -> None:
+        """Add as much progress as a row and a transaction hold."""
+        size_bytes, rows = 0, 0
+        for state in states:
+            item_bytes = sum(len(event) for event in state.events)
+            fits = size_bytes + item_bytes <= BYTES_AT_ONCE and rows < ROWS_AT_ONCE
+            if state.events and item_bytes <= self._text_bytes and fits:
+                size_bytes += item_bytes
+                rows += 1
+                changes.put(progress_key(job.head.id, state.index), _progress(state))
+                # Also if no answer comes: it may be written all the same.
+                state.saved_events = len(state.events)
+
     async def remove(
         self, stored: Stored[JobHead]
     ) -> Result[Committed, Conflict | Unavailable]:
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -30,13 +30,13 @@
     breaks: int = 0  # runs in a row that ended without a new event
     events_at_pause: int = 0
     not_before_s: float = 0.0
-    saved: bool = False  # the store has a progress row
+    saved_events: int = 0  # the store may have a progress row with these
 
     def restore(self, record: ProgressRecord) -> None:
         """Go on from what another host had generated."""
         self.events = list(record.events)
         self.last_event_id = record.last_event_id
-        self.saved = True
+        self.saved_events = len(self.events)
 
     def pause(self, now_s: float) -> None:
         """Wait before the next try, twice as long after each in vain."""
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -15,6 +15,7 @@
 from ._order import Pace, in_time, leaving_order, ready_items
 from ._owned import OwnedJob
 from ._records import JobState
+from ._saves import ProgressSaves
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,7 @@
         self._jobs: dict[str, OwnedJob] = {}
         self._runs: dict[asyncio.Task[None], tuple[OwnedJob, ItemState, str]] = {}
         self._listings = Listings(ledger, self._jobs)
+        self._saves = ProgressSaves(ledger, self._jobs, clock)
         self._wake = asyncio.Event()
         self._pace = Pace()
         self._announced_items = 0
@@ -155,6 +157,10 @@
             except TimeoutError:
                 continue
 
+    async def save_progress(self) -> None:
+        """Save what the items have generated until cancelled."""
+        await self._saves.run()
+
     async def hand_over(self, deadline_s: float) -> None:
         """Stop all items; leave the jobs and their progress to others."""
         self._stopping = True
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -7,6 +7,7 @@
 
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._owned import FinishedItem, ItemState
+from aspenbridge.jobs._saves import LEAST_NEW_EVENTS, SAVE_INTERVAL_S
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
 from tests.support.entry_fleet import (
@@ -191,6 +192,62 @@
     with_fleet(check)
 
 
+def progress_rows(fleet) -> int:
+    return sum(key.table == "job_progress" for key in fleet.store.rows_by_key)
+
+
+def test_host_that_takes_over_goes_on_from_the_last_save():
+    async def check(fleet):
+        fleet.engines.event_s = 0.05
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(4.5)
+        generated = max(len(run.events) for run in fleet.engines.runs)
+        await fleet.kill("h0")
+        assert progress_rows(fleet) == 3
+        listed = await wait_done(fleet, "h1", "j1", 3, limit_s=20)
+        assert {len(r.text.split("\n")) for r in listed} == {200}
+        heirs = fleet.engines.runs[3:]
+        assert len(heirs) == 3
+        lost_at_most = SAVE_INTERVAL_S / fleet.engines.event_s + LEAST_NEW_EVENTS
+        assert min(r.resume_after for r in heirs) >= generated - lost_at_most > 0
+        assert progress_rows(fleet) == 0
+
+    with_fleet(check, events=200)
+
+
+def test_saves_and_listings_of_a_job_leave_no_progress_behind():
+    """Also when answers about saves are lost and items end in between."""
+
+    async def check(fleet):
+        fleet.engines.event_s = 0.03
+        fleet.store.lose_answers, fleet.store.lose_table = 2, "job_progress"
+        await submit(fleet, "h0", make_job(items=12))
+        await wait_done(fleet, "h0", "j1", 12)
+        await asyncio.sleep(3.0)
+        assert progress_rows(fleet) == 0
+
+    with_fleet(check, events=120)
+
+
+@pytest.mark.parametrize("text", ["t", "x" * 400])
+def test_progress_that_no_transaction_holds_does_not_keep_a_job_from_its_heir(
+    text,
+):
+    async def check(fleet):
+        fleet.engines.event_s = 0.01
+        fleet.engines.text = text
+        await submit(fleet, "h0", make_job(items=120))
+        await asyncio.sleep(1.0)
+        await fleet.hosts["h0"].hand_over()
+        assert progress_rows(fleet) > 0
+        head = next(
+            row for key, row in fleet.store.rows_by_key.items() if key.key == "j1"
+        )
+        assert b'"owner":""' in head.value.replace(b" ", b"")
+
+    with_fleet(check, events=1000, engines=16)
+
+
 def test_all_hosts_killed_after_the_acknowledgement_lose_nothing():
     async def check(fleet):
         await submit(fleet, "h0", make_job())
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -77,6 +77,10 @@
             )
         }
         assert len(parts) == 1, "a transaction keeps to one part"
+        entries = (*transaction.checks, *transaction.puts, *transaction.deletes)
+        assert len(entries) <= 100, "a transaction has at most 100 entries"
+        size_bytes = sum(len(put.value) for put in transaction.puts) * 4 / 3
+        assert size_bytes < 1_000_000, "a transaction has at most one megabyte"
         stale = {
             check.key: self.rows_by_key.get(check.key)
             for check in transaction.checks
@@ -242,6 +246,7 @@
     def __init__(self, events: int = 10) -> None:
         self.events = events
         self.event_s = EVENT_S
+        self.text = "t"
         self.runs: list[Run] = []
         self.faults: dict[str, list[Fault]] = {}  # by request id, "*" for any
         self._places: dict[str, asyncio.Semaphore] = {}
@@ -301,7 +306,7 @@
                 yield f"id: {number}\nda".encode()
                 raise AttemptError(CallOutcome.BROKEN, "reset")
             self._run.events.append(number)
-            yield f"id: {number}\ndata: t{number}\n\n".encode()
+            yield f"id: {number}\ndata: {self._engines.text}{number}\n\n".encode()
 
     def close(self) -> None:
         if self._run.ended_s is None:
