Leave items to a successor once the store is lost; judge hosts by a current table

(a) A host that alone lost the store went on with its items while another one, which had claimed the job, ran them too. (b) It counted as alive for 3.2 s after its last report, which said for 2.5 s after its last beat that it reaches the store: its job was taken over after 5.7 s and not after 3.2 s. (c) When the store returns to all, the first host that reached it claimed jobs of living owners, by a table of hosts from before the outage. (d) Hosts without the store tried to claim four times a second. Ruled out: lost listings (each second run followed a claim by another host). Change: reports carry the age of the last beat; a host that others take for gone stops its items and starts none; claims wait for a current table of hosts. Two tests failed first, one of them for (c).

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -93,12 +93,17 @@
             ports.datagrams,
             clock,
         )
-        self.exchange.store_reached = lambda: self._heartbeat.store_reached
-        self.exchange.on_alive = self.hosts.hear
+        self.exchange.beat_age_s = lambda: self._heartbeat.age_s
+        self.exchange.on_beat = self.hosts.hear
         self.relay = Relay(
             OnlinePlacing(self.view, random), self.board, health, ports.caller, clock
         )
         self._heads = JobDirectory()
+        self._followers = self._make_followers()
+        _, engines, hosts, heads = self._followers
+        engines.on_return = directory.store_returned
+        hosts.on_return = self.hosts.store_returned
+        self.contact = Contact(self._heartbeat, hosts, self.hosts, self.board)
         ledger = JobLedger(
             store,
             ports.feed,
@@ -111,6 +116,7 @@
         )
         self.worker = JobWorker(
             self.incarnation,
+            self.contact,
             self._heads,
             ledger,
             self.view,
@@ -130,6 +136,7 @@
             settings.host,
             self._heads,
             self.hosts,
+            self.contact,
             ledger,
             self.worker,
             clock,
@@ -143,11 +150,6 @@
             clock,
             settings.bounds.results_kept_s,
         )
-        self._followers = self._make_followers()
-        _, engines, hosts, heads = self._followers
-        engines.on_return = directory.store_returned
-        hosts.on_return = self.hosts.store_returned
-        self.contact = Contact(self._heartbeat, heads, self.hosts, self.board)
         self.desk = JobDesk(
             self._heads,
             heads,
--- a/src/aspenbridge/fleet/_contact.py
+++ b/src/aspenbridge/fleet/_contact.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+from ._hosts import REACHED_S, SILENCE_LIMIT_S
+
 if TYPE_CHECKING:
     from ._follower import Follower
     from ._hosts import Heartbeat, HostTable
@@ -18,7 +20,7 @@
 
 
 class Contact:
-    """Judged by the host's own row, a feed and the reports of others."""
+    """Judged by the host's own row, the table of hosts and their reports."""
 
     def __init__(
         self,
@@ -35,7 +37,22 @@
     @property
     def store(self) -> bool:
         """Whether the store has answered this host lately."""
-        return self._heartbeat.store_reached or self._follower.age_s < FRESH_LIMIT_S
+        beaten = self._heartbeat.age_s < REACHED_S
+        return beaten or self.hosts_current
+
+    @property
+    def hosts_current(self) -> bool:
+        """
+        Whether it is known which hosts live.
+
+        The table of hosts that was read before an outage shows none alive.
+        """
+        return self._follower.age_s < FRESH_LIMIT_S
+
+    @property
+    def replaced(self) -> bool:
+        """Whether others take this host for gone, and claim what it runs."""
+        return self._heartbeat.age_s > SILENCE_LIMIT_S and self._hosts.any_reported()
 
     @property
     def store_of_others(self) -> bool:
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -29,14 +29,18 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """What a host has on engines (id, online, batch) and what waits."""
+    """
+    What a host has on engines (id, online, batch) and what waits.
+
+    ``beat_age_s`` is the time since the host last renewed its row.
+    """
 
     host: str
     sequence: int
     engines: list[tuple[str, int, int]]
     waiting_items: int
     due_wall_s: float
-    store_reached: bool
+    beat_age_s: float
 
 
 class LoadExchange:
@@ -66,8 +70,8 @@
         self._send_to: Callable[[bytes, PeerAddress], None] | None = None
         self._stack = AsyncExitStack()
         self.on_report: Callable[[], None] = lambda: None
-        self.store_reached: Callable[[], bool] = lambda: False
-        self.on_alive: Callable[[str], None] = lambda host: None
+        self.beat_age_s: Callable[[], float] = lambda: float("inf")
+        self.on_beat: Callable[[str, float], None] = lambda host, age_s: None
 
     async def __aenter__(self) -> Self:
         self._send_to = await self._stack.enter_async_context(
@@ -104,8 +108,7 @@
         loads = {name: EngineLoad(on, batch) for name, on, batch in report.engines}
         backlog = Backlog(report.waiting_items, report.due_wall_s)
         self._board.hear(report.host, loads, backlog)
-        if report.store_reached:
-            self.on_alive(report.host)
+        self.on_beat(report.host, report.beat_age_s)
         self._senders[sender] = self._clock.now_s() + SENDER_LIFETIME_S
         self.on_report()
 
@@ -136,7 +139,7 @@
                 engines,
                 backlog.items,
                 backlog.due_wall_s,
-                self.store_reached(),
+                self.beat_age_s(),
             )
         )
         for peer in self._addresses():
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -67,13 +67,15 @@
         else:
             self._take(decode_record(change.value, HostRecord))
 
-    def hear(self, incarnation: str) -> None:
+    def hear(self, incarnation: str, beat_age_s: float) -> None:
         """
-        Note that a host says itself that it reaches the store.
+        Note when a host renewed its row, as the host says itself.
 
         A feed may be silent for seconds without an error.
         """
-        self._reported_s[incarnation] = self._clock.now_s()
+        beat_s = self._clock.now_s() - beat_age_s
+        known_s = self._reported_s.get(incarnation, beat_s)
+        self._reported_s[incarnation] = max(known_s, beat_s)
 
     def store_returned(self) -> None:
         """Give every host the time to renew its row again."""
@@ -131,9 +133,9 @@
         self._written_s = float("-inf")
 
     @property
-    def store_reached(self) -> bool:
-        """Whether the row was written within two and a half beats."""
-        return self._clock.now_s() - self._written_s < REACHED_S
+    def age_s(self) -> float:
+        """How long ago the row was written last."""
+        return self._clock.now_s() - self._written_s
 
     async def run(self) -> None:
         """Renew the row until cancelled."""
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -23,6 +23,7 @@
 
     from aspenbridge.fleet import (
         Configuration,
+        Contact,
         EngineEntry,
         EngineHealth,
         EngineView,
@@ -54,6 +55,7 @@
     def __init__(
         self,
         incarnation: str,
+        contact: Contact,
         directory: JobDirectory,
         ledger: JobLedger,
         view: EngineView,
@@ -65,6 +67,7 @@
         configuration: Callable[[], Configuration | None],
     ) -> None:
         self._incarnation = incarnation
+        self._contact = contact
         self._directory = directory
         self._ledger = ledger
         self._view = view
@@ -145,6 +148,8 @@
         """Start and stop items until cancelled."""
         while True:
             self._wake.clear()
+            if self._contact.replaced:
+                self._leave_to_others()
             self._give_places_back()
             if self._start_items():
                 self._heard_s = self._clock.now_s() + REPORT_DELAY_S
@@ -174,6 +179,19 @@
             log_decision("job handed over", job=job.head.id, released=released)
         self._jobs.clear()
 
+    def _leave_to_others(self) -> None:
+        """Stop all items: the host that claims their jobs runs them too."""
+        for task, (job, state, engine_id) in self._runs.items():
+            if not task.cancelling():
+                log_decision(
+                    "item left to others",
+                    job=job.head.id,
+                    request=job.items[state.index].id,
+                    engine=engine_id,
+                    last_event=state.last_event_id,
+                )
+                task.cancel()
+
     def _give_places_back(self) -> None:
         """Stop items on engines that have more requests than places."""
         for engine_id in {engine for _, _, engine in self._runs.values()}:
@@ -215,7 +233,7 @@
     def _start_items(self) -> bool:
         """Start items on the places dealt to this host; tell if any did."""
         configuration = self._configuration()
-        if self._stopping or configuration is None:
+        if self._stopping or self._contact.replaced or configuration is None:
             return False
         waiting = self._waiting(configuration)
         self._note_backlog(waiting)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -5,7 +5,9 @@
 import pytest
 from returns.result import Failure, Success
 
+from aspenbridge.fleet._hosts import SILENCE_LIMIT_S
 from aspenbridge.jobs import JobSubmission, SubmittedItem
+from aspenbridge.jobs._claims import TURN_S
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._saves import LEAST_NEW_EVENTS, SAVE_INTERVAL_S
 from aspenbridge.ports import CallOutcome
@@ -192,6 +194,45 @@
     with_fleet(check)
 
 
+def running(fleet) -> int:
+    return sum(run.ended_s is None for run in fleet.engines.runs)
+
+
+def owner(fleet, job_id) -> str:
+    return fleet.hosts["h2"].desk._directory.get(job_id).record.owner
+
+
+def test_host_that_alone_lost_the_store_leaves_its_items_to_a_successor():
+    async def check(fleet):
+        fleet.engines.event_s = 0.05
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(1.0)
+        fleet.store.away, fleet.store.silent = {"h0"}, True
+        await asyncio.sleep(SILENCE_LIMIT_S + 2 * TURN_S + 1.0)
+        assert not owner(fleet, "j1").startswith("h0")
+        assert running(fleet) == 3
+        await wait_done(fleet, "h1", "j1", 3)
+        assert all(len(run.events) < 300 for run in fleet.engines.runs[:3])
+        assert len(fleet.engines.runs) == 6
+
+    with_fleet(check, events=300)
+
+
+def test_items_go_on_while_no_host_reaches_the_store():
+    async def check(fleet):
+        fleet.engines.event_s = 0.05
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(1.0)
+        fleet.store.away, fleet.store.silent = {"*"}, True
+        await asyncio.sleep(8.0)
+        assert len(fleet.engines.runs) == running(fleet) == 3
+        fleet.store.away = set()
+        await wait_done(fleet, "h1", "j1", 3)
+        assert len(fleet.engines.runs) == 3
+
+    with_fleet(check, events=300)
+
+
 def progress_rows(fleet) -> int:
     return sum(key.table == "job_progress" for key in fleet.store.rows_by_key)
 
