A host that hears no peer asks the table before it fences

Ruled out: a shorter wait, which lets a host that is cut off from its peers fence live ones sooner; it did so after 60 s. Change: it puts a doubt about each silent peer into the table; a peer that lives and reaches the table takes it away. Idle own work is looked for each 20 s, not 30 s: two looks come before it is run. Tests: the only host left (failed first), the peers of a cut-off host stay; both fail without the answers.

--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -15,9 +15,11 @@
 from aspenbridge.lifecycle import load_chart
 from aspenbridge.limits import RetryBudget
 from aspenbridge.membership import (
+    ANSWER_INTERVAL_S,
     CHUNK,
     LEAVING,
     REQUEST,
+    Doubts,
     FailureDetector,
     Members,
     Prober,
@@ -192,6 +194,7 @@
             self.takeover,
             self.registration.notice_fenced,
         )
+        self.doubts = Doubts(self.identity, self.store, clock)
         self.detector = FailureDetector(
             self.prober,
             self.members,
@@ -199,6 +202,7 @@
             clock,
             random,
             settings.membership,
+            self.doubts,
             self.takeover.start,
         )
 
@@ -257,6 +261,7 @@
         self._start(self._follow_configuration())
         self._every(FRESHNESS_INTERVAL_S, self._judge_configuration)
         self._every(intervals.membership.probe_interval_s, self.detector.tick)
+        self._every(ANSWER_INTERVAL_S, self.doubts.answer)
         self._every(
             intervals.membership.host_list_interval_s, self.prober.read_host_list
         )
--- a/src/aspenbridge/membership/__init__.py
+++ b/src/aspenbridge/membership/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._detector import FailureDetector
+from ._doubts import ANSWER_INTERVAL_S, Doubts
 from ._identity import (
     FENCED,
     HOSTS_TABLE,
@@ -18,6 +19,7 @@
 from ._rendezvous import rank, score
 
 __all__ = [
+    "ANSWER_INTERVAL_S",
     "CHUNK",
     "FENCED",
     "HOSTS_TABLE",
@@ -25,6 +27,7 @@
     "LIVE",
     "OWNED_TABLE",
     "REQUEST",
+    "Doubts",
     "FailureDetector",
     "HostRecord",
     "Identity",
--- a/src/aspenbridge/membership/_detector.py
+++ b/src/aspenbridge/membership/_detector.py
@@ -8,6 +8,8 @@
 from aspenbridge.peers import Ack, ProbeVia
 from aspenbridge.ports import PeerUnreachableError
 
+from ._doubts import Verdict
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
@@ -15,12 +17,12 @@
     from aspenbridge.ports import Clock, PeerAddress, PeerTransport
     from aspenbridge.settings import MembershipSettings
 
+    from ._doubts import Doubts
     from ._members import Member, Members
     from ._prober import Prober
 
 INDIRECT_PROBES = 3
 SUSPECTS_AT_ONCE = 8
-ISOLATED_WAIT_S = 60.0
 
 
 class FailureDetector:
@@ -34,6 +36,7 @@
         clock: Clock,
         random: Random,
         settings: MembershipSettings,
+        doubts: Doubts,
         on_failed: Callable[[str], None],
     ) -> None:
         self._prober = prober
@@ -42,6 +45,7 @@
         self._clock = clock
         self._random = random
         self._settings = settings
+        self._doubts = doubts
         self._on_failed = on_failed
         self._order: list[PeerAddress] = []
         self._suspected_s: dict[str, float] = {}
@@ -85,30 +89,36 @@
         else:
             self._answered_s = self._clock.now_s()
         for member in self._at(address):
-            self._judge(member, answered, started_s)
+            await self._judge(member, answered, started_s)
 
     def _at(self, address: PeerAddress) -> list[Member]:
         return [item for item in self._members.present() if item.address == address]
 
-    def _judge(self, member: Member, answered: str | None, started_s: float) -> None:
+    async def _judge(
+        self, member: Member, answered: str | None, started_s: float
+    ) -> None:
         incarnation = member.news.incarnation
         if answered == incarnation:
             self._suspected_s.pop(incarnation, None)
         elif answered is None:
-            self._suspect(incarnation)
+            await self._suspect(incarnation)
         elif member.heard_s <= started_s:
             self._on_failed(incarnation)  # its process was replaced
 
-    def _suspect(self, incarnation: str) -> None:
+    async def _suspect(self, incarnation: str) -> None:
         now_s = self._clock.now_s()
         since_s = self._suspected_s.setdefault(incarnation, now_s)
-        if now_s - since_s >= self._wait_s(since_s):
+        if now_s - since_s < self._settings.suspect_after_s:
+            return
+        if self._answered_s >= since_s:
+            self._on_failed(incarnation)
+            return
+        # No peer answers: it may be this host that is cut off.
+        verdict = await self._doubts.verdict(incarnation, since_s)
+        if verdict is Verdict.ALIVE:
+            self._suspected_s.pop(incarnation, None)
+        elif verdict is Verdict.GONE:
             self._on_failed(incarnation)
-
-    def _wait_s(self, since_s: float) -> float:
-        """Return the suspicion period; longer if no peer answered in it."""
-        isolated = self._answered_s < since_s
-        return ISOLATED_WAIT_S if isolated else self._settings.suspect_after_s
 
     async def _probe_via(self, target: PeerAddress) -> str | None:
         others = [item for item in self._members.live() if item.address != target]
--- a/src/aspenbridge/recovery/_reconcile.py
+++ b/src/aspenbridge/recovery/_reconcile.py
@@ -16,7 +16,9 @@
     from aspenbridge.membership import Identity
     from aspenbridge.store import Store
 
-RECONCILE_INTERVAL_S = 30.0
+# Two scans have to find the work idle before it is run, within the 60 s in
+# which all work ends after a fault; a scan reads one prefix.
+RECONCILE_INTERVAL_S = 20.0
 
 
 class Worker(Adopter, Protocol):
--- a/tests/recovery/test_takeover.py
+++ b/tests/recovery/test_takeover.py
@@ -133,6 +133,8 @@
             address = PeerAddress("127.0.0.1", 1)
             handler = cluster.fleet.peers.handlers.pop(address)
             await asyncio.sleep(120.0)
+            for number in (2, 3):  # the table shows that they live
+                assert await row(cluster, names[number]) is not None
             cluster.links[1].isolated = False
             cluster.fleet.peers.handlers[address] = handler
             await asyncio.sleep(60.0)
@@ -145,6 +147,28 @@
     assert kept == before
 
 
+def test_only_host_left_takes_over_within_the_stated_time() -> None:
+    async def scenario(clock):
+        async with Cluster(clock, 10, concurrency=4) as cluster:
+            await cluster.start(1, 2, 3)
+            job = await cluster.submit(2, 200, tokens=100)
+            await asyncio.sleep(0.5)
+            lost = [await cluster.kill(number) for number in (2, 3)]
+
+            async def taken_over():
+                rows = [await row(cluster, incarnation) for incarnation in lost]
+                return rows == [None, None]
+
+            took_s = await cluster.until(taken_over)
+            await cluster.until(lambda: cluster.job_ended(1, job))
+            doubts = await cluster.fleet.table.scan("host_doubts", "")
+            return took_s, doubts.unwrap().rows
+
+    took_s, doubts = run_virtual(scenario)
+    assert took_s < SWEEP_BOUND_S
+    assert not doubts
+
+
 def test_live_host_keeps_its_work_when_only_its_own_probes_fail() -> None:
     async def scenario(clock):
         async with Cluster(clock, 6) as cluster:
