--- a/src/aspenbridge/entry/_copies.py
+++ b/src/aspenbridge/entry/_copies.py
@@ -85,11 +85,7 @@
         log_decision(
             "engine changed",
             engine=engine_id,
-            state="gone"
-            if entry is None
-            else "draining"
-            if entry.draining
-            else "ready",
+            state=_state(entry),
             version=change.version,
         )
         self.on_change()
@@ -100,3 +96,9 @@
         except ValueError as error:
             logger.warning("engine row is skipped: %s", error)
             return None
+
+
+def _state(entry: EngineEntry | None) -> str:
+    if entry is None:
+        return "gone"
+    return "draining" if entry.draining else "ready"
--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -63,10 +63,10 @@
         self.configuration = ConfigurationCopy(
             ports.tables.configuration_key, ports.tables.decode_configuration
         )
-        directory = EngineDirectory(clock)
+        directory = self._directory = EngineDirectory(clock)
         self._engines = EngineCopy(directory, ports.tables.decode_engine)
         self.board = LoadBoard(clock)
-        health = EngineHealth(clock)
+        health = self._health = EngineHealth(clock)
         self.view = EngineView(
             directory, self.board, health, settings.failure_domain, settings.regions
         )
@@ -130,7 +130,7 @@
         self._heads.on_change = self.worker.head_changed
         self.board.on_room = self.worker.wake
         self.exchange.on_report = self.worker.wake
-        self._engines.on_change = self.worker.wake
+        self._engines.on_change = self._engines_changed
         self.configuration.on_change = self.worker.wake
         self._claims = JobClaims(
             settings.host,
@@ -172,6 +172,10 @@
             Follower(*common, HEADS_TABLE, self._heads, parts=True),
         )
 
+    def _engines_changed(self) -> None:
+        self._health.keep_only(self._directory.ids())
+        self.worker.wake()
+
     def _peers(self) -> Iterable[tuple[str, int]]:
         return [
             (record.ip, record.port)
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -85,6 +85,10 @@
         self._drop_lapsed()
         return self._entries.get(engine_id)
 
+    def ids(self) -> frozenset[str]:
+        """Return the ids of all engines that are registered."""
+        return frozenset(self._entries)
+
     def _drop_lapsed(self) -> None:
         now_s = self._clock.now_s()
         for engine_id in [e for e, end_s in self._lapsed.items() if end_s <= now_s]:
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -6,16 +6,17 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import NO_BACKLOG, Backlog, deal_places, items_to_stop
+from aspenbridge.fleet import items_to_stop
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
 from ._listings import Listings
-from ._order import Pace, in_time, leaving_order, ready_items
+from ._order import Pace, leaving_order, ready_items
 from ._owned import OwnedJob
 from ._records import JobState
 from ._saves import ProgressSaves
+from ._turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,12 +41,7 @@
     from ._records import JobHead
 
 logger = logging.getLogger(__name__)
-HEADROOM = 1  # places of an engine that batch items leave free
-# A report of what was started reaches the hosts of other regions in this time.
-REPORT_DELAY_S = 0.06
 DISPATCH_INTERVAL_S = 0.25  # also without news, for items that were paused
-# Puts a backlog of items that can't be in time behind all others.
-LATE_RANK_S = 1e6
 EXPIRY_SLACK_S = 3.0  # more than the clocks of two hosts differ by
 
 
@@ -83,8 +79,7 @@
         self._saves = ProgressSaves(ledger, self._jobs, clock)
         self._wake = asyncio.Event()
         self._pace = Pace()
-        self._announced_items = 0
-        self._heard_s = 0.0  # when the others know what waits here
+        self._turns = Turns(incarnation, view, board, self._pace, clock)
         self._stopping = False
 
     def wake(self) -> None:
@@ -152,8 +147,8 @@
                 self._leave_to_others()
             self._give_places_back()
             if self._start_items():
-                self._heard_s = self._clock.now_s() + REPORT_DELAY_S
-            pause_s = self._heard_s - self._clock.now_s()
+                self._turns.wait_for_reports()
+            pause_s = self._turns.pause_s
             try:
                 async with asyncio.timeout(
                     pause_s if pause_s > 0 else DISPATCH_INTERVAL_S
@@ -236,31 +231,20 @@
         if self._stopping or self._contact.replaced or configuration is None:
             return False
         waiting = self._waiting(configuration)
-        self._note_backlog(waiting)
-        if not waiting or not self._announced(len(waiting)):
+        self._turns.note(waiting)
+        if not waiting or not self._turns.announced(len(waiting)):
             return False
-        free = self._view.free_places(HEADROOM)
-        places = deal_places(
-            self._incarnation, self._board.backlogs(self._incarnation), free
-        )
+        places = self._turns.places()
         started = 0
         for job, state, route in waiting:
-            engine = self._take(places, route.pick_service(self._random))
+            engine = self._turns.take(places, route.pick_service(self._random))
             if engine is not None:
                 self._start(job, state, route, engine)
                 started += 1
         if started:
-            self._note_backlog(self._waiting(configuration))
+            self._turns.note(self._waiting(configuration))
         return started > 0
 
-    def _announced(self, count: int) -> bool:
-        """Whether the other hosts have heard that these items wait."""
-        now_s = self._clock.now_s()
-        if count > self._announced_items and now_s >= self._heard_s:
-            self._heard_s = now_s + REPORT_DELAY_S
-        self._announced_items = count
-        return now_s >= self._heard_s
-
     def _waiting(
         self, configuration: Configuration
     ) -> list[tuple[OwnedJob, ItemState, Route]]:
@@ -278,25 +262,6 @@
                 waiting.append((job, state, route))
         return waiting
 
-    def _note_backlog(self, waiting: list[tuple[OwnedJob, ItemState, Route]]) -> None:
-        if not waiting:
-            self._board.set_backlog(NO_BACKLOG)
-            return
-        job, state, _ = waiting[0]
-        due_wall_s = job.head.due_wall_s
-        if not in_time(job, state, self._pace, self._clock.wall_s()):
-            due_wall_s += LATE_RANK_S
-        self._board.set_backlog(Backlog(len(waiting), due_wall_s))
-
-    def _take(self, places: list[str], service: str) -> EngineEntry | None:
-        """Take the first place at an engine of a service out of a list."""
-        usable = {c.engine.id: c.engine for c in self._view.candidates(service)}
-        for engine_id in places:
-            if engine_id in usable:
-                places.remove(engine_id)
-                return usable[engine_id]
-        return None
-
     def _give_up(self, job: OwnedJob, state: ItemState, reason: str) -> None:
         job.start(state)
         self._finish(job, state, None, reason)
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -104,3 +104,16 @@
         await asyncio.gather(*tasks)
 
     with_fleet(check)
+
+
+def test_failures_of_engines_that_are_gone_are_forgotten():
+    async def check(fleet):
+        host = fleet.hosts["h0"]
+        for name in ("e0", "e1"):
+            host.relay._health.unreachable(name)
+        fleet.store.write("servers", "e0", None)
+        await asyncio.sleep(0.1)
+        assert not host.relay._health.paused("e0")
+        assert host.relay._health.paused("e1")
+
+    with_fleet(check)
