--- a/src/aspenbridge/jobs/_turns.py
+++ b/src/aspenbridge/jobs/_turns.py
@@ -71,7 +71,7 @@
         self._heard_s = self._clock.now_s() + REPORT_DELAY_S
 
     def places(self) -> list[str]:
-        """Return the engines that items may start on now, one entry a place."""
+        """Return the engines that items may start on, one entry a place."""
         backlogs = self._board.backlogs(self._incarnation)
         return deal_places(
             self._incarnation, backlogs, self._view.free_places(HEADROOM)
