Log refused calls with their reason, and the status of each answer

A request without a route, a call refused before any engine, and a read of results that was refused left no line at all. Change: 'status' in the line of a request, 'request without a route', 'call refused' with the code and the reason. Two tests failed first.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -11,7 +11,7 @@
 
 from aspenbridge.fleet import RouteKind, virtual_host
 from aspenbridge.loop import listening_socket
-from aspenbridge.observability import metrics_text
+from aspenbridge.observability import log_decision, metrics_text
 from aspenbridge.relay import CallerRequest
 from aspenbridge.result_codes import Problem, ResultCode
 
@@ -217,12 +217,13 @@
         body = await request.read()
         if configuration is None:
             detail = "this host has not read a configuration yet"
-            return problem_response(
-                Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=0.3)
+            return _refused(
+                request,
+                Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=0.3),
             )
         if len(body) > configuration.limits.body_bytes:
             detail = f"body of {len(body)} bytes is over the limit"
-            return problem_response(Problem(ResultCode.TOO_LARGE, detail))
+            return _refused(request, Problem(ResultCode.TOO_LARGE, detail))
         action = self._job_call(request, configuration, body)
         if action is not None:
             return await action
@@ -248,7 +249,7 @@
         if path.startswith(names.RESULTS_PATH):
             job_id = path.removeprefix(names.RESULTS_PATH)
             if request.method == "DELETE":
-                return self._end(job_id)
+                return self._end(request, job_id)
             return self._results(request, job_id)
         if path.startswith(names.BODIES_PATH):
             return self._item_body(request, path.removeprefix(names.BODIES_PATH))
@@ -265,9 +266,10 @@
         try:
             submission = decode_submission(job_id, host, body)
         except MessageError as error:
-            return problem_response(Problem(ResultCode.MALFORMED_BODY, str(error)))
+            problem = Problem(ResultCode.MALFORMED_BODY, str(error))
+            return _refused(request, problem)
         accepted = await self._host.desk.submit(submission, route)
-        return _reply(accepted, lambda _: web.Response(status=202))
+        return _reply(request, accepted, lambda _: web.Response(status=202))
 
     async def _results(
         self, request: web.BaseRequest, job_id: str
@@ -276,23 +278,26 @@
             first = int(request.query.get("after", "0"))
             wait_s = float(request.headers.get(names.WAIT, "0")) / 1000
         except ValueError as error:
-            return problem_response(Problem(ResultCode.INVALID_PARAMETER, str(error)))
+            problem = Problem(ResultCode.INVALID_PARAMETER, str(error))
+            return _refused(request, problem)
         page = await self._host.desk.results(
             job_id, max(0, first), min(wait_s, LONGEST_WAIT_S)
         )
         return _reply(
-            page, lambda p: web.Response(body=encode_results(p), content_type=JSON)
+            request,
+            page,
+            lambda p: web.Response(body=encode_results(p), content_type=JSON),
         )
 
     async def _item_body(
         self, request: web.BaseRequest, job_id: str
     ) -> web.StreamResponse:
         body = await self._host.desk.body(job_id, request.query.get("id", ""))
-        return _reply(body, lambda found: web.Response(body=found))
+        return _reply(request, body, lambda found: web.Response(body=found))
 
-    async def _end(self, job_id: str) -> web.StreamResponse:
+    async def _end(self, request: web.BaseRequest, job_id: str) -> web.StreamResponse:
         ended = await self._host.desk.end(job_id)
-        return _reply(ended, lambda _: web.Response(status=200))
+        return _reply(request, ended, lambda _: web.Response(status=200))
 
 
 async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
@@ -306,13 +311,29 @@
 
 
 def _reply(
-    result: Result[Value, Problem], make: Callable[[Value], web.Response]
+    request: web.BaseRequest,
+    result: Result[Value, Problem],
+    make: Callable[[Value], web.Response],
 ) -> web.Response:
     if isinstance(result, Failure):
-        return problem_response(result.failure())
+        return _refused(request, result.failure())
     return make(result.unwrap())
 
 
+def _refused(request: web.BaseRequest, problem: Problem) -> web.Response:
+    """Answer a call that no engine was tried for, and say why."""
+    log_decision(
+        "call refused",
+        request=request.headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        path=request.raw_path,
+        code=problem.code.name.lower(),
+        reason=problem.detail,
+        retry_after_s=problem.retry_after_s,
+    )
+    return problem_response(problem)
+
+
 def _request(
     message: RawRequestMessage,
     payload: StreamReader,
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -68,6 +68,13 @@
         route = configuration.route_for(virtual_host(request.host), request.path)
         if route is None or route.kind is RouteKind.BATCH:
             detail = f"no route for {request.path!r} at {request.host!r}"
+            log_decision(
+                "request without a route",
+                request=request.request_id,
+                host=request.host,
+                path=request.path,
+                configuration=configuration.version,
+            )
             await reply.refuse(Problem(ResultCode.NOT_FOUND, detail))
             return
         progress = Progress(
@@ -208,12 +215,10 @@
             if progress.first_event_s is None:
                 progress.first_event_s = self._clock.now_s()
             if not progress.begun:
-                progress.begun = True
-                await progress.reply.begin(answer.head)
+                await progress.begin(answer.head)
             await progress.reply.write(b"".join(event.raw for event in events))
         if not progress.begun:
-            progress.begun = True
-            await progress.reply.begin(answer.head)
+            await progress.begin(answer.head)
         await progress.reply.finish()
 
     async def _pass_whole(self, progress: Progress, answer: RelayedAnswer) -> None:
@@ -223,8 +228,7 @@
         if progress.begun or (failed and progress.may_move):
             reason = f"engine answered with {answer.head.status}"
             raise AttemptError(CallOutcome.BROKEN, reason)
-        progress.begun = True
-        await progress.reply.begin(answer.head)
+        await progress.begin(answer.head)
         await progress.reply.write(body)
         await progress.reply.finish()
 
@@ -254,6 +258,7 @@
             route=progress.route.name,
             configuration=version,
             outcome=outcome,
+            status=progress.status,
             engine=progress.engine,
             found_online=progress.queue[0],
             found_batch=progress.queue[1],
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -62,7 +62,7 @@
     reply: Reply
     events: EventSplitter
     received_s: float
-    begun: bool = False
+    status: int | None = None  # of the engine's answer, once it was begun
     sends: int = 0
     may_have_run: bool = False
     tried: set[str] = attrs.field(factory=set)
@@ -71,6 +71,16 @@
     first_event_s: float | None = None
     refused: Refused | None = None
 
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has the head of an answer."""
+        return self.status is not None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Pass on the head of an engine's answer."""
+        self.status = head.status
+        await self.reply.begin(head)
+
     @property
     def may_send_again(self) -> bool:
         """Whether the route allows one more engine."""
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -169,6 +169,23 @@
     served(check)
 
 
+def test_refused_call_leaves_a_line_with_its_id_and_the_reason(caplog):
+    async def check(fleet, call, _):
+        async with call("GET", "/lots/unknown?after=0", "r7") as response:
+            assert response.status == 404
+        async with call("POST", "/nowhere/x", "r8") as response:
+            assert response.status == 404
+
+    caplog.set_level("INFO", "aspenbridge.decisions")
+    served(check)
+    found = {
+        r.decision["request"]: r for r in caplog.records if "request" in r.decision
+    }
+    assert found["r7"].decision["code"] == "not_found"
+    assert "unknown" in found["r7"].decision["reason"]
+    assert found["r8"].decision["path"] == "/nowhere/x"
+
+
 def test_job_that_can_not_be_read_is_refused_as_malformed():
     async def check(fleet, call, _):
         async with call("POST", "/batch/j1", "j1", b"{}") as response:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -183,3 +183,18 @@
         assert served >= 110
 
     with_fleet(check)
+
+
+def test_line_of_a_request_names_the_status_of_its_answer(caplog):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(status=422)]
+        await fleet.relay("h0", make_request("r1"))
+        await fleet.relay("h0", make_request("r2"))
+
+    caplog.set_level("INFO", "aspenbridge.decisions")
+    with_fleet(check)
+    lines = [r.decision for r in caplog.records if r.getMessage() == "request"]
+    assert [(line["request"], line["status"]) for line in lines] == [
+        ("r1", 422),
+        ("r2", 200),
+    ]
