--- a/src/aspenbridge/jobs/_ledger.py
+++ b/src/aspenbridge/jobs/_ledger.py
@@ -92,7 +92,7 @@
             if record is None:
                 return False
             changes.put(result_key(head.id, len(head.listed) + offset), record)
-            if finished.state.saved_events:
+            if finished.state.saved:
                 changes.delete(progress_key(head.id, finished.state.index))
         listed = (*head.listed, *(finished.state.index for finished in batch))
         state = JobState.COMPLETE if len(listed) == head.total else JobState.OPEN
@@ -178,12 +178,13 @@
         for state in states:
             item_bytes = sum(len(event) for event in state.events)
             fits = size_bytes + item_bytes <= BYTES_AT_ONCE and rows < ROWS_AT_ONCE
-            if state.events and item_bytes <= self._text_bytes and fits:
+            begun = state.events or state.failures
+            if begun and item_bytes <= self._text_bytes and fits:
                 size_bytes += item_bytes
                 rows += 1
                 changes.put(progress_key(job.head.id, state.index), _progress(state))
                 # Also if no answer comes: it may be written all the same.
-                state.saved_events = len(state.events)
+                state.note_saved()
 
     async def remove(
         self, stored: Stored[JobHead]
@@ -243,7 +244,7 @@
 
 
 def _progress(state: ItemState) -> ProgressRecord:
-    return ProgressRecord(state.last_event_id or 0, tuple(state.events))
+    return ProgressRecord(state.last_event_id or 0, tuple(state.events), state.failures)
 
 
 def _fitting(finished: list[FinishedItem]) -> list[FinishedItem]:
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -31,12 +31,24 @@
     events_at_pause: int = 0
     not_before_s: float = 0.0
     saved_events: int = 0  # the store may have a progress row with these
+    saved_failures: int = 0
 
     def restore(self, record: ProgressRecord) -> None:
         """Go on from what another host had generated."""
         self.events = list(record.events)
-        self.last_event_id = record.last_event_id
+        self.last_event_id = record.last_event_id if self.events else None
+        self.failures = record.failures
+        self.note_saved()
+
+    @property
+    def saved(self) -> bool:
+        """Whether the store may have a progress row."""
+        return self.saved_events > 0 or self.saved_failures > 0
+
+    def note_saved(self) -> None:
+        """Note that all of this was written, or may have been."""
         self.saved_events = len(self.events)
+        self.saved_failures = self.failures
 
     def pause(self, now_s: float) -> None:
         """Wait before the next try, twice as long after each in vain."""
--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -57,10 +57,11 @@
 
 @attrs.frozen
 class ProgressRecord:
-    """The events of an item that had been generated when its host left."""
+    """What was generated of an item and how often it failed, when saved."""
 
     last_event_id: int
     events: tuple[str, ...]
+    failures: int = 0
 
 
 def part_of(job_id: str) -> str:
--- a/src/aspenbridge/jobs/_saves.py
+++ b/src/aspenbridge/jobs/_saves.py
@@ -22,11 +22,12 @@
 
 
 def worth_saving(job: OwnedJob) -> list[ItemState]:
-    """Return the items that have generated enough since they were saved."""
+    """Return the items that have failed or generated enough since a save."""
     return [
         state
         for state in job.unfinished()
         if len(state.events) - state.saved_events >= LEAST_NEW_EVENTS
+        or state.failures > state.saved_failures
     ]
 
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -256,6 +256,24 @@
     with_fleet(check, events=200)
 
 
+def test_failed_attempts_of_an_item_count_at_the_host_that_takes_over():
+    """Each new owner would otherwise try an item that can't be done anew."""
+
+    async def check(fleet):
+        fleet.engines.faults["j1-0"] = [Fault(status=500)] * 9
+        fleet.engines.faults["j1-1"] = [Fault(break_after=1)] * 500
+        await submit(fleet, "h0", make_job(items=2))
+        while len([r for r in fleet.engines.runs if r.request_id == "j1-0"]) < 2:
+            await asyncio.sleep(0.02)
+        await fleet.hosts["h0"].hand_over()
+        await fleet.kill("h0")
+        await asyncio.sleep(8.0)
+        runs = [r for r in fleet.engines.runs if r.request_id == "j1-0"]
+        assert len(runs) == 3
+
+    with_fleet(check)
+
+
 def test_saves_and_listings_of_a_job_leave_no_progress_behind():
     """Also when answers about saves are lost and items end in between."""
 
