A fault soak of the shipped program: processes, links, signals, stand-ins

python -m tests.soak starts hosts as processes on loopback before stand-ins of store, engines and operator and injects overlapping faults from outside, chosen by a seed; promises are checked from what callers and engines see. Its first findings were its own: a host started twice by two faults, a submission that went on while all was to settle, a stream of an old version that ended after one of a new version.

--- /dev/null
+++ b/tests/soak/_faults.py
@@ -0,0 +1,179 @@
+"""Faults from outside, in series and overlapping, chosen by a seed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from ._engines import EngineFaults
+from ._hosts import DRAIN_S
+from ._links import LinkState
+from ._promises import now_s
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ._run import SoakRun
+
+GAP_S = 0.7  # between two faults, on average
+LAST_S = 5.0  # the longest fault; longer than a host counts as living
+
+
+class Faults:
+    """Injects faults into a run and takes them back."""
+
+    def __init__(self, run: SoakRun) -> None:
+        self._run = run
+        self._random = run.random
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.counts: Counter[str] = Counter()
+        # Whether a drain has to be known everywhere is open while one lasts.
+        self._blind_until_s = 0.0
+        self._drains: list[tuple[str, float]] = []
+
+    async def inject(self, seconds: float) -> None:
+        """Begin faults for a time; they end by themselves."""
+        until_s = now_s() + seconds
+        kinds: list[tuple[str, Callable[[], Awaitable[None]]]] = [
+            ("host killed", self._kill),
+            ("host stopped", self._stop),
+            ("host paused", self._pause),
+            ("host reloaded", self._reload),
+            ("store away", self._store_away),
+            ("store slow", self._store_slow),
+            ("store loses answers", self._store_loses),
+            ("store forgets", self._store_forgets),
+            ("link to the store", self._store_link),
+            ("link to an engine", self._engine_link),
+            ("engine errs", self._engine_errs),
+            ("engine crashed", self._engine_crashes),
+            ("engine drained", self._engine_drains),
+            ("configuration changed", self._configuration),
+        ]
+        while now_s() < until_s:
+            name, fault = self._random.choice(kinds)
+            self.counts[name] += 1
+            task = asyncio.create_task(self._inject(fault))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._random.uniform(0.2, 2 * GAP_S))
+
+    async def _inject(self, fault: Callable[[], Awaitable[None]]) -> None:
+        await fault()
+
+    async def heal(self) -> None:
+        """Wait for the faults to end and bring all hosts back."""
+        await asyncio.gather(*self._tasks)
+        self._run.store.away = False
+        self._run.calm_engines()
+        for host in self._run.hosts:
+            host.store.set(LinkState.OPEN)
+            host.resume()
+            await host.start()
+        for engine in self._run.engines:
+            engine.link.set(LinkState.OPEN)
+
+    def _length_s(self) -> float:
+        return self._random.uniform(0.5, LAST_S)
+
+    def _blind(self, length_s: float) -> None:
+        """Note that some host may not hear the store for this long."""
+        until_s = now_s() + length_s + DRAIN_S
+        self._blind_until_s = max(self._blind_until_s, until_s)
+
+    async def _kill(self) -> None:
+        host = self._random.choice(self._run.hosts)
+        await host.kill()
+        await asyncio.sleep(self._length_s() / 2)
+        await host.start()
+
+    async def _stop(self) -> None:
+        host = self._random.choice(self._run.hosts)
+        kills = host.kills
+        code = await host.stop()
+        if code not in (0, None) and host.kills == kills:
+            self._run.promises.blame("clean stops", f"{host.name} ended with {code}")
+        await host.start()
+
+    async def _pause(self) -> None:
+        host = self._random.choice(self._run.hosts)
+        length_s = self._length_s() * 1.5
+        self._blind(length_s)
+        host.pause()
+        await asyncio.sleep(length_s)
+        host.resume()
+
+    async def _reload(self) -> None:
+        self._random.choice(self._run.hosts).reload()
+
+    async def _store_away(self) -> None:
+        length_s = self._length_s()
+        self._blind(length_s)
+        self._run.store.away = True
+        await asyncio.sleep(length_s)
+        self._run.store.away = False
+
+    async def _store_slow(self) -> None:
+        length_s = self._length_s()
+        self._blind(length_s)
+        self._run.store.delay_s = 0.2
+        await asyncio.sleep(length_s)
+        self._run.store.delay_s = 0.003
+
+    async def _store_loses(self) -> None:
+        self._run.store.lose_answers = 0.3
+        await asyncio.sleep(self._length_s())
+        self._run.store.lose_answers = 0.0
+
+    async def _store_forgets(self) -> None:
+        self._run.store.forget_history()
+
+    async def _store_link(self) -> None:
+        link = self._random.choice(self._run.hosts).store
+        length_s = self._length_s() * 1.5
+        self._blind(length_s)
+        link.set(self._random.choice(list(LinkState)[1:]))
+        await asyncio.sleep(length_s)
+        link.set(LinkState.OPEN)
+
+    async def _engine_link(self) -> None:
+        link = self._random.choice(self._run.engines).link
+        link.set(self._random.choice(list(LinkState)[1:]))
+        await asyncio.sleep(self._length_s())
+        link.set(LinkState.OPEN)
+
+    async def _engine_errs(self) -> None:
+        engine = self._random.choice(self._run.engines)
+        engine.faults = EngineFaults(
+            lose_answer=0.1, wrong_answer=0.1, break_off=0.1, fail=0.05
+        )
+        await asyncio.sleep(self._length_s())
+        engine.faults = EngineFaults()
+
+    async def _engine_crashes(self) -> None:
+        engine = self._random.choice(self._run.engines)
+        if len(self._run.engines) < 2:
+            return
+        self._run.engines.remove(engine)
+        engine.link.set(LinkState.RESET)
+        await asyncio.sleep(0.5)
+        self._run.store.write("servers", engine.name, None)
+        await self._run.add_engine()
+
+    async def _engine_drains(self) -> None:
+        if len(self._run.engines) < 2:
+            return
+        await self._run.add_engine()
+        engine = self._random.choice(self._run.engines[:-1])
+        self._run.engines.remove(engine)
+        self._run.register(engine, "draining")
+        begun_s = now_s()
+        self._run.promises.drained_s[engine.name] = begun_s
+        await asyncio.sleep(DRAIN_S * 2)
+        if self._blind_until_s < begun_s:
+            self._run.promises.check_drain(engine.name, now_s())
+        self._run.store.write("servers", engine.name, None)
+
+    async def _configuration(self) -> None:
+        self._run.change_configuration()
--- /dev/null
+++ b/tests/soak/_hosts.py
@@ -0,0 +1,175 @@
+"""The shipped program as processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Self
+
+import aiohttp
+
+from ._links import Link
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+DRAIN_S = 3.0
+STOP_S = 6.0
+START_LIMIT_S = 60.0
+# Each host has an address of its own; below the ports of outgoing connections.
+CALLERS_PORT, READY_PORT, PEERS_PORT = 7001, 7002, 7003
+
+SETTINGS = """
+nodeName = "{name}"
+zone = "a-1"
+region = "a"
+ip = "{ip}"
+portRange = [{peers},{peers}]
+[zones]
+a-1 = "a"
+[listen]
+frontend = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+[limits]
+memoryMb = 200
+[bounds]
+drainMs = {drain_ms}
+graceS = {stop_s}
+cancelMs = 3000
+statusS = 600
+[platform]
+addr = "{store}"
+rowBytes = 65536
+blobBytes = 8388608
+"""
+
+
+class HostProcess:
+    """One host, its link to the store, and the signals that it gets."""
+
+    def __init__(
+        self, name: str, ip: str, store_port: int, directory: Path, without: str
+    ) -> None:
+        self.name = name
+        self.ip = ip
+        self.store = Link(ip, store_port)
+        self.incarnation = 0
+        self.paused = False
+        self.kills = 0
+        self._directory = directory
+        self._without = without
+        self._starting = asyncio.Lock()  # faults of one host may overlap
+        self._process: asyncio.subprocess.Process | None = None
+        self._stack = AsyncExitStack()
+
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def url(self) -> str:
+        """Where callers reach the host."""
+        return f"http://{self.ip}:{CALLERS_PORT}"
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self.store)
+        self._stack.push_async_callback(self.kill)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
+
+    async def start(self) -> None:
+        """Start the process unless it runs."""
+        async with self._starting:
+            if not self.running:
+                await self._spawn()
+
+    async def _spawn(self) -> None:
+        self.incarnation += 1
+        self.paused = False
+        path = self._directory / f"{self.name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                callers=CALLERS_PORT,
+                ready=READY_PORT,
+                peers=PEERS_PORT,
+                drain_ms=int(DRAIN_S * 1000),
+                stop_s=STOP_S,
+                store=self.store.address,
+            )
+        )
+        with (self._directory / f"{self.name}.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tests.soak.weak_host",
+                self._without,
+                env=os.environ | {"ASPENBRIDGE_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def wait_ready(self) -> None:
+        """
+        Wait until the host reports itself ready.
+
+        :raises TimeoutError: when it does not.
+        """
+        url = f"http://{self.ip}:{READY_PORT}/readyz"
+        async with asyncio.timeout(START_LIMIT_S), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass  # it does not listen yet
+                await asyncio.sleep(0.1)
+
+    def pause(self) -> None:
+        """Stop the process in place."""
+        self.paused = self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+        self.paused = False
+
+    def reload(self) -> None:
+        """Have the settings read again."""
+        self._signal(signal.SIGHUP)
+
+    async def stop(self) -> int | None:
+        """End the process as the platform does; return its exit code."""
+        self.resume()
+        if not self._signal(signal.SIGTERM):
+            return None
+        assert self._process is not None
+        try:
+            async with asyncio.timeout(STOP_S + 2.0):
+                return await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return None
+
+    async def kill(self) -> None:
+        """End the process without a farewell."""
+        self.kills += 1
+        if self._signal(signal.SIGKILL):
+            assert self._process is not None
+            await self._process.wait()
+        self.paused = False
+
+    def _signal(self, number: signal.Signals) -> bool:
+        if not self.running:
+            return False
+        assert self._process is not None
+        self._process.send_signal(number)
+        return True
--- /dev/null
+++ b/tests/soak/weak_host.py
@@ -0,0 +1,94 @@
+"""The shipped program, whole or with one of its guards removed."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from returns.result import Failure
+
+from aspenbridge.entry import _copies
+from aspenbridge.fleet import EngineDirectory
+from aspenbridge.jobs import _ledger
+from aspenbridge.platform import _engine_calls
+from aspenbridge.platform.__main__ import run
+from aspenbridge.relay import _request
+from aspenbridge.store import Changes, Stored
+
+
+def _without_write_condition() -> None:
+    class Unconditional(Changes):
+        def unchanged(self, stored: object) -> Changes:
+            return self
+
+    _ledger.Changes = Unconditional  # type: ignore[misc]
+
+
+def _without_claim_check() -> None:
+    async def claim(self: _ledger.JobLedger, stored: Stored[Any]) -> Any:
+        head = attrs.evolve(stored.record, owner=self._incarnation)
+        changes = Changes().put(stored.key, head)
+        until_s = self._clock.now_s() + _ledger.COMMIT_LIMIT_S
+        committed = await self._store.commit(changes, deadline_s=until_s)
+        if isinstance(committed, Failure):
+            return None
+        version = committed.unwrap().versions[stored.key]
+        return Stored(stored.key, head, version)
+
+    _ledger.JobLedger.claim = claim  # type: ignore[method-assign]
+
+
+def _without_attempt_id() -> None:
+    checked = _engine_calls._checked
+
+    def unchecked(response: object, request_id: str) -> object:
+        own_id = response.headers.get(  # type: ignore[attr-defined]
+            "X-Aspenbridge-Attempt-Id", ""
+        )
+        return checked(response, own_id)  # type: ignore[arg-type]
+
+    _engine_calls._checked = unchecked  # type: ignore[assignment]
+
+
+def _without_revision_order() -> None:
+    take = _copies.ConfigurationCopy._take
+
+    def forgetful(self: _copies.ConfigurationCopy, value: bytes) -> None:
+        self.current = None
+        take(self, value)
+
+    _copies.ConfigurationCopy._take = forgetful  # type: ignore[method-assign]
+
+
+def _without_drain() -> None:
+    def all_usable(self: EngineDirectory) -> list[object]:
+        return list(self._entries.values())
+
+    EngineDirectory.all_usable = all_usable  # type: ignore[assignment]
+
+
+def _without_at_most_once() -> None:
+    def may_send_again(self: _request.Progress) -> bool:
+        return self.sends < 3
+
+    _request.Progress.may_send_again = property(  # type: ignore[assignment]
+        may_send_again
+    )
+
+
+GUARDS: dict[str, Callable[[], None]] = {
+    "write condition": _without_write_condition,
+    "claim check": _without_claim_check,
+    "attempt id": _without_attempt_id,
+    "revision order": _without_revision_order,
+    "drain": _without_drain,
+    "at most once": _without_at_most_once,
+}
+
+
+if __name__ == "__main__":
+    if sys.argv[1]:
+        GUARDS[sys.argv[1]]()
+    sys.exit(run())
