--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -69,6 +69,7 @@
             self._promises.once.add(request_id)
         host = self._host()
         incarnation = f"{host.name}.{host.incarnation}"
+        self._promises.sent_to[request_id] = host.name
         seen = self._promises.newest_seen.get(incarnation, 0)
         body = request_id.encode()
         try:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -9,7 +9,7 @@
 from ._engines import EngineFaults
 from ._hosts import DRAIN_S
 from ._links import LinkState
-from ._promises import now_s
+from ._promises import Blind, now_s
 from ._store import STALE_S
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
 GAP_S = 0.7  # between two faults, on average
 PAUSE_S = 6.0  # others have claimed the jobs of the host by then
 SILENCE_S = 3.0  # just before a killed host counts as gone
-DEAF_S = 2.5
+DEAF_S = 4.0  # the turns of three hosts
 CHANGE_S = 1.0  # a new configuration is in force everywhere and was asked for
 LAST_S = 5.0  # the longest fault; longer than a host counts as living
 
@@ -33,9 +33,6 @@
         self._random = run.random
         self._tasks: set[asyncio.Task[None]] = set()
         self.counts: Counter[str] = Counter()
-        # Whether a drain has to be known everywhere is open while one lasts.
-        self._blind_until_s = 0.0
-        self._drains: list[tuple[str, float]] = []
 
     async def inject(self, seconds: float) -> None:
         """Begin faults for a time; they end by themselves."""
@@ -82,13 +79,20 @@
         for engine in self._run.engines:
             engine.link.set(LinkState.OPEN)
 
+    async def drain_in_calm(self) -> None:
+        """Drain an engine while every host hears the store."""
+        for host in self._run.hosts:
+            await host.wait_ready()
+        await asyncio.sleep(DRAIN_S)
+        await self._engine_drains()
+
     def _length_s(self) -> float:
         return self._random.uniform(0.5, LAST_S)
 
-    def _blind(self, length_s: float) -> None:
-        """Note that some host may not hear the store for this long."""
+    def _blind(self, length_s: float, host: str = "*") -> None:
+        """Note that a host, or all, may not hear the store for this long."""
         until_s = now_s() + length_s + DRAIN_S
-        self._blind_until_s = max(self._blind_until_s, until_s)
+        self._run.promises.blind.append(Blind(host, now_s(), until_s))
 
     async def _kill(self) -> None:
         host = self._random.choice(self._run.hosts)
@@ -107,7 +111,7 @@
     async def _pause(self) -> None:
         host = self._random.choice(self._run.hosts)
         length_s = self._length_s() * 1.5
-        self._blind(length_s)
+        self._blind(length_s, host.name)
         host.pause()
         await asyncio.sleep(length_s)
         host.resume()
@@ -166,9 +170,9 @@
         await host.start()
 
     async def _store_link(self) -> None:
-        link = self._random.choice(self._run.hosts).store
-        length_s = self._length_s() * 1.5
-        self._blind(length_s)
+        host = self._random.choice(self._run.hosts)
+        link, length_s = host.store, self._length_s() * 1.5
+        self._blind(length_s, host.name)
         link.set(self._random.choice(list(LinkState)[1:]))
         await asyncio.sleep(length_s)
         link.set(LinkState.OPEN)
@@ -204,11 +208,9 @@
         engine = self._random.choice(self._run.engines[:-1])
         self._run.engines.remove(engine)
         self._run.register(engine, "draining")
-        begun_s = now_s()
-        self._run.promises.drained_s[engine.name] = begun_s
+        self._run.promises.drained_s[engine.name] = now_s()
         await asyncio.sleep(DRAIN_S * 2)
-        if self._blind_until_s < begun_s:
-            self._run.promises.check_drain(engine.name, now_s())
+        self._run.promises.check_drain(engine.name)
         self._run.store.write("servers", engine.name, None)
 
     async def _configuration(self) -> None:
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -31,6 +31,15 @@
         return len(self.results) == len(self.items)
 
 
+@attrs.frozen
+class Blind:
+    """A time in which a host, or all, may not have heard the store."""
+
+    host: str
+    from_s: float
+    until_s: float
+
+
 @attrs.define
 class Promises:
     """Notes each broken promise once, in a sentence."""
@@ -42,6 +51,8 @@
     jobs: dict[str, SentJob] = attrs.field(factory=dict)
     newest_seen: dict[str, int] = attrs.field(factory=dict)  # by incarnation
     drained_s: dict[str, float] = attrs.field(factory=dict)  # by engine
+    sent_to: dict[str, str] = attrs.field(factory=dict)  # host, by request
+    blind: list[Blind] = attrs.field(factory=list)
     answers: Counter[str] = attrs.field(factory=Counter)
     faults: Counter[str] = attrs.field(factory=Counter)
 
@@ -93,12 +104,22 @@
             if count > 1:
                 self.blame("listed once", f"{item_id} at {count} positions")
 
-    def check_drain(self, engine: str, until_s: float) -> None:
-        """Check that an engine got nothing new once its drain was known."""
-        limit_s = self.drained_s[engine] + DRAIN_S
-        late = [r for r in self.runs if r.engine == engine and r.started_s > limit_s]
-        if late and until_s > limit_s:
-            self.blame("drain", f"{engine} got {len(late)} requests {DRAIN_S} s later")
+    def check_drain(self, engine: str) -> None:
+        """Check that no host in touch sent to an engine that drains."""
+        begun_s = self.drained_s[engine]
+        for run in self.runs:
+            host = self.sent_to.get(run.request_id)
+            late = run.engine == engine and run.started_s > begun_s + DRAIN_S
+            if late and host and not self._was_blind(host, begun_s, run.started_s):
+                self.blame("drain", f"{engine} got {run.request_id} of {host}")
+
+    def _was_blind(self, host: str, from_s: float, until_s: float) -> bool:
+        return any(
+            blind.host in ("*", host)
+            and blind.from_s <= until_s
+            and blind.until_s >= from_s
+            for blind in self.blind
+        )
 
     def check_runs(self) -> None:
         """Check the engines' runs against refusals and single runs."""
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -23,6 +23,7 @@
 
 ENGINES = 3
 ASKERS = 6
+READERS = 4
 JOB_PAUSE_S = 1.2
 SETTLE_LIMIT_S = 90.0  # all is healed; a job is taken over within seconds
 
@@ -65,6 +66,7 @@
             try:
                 await faults.inject(self.options.seconds)
                 await faults.heal()
+                await faults.drain_in_calm()
             finally:
                 for task in tasks:
                     task.cancel()
@@ -108,8 +110,7 @@
         return [
             *asking,
             self.callers.submit_forever(JOB_PAUSE_S),
-            self.callers.read_forever(),
-            self.callers.read_forever(),
+            *(self.callers.read_forever() for _ in range(READERS)),
         ]
 
     async def add_engine(self) -> EngineStandIn:
--- a/tests/soak/_store.py
+++ b/tests/soak/_store.py
@@ -27,7 +27,8 @@
         self.lose_answers = 0.0  # share of the writes
         self.deaf_until_s = 0.0  # feeds hear nothing, without an error
         self.random = None
-        self._first = 0
+        self._lost_until = 0
+        self._stale = 0  # the version of the answers that are behind
         self._old_configuration: Row | None = None
         self._stale_until_s = 0.0
         self._changed = asyncio.Event()
@@ -45,8 +46,8 @@
     def forget_history(self) -> None:
         """Drop the history; for a while the last configuration is not seen."""
         old = self._old_configuration
-        self._first = self.version if old is None else old["ver"]
-        self.history = [row for row in self.history if row["ver"] > self._first]
+        self._stale = self.version if old is None else old["ver"]
+        self._lost_until = self.version
         self._stale_until_s = self.deaf_until_s = time.monotonic() + STALE_S
         self._notify()
 
@@ -126,7 +127,7 @@
         version = self.version
         stale = time.monotonic() < self._stale_until_s
         if query["table"] == "op" and stale and self._old_configuration is not None:
-            found, version = [self._old_configuration], self._first
+            found, version = [self._old_configuration], self._stale
         return web.json_response(
             {"rows": found[:500], "ver": version, "hasMore": len(found) > 500}
         )
@@ -135,7 +136,7 @@
         after = int(query["after"])
         until_s = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            if after < self._first:
+            if after < self._lost_until and after != self._stale:
                 return web.json_response({}, status=410)
             news = [r for r in self.history if r["ver"] > after]
             rows = [r for r in news if r["table"] == query["table"]]
