--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, Self
 
 from aspenbridge.fleet import (
@@ -31,13 +30,13 @@
 )
 from aspenbridge.observability import log_decision
 from aspenbridge.relay import OnlinePlacing, Relay
+from aspenbridge.resources import StackOwner
 from aspenbridge.store import Store
 
 from ._copies import ConfigurationCopy, EngineCopy
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterable
-    from types import TracebackType
 
     from ._ports import EntryPorts
     from ._settings import EntrySettings
@@ -46,14 +45,14 @@
 HAND_OVER_LIMIT_S = 3.0  # a part of the time that a shutdown may take
 
 
-class EntryHost:
+class EntryHost(StackOwner):
     """Online requests and batch jobs; entering it starts its loops."""
 
     def __init__(self, settings: EntrySettings, ports: EntryPorts) -> None:
+        super().__init__()
         self.settings = settings
         self.ports = ports
         self.incarnation = f"{settings.host}-{ports.random.randbytes(6).hex()}"
-        self._stack = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
         self.fault = asyncio.Event()
         self.leaving = False
@@ -218,14 +217,6 @@
             self.start(coroutine)
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
     async def hand_over(self) -> None:
         """Leave batch jobs to other hosts; online requests go on."""
         deadline_s = self.ports.clock.now_s() + HAND_OVER_LIMIT_S
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -4,17 +4,17 @@
 
 import asyncio
 import logging
-from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
 import msgspec
 
+from aspenbridge.resources import StackOwner
+
 from ._load import EngineLoad
 from ._sharing import Backlog
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
-    from types import TracebackType
 
     from aspenbridge.ports import Clock
 
@@ -43,7 +43,7 @@
     beat_age_s: float
 
 
-class LoadExchange:
+class LoadExchange(StackOwner):
     """Sends this host's load to the others and takes in theirs."""
 
     def __init__(
@@ -55,6 +55,7 @@
         datagrams: Datagrams,
         clock: Clock,
     ) -> None:
+        super().__init__()
         self._host = host
         self._address = address
         self._board = board
@@ -68,7 +69,6 @@
         self._senders: dict[PeerAddress, float] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._send_to: Callable[[bytes, PeerAddress], None] | None = None
-        self._stack = AsyncExitStack()
         self.on_report: Callable[[], None] = lambda: None
         self.beat_age_s: Callable[[], float] = lambda: float("inf")
         self.on_beat: Callable[[str, float], None] = lambda host, age_s: None
@@ -81,14 +81,6 @@
         self._board.on_own_change = self._schedule
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
     async def run(self) -> None:
         """Repeat the report, for hosts that are new or lost one."""
         while True:
--- a/src/aspenbridge/host/_core.py
+++ b/src/aspenbridge/host/_core.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure
@@ -44,6 +43,7 @@
     Takeover,
     Worker,
 )
+from aspenbridge.resources import StackOwner
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.scheduling import Scheduler
 from aspenbridge.store import GroupCommitter, Store
@@ -57,7 +57,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
-    from types import TracebackType
 
     from aspenbridge.configuration import Notified
     from aspenbridge.membership import Identity
@@ -73,14 +72,14 @@
 ACCEPTING = frozenset({"ready", "leaving"})
 
 
-class HostCore:
+class HostCore(StackOwner):
     """One host; entering it registers an incarnation and starts its loops."""
 
     def __init__(self, settings: Settings, ports: Ports, peer: PeerAddress) -> None:
+        super().__init__()
         self.settings = settings
         self._peer = peer
         self.ports = ports
-        self._stack = AsyncExitStack()
         self.running = RunningWork()
         self.supervisor = Supervisor(ports.metrics)
         self._chart = load_chart("host")
@@ -280,14 +279,6 @@
         self._stack.push_async_callback(self.takeover.aclose)
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
     async def handle(self, message: Any) -> Any:
         """Answer a message of another host."""
         if isinstance(message, Probe):
--- a/src/aspenbridge/peers/transport.py
+++ b/src/aspenbridge/peers/transport.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -12,12 +11,11 @@
 
 from aspenbridge.loop import listening_socket
 from aspenbridge.ports import PeerUnreachableError
+from aspenbridge.resources import StackOwner
 
 from ._codec import decode_bytes, encode_bytes
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from aspenbridge.ports import Clock, PeerAddress, PeerHandler
 
     from ._messages import Message
@@ -31,13 +29,13 @@
 LONGEST_CALL_S = 600.0
 
 
-class PeerServer:
+class PeerServer(StackOwner):
     """Listens for other hosts."""
 
     def __init__(self, handler: PeerHandler, address: PeerAddress) -> None:
+        super().__init__()
         self._handler = handler
         self._address = address
-        self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> PeerServer:
         sock = listening_socket(*self._address)
@@ -50,14 +48,6 @@
         self._stack.callback(server.close)
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
     def _app(self) -> Sanic[Any, Any]:
         settings: dict[str, str | bool | int | float | None] = {
             "MOTD": False,
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self, TypeVar
 
 from aiohttp import web
@@ -13,6 +12,7 @@
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import log_decision, metrics_text
 from aspenbridge.relay import CallerRequest
+from aspenbridge.resources import StackOwner
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
@@ -20,7 +20,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
-    from types import TracebackType
 
     from aiohttp import StreamReader
     from aiohttp.abc import AbstractStreamWriter
@@ -98,17 +97,17 @@
     return response
 
 
-class Ingress:
+class Ingress(StackOwner):
     """Serves callers on one address and readiness on another."""
 
     def __init__(
         self, host: EntryHost, callers: Address, readiness: Address, metrics: Address
     ) -> None:
+        super().__init__()
         self._host = host
         self._callers = callers
         self._readiness = readiness
         self._metrics = metrics
-        self._stack = AsyncExitStack()
         self._listeners: list[asyncio.Server] = []
         self._busy: set[RequestHandler] = set()
         self._ended_s = 0.0
@@ -142,14 +141,6 @@
                 self._listeners.append(listener)
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
     async def finish(self, limit_s: float) -> bool:
         """
         Serve until no request has run or come for a while.
