Look for no engine once the dealt places are used up

Each waiting item built the list of usable engines although no place was left, and the waiting items were collected and sorted a second time after each start; what is left is known from the loop. The same items start on the same places.

--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -235,15 +235,18 @@
         if not waiting or not self._turns.announced(len(waiting)):
             return False
         places = self._turns.places()
-        started = 0
+        left = []
         for job, state, route in waiting:
-            engine = self._turns.take(places, route.pick_service(self._random))
-            if engine is not None:
+            service = route.pick_service(self._random)
+            engine = self._turns.take(places, service) if places else None
+            if engine is None:
+                left.append((job, state, route))
+            else:
                 self._start(job, state, route, engine)
-                started += 1
-        if started:
-            self._turns.note(self._waiting(configuration))
-        return started > 0
+        if len(left) == len(waiting):
+            return False
+        self._turns.note(left)
+        return True
 
     def _waiting(
         self, configuration: Configuration
