--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -98,10 +98,20 @@
             OnlinePlacing(self.view, random), self.board, health, ports.caller, clock
         )
         self._heads = JobDirectory()
-        self._followers = self._make_followers()
-        _, engines, hosts, heads = self._followers
+        tables = ports.tables
+        feeds = (ports.feed, clock, random)
+        engines = Follower(*feeds, tables.engines_table, self._engines)
         engines.on_return = directory.store_returned
+        hosts = Follower(*feeds, HOSTS_TABLE, self.hosts)
         hosts.on_return = self.hosts.store_returned
+        heads = Follower(*feeds, HEADS_TABLE, self._heads, parts=True)
+        self._followers = (
+            Follower(*feeds, tables.configuration_table, self.configuration),
+            engines,
+            hosts,
+            heads,
+        )
+        self._before_claims = (hosts.loaded, heads.loaded)
         self.contact = Contact(self._heartbeat, hosts, self.hosts, self.board)
         ledger = JobLedger(
             store,
@@ -161,16 +171,6 @@
             self.incarnation,
         )
 
-    def _make_followers(self) -> tuple[Follower, Follower, Follower, Follower]:
-        tables, ports = self.ports.tables, self.ports
-        common = (ports.feed, ports.clock, ports.random)
-        return (
-            Follower(*common, tables.configuration_table, self.configuration),
-            Follower(*common, tables.engines_table, self._engines),
-            Follower(*common, HOSTS_TABLE, self.hosts),
-            Follower(*common, HEADS_TABLE, self._heads, parts=True),
-        )
-
     def _engines_changed(self) -> None:
         self._health.keep_only(self._directory.ids())
         self.worker.wake()
@@ -226,8 +226,8 @@
 
     async def _enable_claims(self) -> None:
         """Claim jobs only once every host could show that it lives."""
-        await self._followers[2].loaded.wait()
-        await self._followers[3].loaded.wait()
+        for loaded in self._before_claims:
+            await loaded.wait()
         self._claims.enabled = True
         await asyncio.Event().wait()
 
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -23,7 +23,7 @@
 
 logger = logging.getLogger(__name__)
 SEND_SPACING_S = 0.02  # a few steps of an engine; what changes meanwhile is merged
-REPEAT_INTERVAL_S = 1.0  # a report is valid for three of these
+REPEAT_INTERVAL_S = 1.0  # two are sent while a report is valid
 # Hosts that the store does not list yet, or not any more while it is away.
 SENDER_LIFETIME_S = 3.0
 
