--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -12,10 +12,10 @@
 from ._load import NO_BACKLOG, EngineLoad, LoadBoard
 from ._placement import Candidate, Refused, place_online
 from ._routes import (
+    CallKind,
     Configuration,
     RequestLimits,
     Route,
-    RouteKind,
     Target,
     virtual_host,
 )
@@ -28,6 +28,7 @@
     "HOSTS_TABLE",
     "NO_BACKLOG",
     "Backlog",
+    "CallKind",
     "Candidate",
     "Configuration",
     "Contact",
@@ -46,7 +47,6 @@
     "Refused",
     "RequestLimits",
     "Route",
-    "RouteKind",
     "TableCopy",
     "Target",
     "UdpDatagrams",
--- a/src/aspenbridge/fleet/_routes.py
+++ b/src/aspenbridge/fleet/_routes.py
@@ -13,8 +13,8 @@
     from random import Random
 
 
-class RouteKind(Enum):
-    """What may be repeated on a route."""
+class CallKind(Enum):
+    """How the calls on a route are served, and which may be repeated."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
@@ -42,7 +42,7 @@
     name: str
     host: str
     prefix: str
-    kind: RouteKind
+    kind: CallKind
     targets: tuple[Target, ...]
     request_limit_s: float
     goal_s: float
@@ -56,9 +56,9 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        if self.kind is RouteKind.STREAMING:
+        if self.kind is CallKind.STREAMING:
             return self.resumable
-        return self.kind is not RouteKind.NON_IDEMPOTENT
+        return self.kind is not CallKind.NON_IDEMPOTENT
 
     def pick_service(self, random: Random) -> str:
         """Return a service, drawn by the weights."""
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -9,20 +9,20 @@
 import msgspec
 
 from aspenbridge.fleet import (
+    CallKind,
     Configuration,
     EngineEntry,
     RequestLimits,
     Route,
-    RouteKind,
     Target,
 )
 from aspenbridge.jobs import ItemResult, JobSubmission, ResultPage, SubmittedItem
 
 ROUTE_KINDS = {
-    "idempotent": RouteKind.IDEMPOTENT,
-    "non_idempotent": RouteKind.NON_IDEMPOTENT,
-    "streaming": RouteKind.STREAMING,
-    "batch": RouteKind.BATCH,
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.NON_IDEMPOTENT,
+    "streaming": CallKind.STREAMING,
+    "batch": CallKind.BATCH,
 }
 ENGINE_READY = "ready"
 ENGINE_DRAINING = "draining"
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from returns.result import Failure
 
-from aspenbridge.fleet import RouteKind, virtual_host
+from aspenbridge.fleet import CallKind, virtual_host
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import log_decision, metrics_text
 from aspenbridge.relay import CallerRequest
@@ -231,7 +231,7 @@
         host = virtual_host(request.headers.get("Host", ""))
         path = request.raw_path.partition("?")[0]
         route = configuration.route_for(host, path)
-        if route is not None and route.kind is RouteKind.BATCH:
+        if route is not None and route.kind is CallKind.BATCH:
             if request.method == "POST":
                 return self._submit(request, host, route, body)
             return None
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from aspenbridge.fleet import Refused, RouteKind, virtual_host
+from aspenbridge.fleet import CallKind, Refused, virtual_host
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.result_codes import Problem, ResultCode
@@ -66,7 +66,7 @@
     ) -> None:
         """Answer one request."""
         route = configuration.route_for(virtual_host(request.host), request.path)
-        if route is None or route.kind is RouteKind.BATCH:
+        if route is None or route.kind is CallKind.BATCH:
             detail = f"no route for {request.path!r} at {request.host!r}"
             log_decision(
                 "request without a route",
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -19,11 +19,11 @@
     TimeBounds,
 )
 from aspenbridge.fleet import (
+    CallKind,
     Configuration,
     EngineEntry,
     RequestLimits,
     Route,
-    RouteKind,
     Target,
 )
 from aspenbridge.ports import (
@@ -348,7 +348,7 @@
         name=name,
         host="a.example",
         prefix=f"/{name}/",
-        kind=RouteKind.STREAMING,
+        kind=CallKind.STREAMING,
         targets=(Target("llm", 1.0),),
         request_limit_s=5.0,
         goal_s=0.3,
@@ -363,7 +363,7 @@
 
 
 def make_configuration(version=1, routes=None) -> Configuration:
-    batch = make_route("batch", kind=RouteKind.BATCH, max_engines=3)
+    batch = make_route("batch", kind=CallKind.BATCH, max_engines=3)
     once = make_route("once", resumable=False, max_engines=1)
     return Configuration(
         version=version,
