--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -3,98 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Self, TypeVar
+from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
-from returns.result import Failure
 
-from aspenbridge.fleet import CallKind, virtual_host
 from aspenbridge.loop import listening_socket
-from aspenbridge.observability import log_decision, metrics_text
+from aspenbridge.observability import metrics_text
 from aspenbridge.relay import CallerRequest
 from aspenbridge.resources import StackOwner
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
-from ._decode import MessageError, decode_submission, encode_results
+from ._job_calls import JobCalls
+from ._replies import HttpReply, refused
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from aiohttp import StreamReader
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http import RawRequestMessage
     from aiohttp.web_protocol import RequestHandler
-    from returns.result import Result
 
     from aspenbridge.entry import Address, EntryHost
-    from aspenbridge.fleet import Configuration, Route
-    from aspenbridge.ports import AnswerHead
 
 LARGEST_BODY_BYTES = 16 * 1024 * 1024  # four times the largest limit configured
 LARGEST_HEADER_BYTES = 32 * 1024  # twice the largest limit configured
 # Callers reuse connections for four fifths of the idle limit of 15 s.
 KEEPALIVE_S = 60.0
-LONGEST_WAIT_S = 5.0
 LAST_PART_S = 2.5  # twice the longest streams of a full engine
 QUIET_S = 0.3  # a caller that was told to close sends its next request elsewhere
 DEFAULT_DEADLINE_S = 30.0
-JSON = "application/json"
-Value = TypeVar("Value")
-
-
-class HttpReply:
-    """Writes one answer to a caller."""
-
-    def __init__(self, request: web.BaseRequest, host: EntryHost) -> None:
-        self._request = request
-        self._host = host
-        self.response: web.StreamResponse | None = None
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Send status and headers."""
-        response = web.StreamResponse(status=head.status)
-        for name, value in head.headers:
-            response.headers.add(name, value)
-        response.enable_chunked_encoding()
-        if self._host.leaving:
-            response.force_close()
-        self.response = response
-        await response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        assert self.response is not None
-        await self.response.write(data)
-
-    async def finish(self) -> None:
-        """End the body."""
-        assert self.response is not None
-        await self.response.write_eof()
-
-    def abort(self) -> None:
-        """End the connection in the middle of the answer."""
-        if self._request.transport is not None:
-            self._request.transport.close()
-
-    async def refuse(self, problem: Problem) -> None:
-        """Answer with a failure of this system's own."""
-        self.response = problem_response(problem)
-
-
-def problem_response(problem: Problem) -> web.Response:
-    """Return the answer that stands for a problem."""
-    response = web.json_response(
-        {
-            "code": int(problem.code),
-            "error": problem.detail,
-            "execution": problem.execution.value,
-        },
-        status=problem.status,
-    )
-    if problem.retry_after_s is not None:
-        response.headers[names.RETRY_AFTER] = f"{problem.retry_after_s:.3f}"
-    return response
 
 
 class Ingress(StackOwner):
@@ -105,6 +42,7 @@
     ) -> None:
         super().__init__()
         self._host = host
+        self._job_calls = JobCalls(host.desk)
         self._callers = callers
         self._readiness = readiness
         self._metrics = metrics
@@ -208,14 +146,14 @@
         body = await request.read()
         if configuration is None:
             detail = "this host has not read a configuration yet"
-            return _refused(
+            return refused(
                 request,
                 Problem(ResultCode.CONFIGURATION_UNKNOWN, detail, retry_after_s=0.3),
             )
         if len(body) > configuration.limits.body_bytes:
             detail = f"body of {len(body)} bytes is over the limit"
-            return _refused(request, Problem(ResultCode.TOO_LARGE, detail))
-        action = self._job_call(request, configuration, body)
+            return refused(request, Problem(ResultCode.TOO_LARGE, detail))
+        action = self._job_calls.find(request, configuration, body)
         if action is not None:
             return await action
         reply = HttpReply(request, self._host)
@@ -224,72 +162,6 @@
         assert reply.response is not None
         return reply.response
 
-    def _job_call(
-        self, request: web.BaseRequest, configuration: Configuration, body: bytes
-    ) -> Awaitable[web.StreamResponse] | None:
-        """Return the call on a batch job that a request is, or None."""
-        host = virtual_host(request.headers.get("Host", ""))
-        path = request.raw_path.partition("?")[0]
-        route = configuration.route_for(host, path)
-        if route is not None and route.kind is CallKind.BATCH:
-            if request.method == "POST":
-                return self._submit(request, host, route, body)
-            return None
-        if route is not None:
-            return None
-        if path.startswith(names.RESULTS_PATH):
-            job_id = path.removeprefix(names.RESULTS_PATH)
-            if request.method == "DELETE":
-                return self._end(request, job_id)
-            return self._results(request, job_id)
-        if path.startswith(names.BODIES_PATH):
-            return self._item_body(request, path.removeprefix(names.BODIES_PATH))
-        return None
-
-    async def _submit(
-        self,
-        request: web.BaseRequest,
-        host: str,
-        route: Route,
-        body: bytes,
-    ) -> web.StreamResponse:
-        job_id = request.headers.get(names.REQUEST_ID, "")
-        try:
-            submission = decode_submission(job_id, host, body)
-        except MessageError as error:
-            problem = Problem(ResultCode.MALFORMED_BODY, str(error))
-            return _refused(request, problem)
-        accepted = await self._host.desk.submit(submission, route)
-        return _reply(request, accepted, lambda _: web.Response(status=202))
-
-    async def _results(
-        self, request: web.BaseRequest, job_id: str
-    ) -> web.StreamResponse:
-        try:
-            first = int(request.query.get("after", "0"))
-            wait_s = float(request.headers.get(names.WAIT, "0")) / 1000
-        except ValueError as error:
-            problem = Problem(ResultCode.INVALID_PARAMETER, str(error))
-            return _refused(request, problem)
-        page = await self._host.desk.results(
-            job_id, max(0, first), min(wait_s, LONGEST_WAIT_S)
-        )
-        return _reply(
-            request,
-            page,
-            lambda p: web.Response(body=encode_results(p), content_type=JSON),
-        )
-
-    async def _item_body(
-        self, request: web.BaseRequest, job_id: str
-    ) -> web.StreamResponse:
-        body = await self._host.desk.body(job_id, request.query.get("id", ""))
-        return _reply(request, body, lambda found: web.Response(body=found))
-
-    async def _end(self, request: web.BaseRequest, job_id: str) -> web.StreamResponse:
-        ended = await self._host.desk.end(job_id)
-        return _reply(request, ended, lambda _: web.Response(status=200))
-
 
 async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=metrics_text(), content_type="text/plain")
@@ -301,30 +173,6 @@
         connection.force_close()
 
 
-def _reply(
-    request: web.BaseRequest,
-    result: Result[Value, Problem],
-    make: Callable[[Value], web.Response],
-) -> web.Response:
-    if isinstance(result, Failure):
-        return _refused(request, result.failure())
-    return make(result.unwrap())
-
-
-def _refused(request: web.BaseRequest, problem: Problem) -> web.Response:
-    """Answer a call that no engine was tried for, and say why."""
-    log_decision(
-        "call refused",
-        request=request.headers.get(names.REQUEST_ID, ""),
-        method=request.method,
-        path=request.raw_path,
-        code=problem.code.name.lower(),
-        reason=problem.detail,
-        retry_after_s=problem.retry_after_s,
-    )
-    return problem_response(problem)
-
-
 def _request(
     message: RawRequestMessage,
     payload: StreamReader,
