--- a/src/aspenbridge/jobs/_order.py
+++ b/src/aspenbridge/jobs/_order.py
@@ -15,6 +15,7 @@
     from collections.abc import Iterable
 
     from ._owned import ItemState, OwnedJob
+    from ._running import RunningItem
 
 FIRST_EVENT_S = 0.02  # until the first items have shown the pace of the engines
 EVENTS_AT_FIRST = 250
@@ -70,14 +71,14 @@
 
 
 def leaving_order(
-    runs: Iterable[tuple[OwnedJob, ItemState]], pace: Pace, wall_s: float
-) -> list[tuple[OwnedJob, ItemState]]:
+    runs: Iterable[RunningItem], pace: Pace, wall_s: float
+) -> list[RunningItem]:
     """Return running items, those whose stop costs least first."""
     return sorted(
         runs,
-        key=lambda entry: (
-            in_time(entry[0], entry[1], pace, wall_s),
-            -entry[0].head.due_wall_s,
-            len(entry[1].events),
+        key=lambda run: (
+            in_time(run.job, run.state, pace, wall_s),
+            -run.job.head.due_wall_s,
+            len(run.state.events),
         ),
     )
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -6,15 +6,15 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import items_to_stop
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRun, run_item
 from ._listings import Listings
-from ._order import Pace, leaving_order, ready_items
+from ._order import Pace, ready_items
 from ._owned import OwnedJob
 from ._records import JobState
+from ._running import RunningItem, RunningItems
 from ._saves import ProgressSaves
 from ._turns import Turns
 
@@ -66,7 +66,6 @@
         self._contact = contact
         self._directory = directory
         self._ledger = ledger
-        self._view = view
         self._board = board
         self._health = health
         self._caller = caller
@@ -74,11 +73,11 @@
         self._random = random
         self._configuration = configuration
         self._jobs: dict[str, OwnedJob] = {}
-        self._runs: dict[asyncio.Task[None], tuple[OwnedJob, ItemState, str]] = {}
         self._listings = Listings(ledger, self._jobs)
         self._saves = ProgressSaves(ledger, self._jobs, clock)
         self._wake = asyncio.Event()
         self._pace = Pace()
+        self._running = RunningItems(incarnation, view, board, self._pace, clock)
         self._turns = Turns(incarnation, view, board, self._pace, clock)
         self._stopping = False
 
@@ -135,17 +134,15 @@
 
     def _drop(self, job: OwnedJob) -> None:
         self._jobs.pop(job.head.id, None)
-        for task, (owner, _, _) in self._runs.items():
-            if owner is job:
-                task.cancel()
+        self._running.stop_job(job)
 
     async def run(self) -> None:
         """Start and stop items until cancelled."""
         while True:
             self._wake.clear()
             if self._contact.replaced:
-                self._leave_to_others()
-            self._give_places_back()
+                self._running.leave_to_others()
+            self._running.give_places_back()
             if self._start_items():
                 self._turns.wait_for_reports()
             pause_s = self._turns.pause_s
@@ -164,67 +161,13 @@
     async def hand_over(self, deadline_s: float) -> None:
         """Stop all items; leave the jobs and their progress to others."""
         self._stopping = True
-        tasks = list(self._runs)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._running.stop_all()
         await self._listings.wait()
         for job in list(self._jobs.values()):
             released = await self._ledger.release(job, deadline_s)
             log_decision("job handed over", job=job.head.id, released=released)
         self._jobs.clear()
 
-    def _leave_to_others(self) -> None:
-        """Stop all items: the host that claims their jobs runs them too."""
-        for task, (job, state, engine_id) in self._runs.items():
-            if not task.cancelling():
-                log_decision(
-                    "item left to others",
-                    job=job.head.id,
-                    request=job.items[state.index].id,
-                    engine=engine_id,
-                    last_event=state.last_event_id,
-                )
-                task.cancel()
-
-    def _give_places_back(self) -> None:
-        """Stop items on engines that have more requests than places."""
-        for engine_id in {engine for _, _, engine in self._runs.values()}:
-            engine = self._view.engine(engine_id)
-            if engine is None:
-                continue
-            count = items_to_stop(
-                engine.slots,
-                self._incarnation,
-                self._board.own(engine_id),
-                self._board.by_host(engine_id),
-            )
-            for task, job, state in self._leaving(engine_id)[:count]:
-                metrics.ITEM_YIELDS.inc()
-                log_decision(
-                    "item yields",
-                    job=job.head.id,
-                    request=job.items[state.index].id,
-                    engine=engine_id,
-                    own_online=self._board.own(engine_id).online,
-                    all=self._board.load(engine_id).total,
-                    last_event=state.last_event_id,
-                )
-                task.cancel()
-
-    def _leaving(
-        self, engine_id: str
-    ) -> list[tuple[asyncio.Task[None], OwnedJob, ItemState]]:
-        """Return the runs on an engine in the order in which they leave it."""
-        tasks = {
-            id(state): task
-            for task, (_, state, engine) in self._runs.items()
-            if engine == engine_id and not task.cancelling()
-        }
-        runs = [self._runs[task][:2] for task in tasks.values()]
-        ordered = leaving_order(runs, self._pace, self._clock.wall_s())
-        return [(tasks[id(state)], job, state) for job, state in ordered]
-
     def _start_items(self) -> bool:
         """Start items on the places dealt to this host; tell if any did."""
         configuration = self._configuration()
@@ -275,22 +218,16 @@
         job.start(state)
         self._board.add(engine.id, batch=1)
         load = self._board.load(engine.id)
-        log_decision(
-            "item starts",
-            job=job.head.id,
-            request=job.items[state.index].id,
-            engine=engine.id,
-            online=load.online,
-            batch=load.batch,
-            last_event=state.last_event_id,
-        )
         task = asyncio.create_task(self._run_item(job, state, route, engine))
-        self._runs[task] = (job, state, engine.id)
+        run = RunningItem(task, job, state, engine.id)
+        run.log("item starts", online=load.online, batch=load.batch)
+        self._running.add(run)
         task.add_done_callback(self._ended)
 
     def _ended(self, task: asyncio.Task[None]) -> None:
-        job, state, engine_id = self._runs.pop(task)
-        self._board.add(engine_id, batch=-1)
+        run = self._running.remove(task)
+        job, state = run.job, run.state
+        self._board.add(run.engine_id, batch=-1)
         if state.index in job.running:  # the run was cancelled
             job.requeue(state)
             state.pause(self._clock.now_s())
