One stand-in of the platform's store for the process test and the soak

The process test had a second store that served fixed rows, a copy of the settings file, of an engine's row and of free_ports. Its assertions stay. The soak's faults need no wrapper to become tasks.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import os
 import signal
-import socket
 import sys
 import tomllib
 from contextlib import asynccontextmanager
@@ -18,96 +16,26 @@
 
 from aspenbridge.loop import NumericLoop
 from aspenbridge.platform import _serve
+from tests.support.platform_standins import (
+    SETTINGS,
+    StoreStandIn,
+    configuration,
+    engine_row,
+)
+from tests.support.processes import free_ports
 
 SYSTEM = Path(__file__).parents[2] / "deploy" / "system.toml"
 REQUEST_ID = "X-Aspenbridge-Attempt-Id"
-
-
-def free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
-def settings_text(ports, store_port):
-    callers, ready, peers = ports
-    return f"""
-nodeName = "h1"
-zone = "a-1"
-region = "a"
-ip = "127.0.0.1"
-portRange = [{peers},{peers}]
-[zones]
-a-1 = "a"
-[listen]
-frontend = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-[limits]
-memoryMb = 200
-[bounds]
-drainMs = 3000
-graceS = 8
-cancelMs = 3000
-statusS = 120
-[platform]
-addr = "127.0.0.1:{store_port}"
-rowBytes = 65536
-blobBytes = 8388608
-"""
-
-
-def row(table, key, fields, version):
-    value = base64.b64encode(json.dumps(fields).encode()).decode()
-    return {"table": table, "part": "", "key": key, "value": value, "ver": version}
-
-
-class StoreStandIn:
-    """Serves fixed rows; takes every write."""
-
-    def __init__(self, engine_port):
-        engine = {
-            "service": "llm",
-            "addr": f"127.0.0.1:{engine_port}",
-            "zone": "a-1",
-            "slots": 8,
-            "state": "ready",
-            "coldLeftMs": 0,
-        }
-        route = {
-            "name": "r",
-            "host": "a.example",
-            "prefix": "/a/",
-            "routeKind": "streaming",
-            "timeoutMs": 5000,
-            "latencyGoalMs": 300,
-            "service": "llm",
-            "maxAttempts": 1,
-        }
-        limits = {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 4194304,
-            "idleTimeoutMs": 15000,
-        }
-        config = {"version": 3, "routes": [route], "limits": limits}
-        self.rows = {
-            "op": [row("op", "config", config, 1)],
-            "servers": [row("servers", "i-1", engine, 2)],
-        }
-
-    async def handle(self, request):
-        if request.path == "/rows-feed":
-            await asyncio.sleep(int(request.query["waitMs"]) / 1000)
-            return web.json_response({"rows": [], "ver": 9})
-        if request.path == "/rows-get":
-            rows = self.rows.get(request.query["table"], [])
-            return web.json_response({"rows": rows, "ver": 9})
-        if request.path == "/rows-parts":
-            return web.json_response({"parts": []})
-        return web.json_response({"ver": 10})
+ROUTE = {
+    "name": "r",
+    "host": "a.example",
+    "prefix": "/a/",
+    "routeKind": "streaming",
+    "timeoutMs": 5000,
+    "latencyGoalMs": 300,
+    "service": "llm",
+    "maxAttempts": 1,
+}
 
 
 async def engine(request):
@@ -132,12 +60,27 @@
     loop = asyncio.get_running_loop()
     engine_server = await loop.create_server(web.Server(engine), "127.0.0.1", 0)
     engine_port = engine_server.sockets[0].getsockname()[1]
-    store = StoreStandIn(engine_port)
+    store = StoreStandIn()
+    store.write("op", "config", configuration(3, [ROUTE]))
+    store.write("servers", "i-1", engine_row(f"127.0.0.1:{engine_port}"))
     store_server = await loop.create_server(web.Server(store.handle), "127.0.0.1", 0)
     store_port = store_server.sockets[0].getsockname()[1]
     ports = free_ports(3)
     path = tmp_path / "node.toml"
-    path.write_text(settings_text(ports, store_port))
+    callers, ready, peers = ports
+    path.write_text(
+        SETTINGS.format(
+            name="h1",
+            ip="127.0.0.1",
+            callers=callers,
+            ready=ready,
+            peers=peers,
+            drain_ms=3000,
+            stop_s=8,
+            results_kept_s=120,
+            store=f"127.0.0.1:{store_port}",
+        )
+    )
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -4,16 +4,17 @@
 
 import asyncio
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from tests.support.platform_standins import STALE_S
 
 from ._engines import EngineFaults
 from ._hosts import DRAIN_S
 from ._links import LinkState
 from ._promises import Blind, now_s
-from ._store import STALE_S
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable, Coroutine
 
     from ._run import SoakRun
 
@@ -37,7 +38,7 @@
     async def inject(self, seconds: float) -> None:
         """Begin faults for a time; they end by themselves."""
         until_s = now_s() + seconds
-        kinds: list[tuple[str, Callable[[], Awaitable[None]]]] = [
+        kinds: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
             ("host killed", self._kill),
             ("host stopped", self._stop),
             ("host paused", self._pause),
@@ -59,14 +60,11 @@
         while now_s() < until_s:
             name, fault = self._random.choice(kinds)
             self.counts[name] += 1
-            task = asyncio.create_task(self._inject(fault))
+            task = asyncio.create_task(fault())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self._random.uniform(0.2, 2 * GAP_S))
 
-    async def _inject(self, fault: Callable[[], Awaitable[None]]) -> None:
-        await fault()
-
     async def heal(self) -> None:
         """Wait for the faults to end and bring all hosts back."""
         await asyncio.gather(*self._tasks)
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from tests.support.platform_standins import SETTINGS
+
 from ._links import Link
 
 if TYPE_CHECKING:
@@ -18,35 +20,12 @@
 
 DRAIN_S = 3.0
 STOP_S = 6.0
+RESULTS_KEPT_S = 600  # longer than any run
 START_LIMIT_S = 60.0
 READY_LIMIT_S = 1.0
 # Each host has an address of its own; below the ports of outgoing connections.
 CALLERS_PORT, READY_PORT, PEERS_PORT = 7001, 7002, 7003
 
-SETTINGS = """
-nodeName = "{name}"
-zone = "a-1"
-region = "a"
-ip = "{ip}"
-portRange = [{peers},{peers}]
-[zones]
-a-1 = "a"
-[listen]
-frontend = "{ip}:{callers}"
-ready = "{ip}:{ready}"
-[limits]
-memoryMb = 200
-[bounds]
-drainMs = {drain_ms}
-graceS = {stop_s}
-cancelMs = 3000
-statusS = 600
-[platform]
-addr = "{store}"
-rowBytes = 65536
-blobBytes = 8388608
-"""
-
 
 class HostProcess:
     """One host, its link to the store, and the signals that it gets."""
@@ -103,6 +82,7 @@
                 peers=PEERS_PORT,
                 drain_ms=int(DRAIN_S * 1000),
                 stop_s=STOP_S,
+                results_kept_s=RESULTS_KEPT_S,
                 store=self.store.address,
             )
         )
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -11,12 +11,17 @@
 import attrs
 from aiohttp import web
 
+from tests.support.platform_standins import (
+    StoreStandIn,
+    configuration,
+    engine_row,
+)
+
 from ._callers import Callers
 from ._engines import EngineFaults, EngineStandIn
 from ._faults import Faults
 from ._hosts import HostProcess
 from ._promises import Promises
-from ._store import StoreStandIn
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -125,14 +130,7 @@
 
     def register(self, engine: EngineStandIn, state: str) -> None:
         """Write the row of an engine."""
-        row = {
-            "service": "llm",
-            "addr": engine.link.address,
-            "zone": "a-1",
-            "slots": 8,
-            "state": state,
-            "coldLeftMs": 0,
-        }
+        row = engine_row(engine.link.address, state)
         self.store.write("servers", engine.name, row)
 
     def change_configuration(self) -> None:
@@ -165,14 +163,7 @@
                 "retainS": 600,
             },
         ]
-        limits = {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 5000,
-            "idleTimeoutMs": 15000,
-        }
-        fields = {"version": self.version, "routes": routes, "limits": limits}
-        self.store.write("op", "config", fields)
+        self.store.write("op", "config", configuration(self.version, routes))
         if hasattr(self, "callers"):
             self.callers.versions.append(self.version)
 
--- a/tests/soak/_store.py
+++ b/tests/support/platform_standins.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's store: rows, changes and objects over HTTP."""
+"""The platform's store over HTTP, a settings file, and rows of others."""
 
 from __future__ import annotations
 
@@ -13,6 +13,53 @@
 Row = dict[str, Any]
 STALE_S = 2.0  # how long old configurations are read after a lost history
 
+SETTINGS = """
+nodeName = "{name}"
+zone = "a-1"
+region = "a"
+ip = "{ip}"
+portRange = [{peers},{peers}]
+[zones]
+a-1 = "a"
+[listen]
+frontend = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+[limits]
+memoryMb = 200
+[bounds]
+drainMs = {drain_ms}
+graceS = {stop_s}
+cancelMs = 3000
+statusS = {results_kept_s}
+[platform]
+addr = "{store}"
+rowBytes = 65536
+blobBytes = 8388608
+"""
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 4194304,
+    "headerTimeoutMs": 5000,
+    "idleTimeoutMs": 15000,
+}
+
+
+def engine_row(address: str, state: str = "ready") -> dict[str, Any]:
+    """Return the row by which an engine registers."""
+    return {
+        "service": "llm",
+        "addr": address,
+        "zone": "a-1",
+        "slots": 8,
+        "state": state,
+        "coldLeftMs": 0,
+    }
+
+
+def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the operator's row."""
+    return {"version": version, "routes": routes, "limits": LIMITS}
+
 
 class StoreStandIn:
     """Keeps everything it acknowledged; can be away, late and forgetful."""
