Log what resends of a request have in common, and whether the engine's connection ended

The hypotheses of the incident can't be told apart by the lines of two hosts: a resend has a new id, and an answer that broke off for a wrong byte looks like a crash. Lines of requests, failed attempts and item runs now hold a fingerprint of method, virtual host, path and body, and failed ones whether the connection ended.

--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -19,6 +19,7 @@
 
 ANSWER_LIMIT_S = 3.0  # an engine may queue a request behind others for this long
 EVENT_GAP_LIMIT_S = 1.5  # about 100 times the usual gap between two events
+ITEM_METHOD = "POST"
 UNPROCESSABLE = 422
 OK = 200
 
@@ -45,12 +46,13 @@
     How a run ended and why.
 
     ``call_outcome`` tells how an interrupted attempt failed; it is None if the
-    engine answered.
+    engine answered. ``connection_lost`` is that of ``AttemptError``.
     """
 
     outcome: ItemOutcome
     reason: str = ""
     call_outcome: CallOutcome | None = None
+    connection_lost: bool = False
 
 
 async def run_item(
@@ -71,7 +73,7 @@
     """
     call = RelayedCall(
         request_id=item.id,
-        method="POST",
+        method=ITEM_METHOD,
         target=item.target,
         host=host,
         headers=item.headers,
@@ -88,7 +90,12 @@
         finally:
             answer.close()
     except AttemptError as error:
-        return ItemRunResult(ItemOutcome.INTERRUPTED, error.reason, error.outcome)
+        return ItemRunResult(
+            ItemOutcome.INTERRUPTED,
+            error.reason,
+            error.outcome,
+            error.connection_lost,
+        )
 
 
 async def _read_answer(answer: RelayedAnswer, state: ItemState) -> ItemRunResult:
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import attrs
 
+from aspenbridge.quarantine import request_fingerprint
+
+from ._item_run import ITEM_METHOD
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -95,6 +100,14 @@
         """The job's head as this host last wrote or read it."""
         return self.stored.record
 
+    @cached_property
+    def fingerprints(self) -> tuple[str, ...]:
+        """The fingerprint of each item, by index."""
+        return tuple(
+            request_fingerprint(ITEM_METHOD, self.head.host, item.target, item.body)
+            for item in self.items
+        )
+
     def apply_head(self, stored: Stored[JobHead]) -> None:
         """
         Continue from a head that was read again.
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -273,6 +273,8 @@
             engine=engine.id,
             outcome=run.outcome.value,
             reason=run.reason,
+            connection_lost=run.connection_lost,
+            fingerprint=job.fingerprints[state.index],
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -73,7 +73,9 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
-            raise AttemptError(CallOutcome.BROKEN, repr(error)) from error
+            raise AttemptError(
+                CallOutcome.BROKEN, repr(error), connection_lost=True
+            ) from error
 
     def close(self) -> None:
         """Close the connection to the engine."""
@@ -113,7 +115,11 @@
             raise AttemptError(CallOutcome.NOT_SENT, "connect timeout") from error
         except TimeoutError as error:
             raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (aiohttp.ClientConnectionError, OSError) as error:
+            raise AttemptError(
+                CallOutcome.BROKEN, repr(error), connection_lost=True
+            ) from error
+        except (aiohttp.ClientError, ValueError) as error:
             raise AttemptError(CallOutcome.BROKEN, repr(error)) from error
         return _check_response(response, call.request_id)
 
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -58,12 +58,20 @@
 
 
 class AttemptError(Exception):
-    """An engine did not send a complete answer."""
+    """
+    An engine did not send a complete answer.
+
+    ``connection_lost`` tells that the connection ended in the middle of the
+    request, as it does when the engine crashes.
+    """
 
-    def __init__(self, outcome: CallOutcome, reason: str) -> None:
+    def __init__(
+        self, outcome: CallOutcome, reason: str, *, connection_lost: bool = False
+    ) -> None:
         super().__init__(reason)
         self.outcome = outcome
         self.reason = reason
+        self.connection_lost = connection_lost
 
 
 class EngineCaller(Protocol):
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -57,4 +57,8 @@
         if events:
             yield events
     if splitter.pending:
-        raise AttemptError(CallOutcome.BROKEN, "stream ended in the middle of an event")
+        raise AttemptError(
+            CallOutcome.BROKEN,
+            "stream ended in the middle of an event",
+            connection_lost=True,
+        )
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -10,6 +10,7 @@
 from aspenbridge.fleet import CallKind, Refused, virtual_host
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.quarantine import request_fingerprint
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._events import EventSplitter
@@ -73,7 +74,8 @@
         writer: ResponseWriter,
     ) -> None:
         """Write the answer to a request, or a refusal, with ``writer``."""
-        route = configuration.route_for(virtual_host(request.host), request.path)
+        host = virtual_host(request.host)
+        route = configuration.route_for(host, request.path)
         if route is None or route.kind is CallKind.BATCH:
             detail = f"no route for {request.path!r} at {request.host!r}"
             # Also logged for a route of batch items, which serves no online
@@ -93,6 +95,9 @@
             writer=writer,
             events=EventSplitter(request.resume_after),
             received_s=request.received_s,
+            fingerprint=request_fingerprint(
+                request.method, host, request.target, request.body
+            ),
         )
         outcome = "cancelled"
         try:
@@ -175,6 +180,8 @@
             engine=engine.id,
             outcome=error.outcome.value,
             reason=error.reason,
+            connection_lost=error.connection_lost,
+            fingerprint=progress.fingerprint,
             sends=progress.failed_sends,
         )
 
@@ -280,6 +287,7 @@
         log_decision(
             "request",
             request=request.request_id,
+            fingerprint=progress.fingerprint,
             route=progress.route.name,
             configuration=version,
             outcome=outcome,
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -62,6 +62,7 @@
     writer: ResponseWriter
     events: EventSplitter
     received_s: float
+    fingerprint: str  # the same for all resends of the request
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
     may_have_run: bool = False  # whether an engine may have run the request
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -45,6 +45,7 @@
 STORE_DELAY_S = 0.004
 CALL_TIMEOUT_S = 1.0  # time after which a call without a reply fails
 EVENT_S = 0.02  # time between two events of a run
+ENTRY_LIFETIME_S = 3.6  # of an engine that is silent, in the store
 
 
 class MemoryStore:
@@ -264,6 +265,16 @@
     events: list[int] = attrs.field(factory=list)
     target: str = ""
     deadline_s: float = 0.0
+    body: bytes = b""
+
+
+@attrs.frozen
+class Crash:
+    """An engine's crash, with the body that caused it; empty if by itself."""
+
+    engine: str
+    at_s: float
+    body: bytes
 
 
 class MemoryEngines:
@@ -275,6 +286,11 @@
         self.text = "t"
         self.runs: list[Run] = []
         self.faults: dict[str, list[Fault]] = {}  # by request id; "*" for any request
+        self.crashing_bodies: set[bytes] = set()  # they crash engines that run them
+        self.crash_after_s = EVENT_S  # from when such a request begins to run
+        self.crashes: list[Crash] = []
+        self.down: set[str] = set()  # engines that accept no connection
+        self.on_crash = lambda engine_id: None
         self._slots: dict[str, asyncio.Semaphore] = {}
         self.most_running: dict[str, int] = {}
         self._running: dict[str, int] = {}
@@ -285,7 +301,19 @@
                 return self.faults[key].pop(0)
         return Fault()
 
+    def crash(self, engine_id: str, body: bytes = b"") -> None:
+        """Break all requests that run on an engine, which then is down."""
+        now_s = asyncio.get_running_loop().time()
+        self.crashes.append(Crash(engine_id, now_s, body))
+        self.down.add(engine_id)
+        self.on_crash(engine_id)
+
+    def crash_count(self, engine_id: str) -> int:
+        return sum(crash.engine == engine_id for crash in self.crashes)
+
     async def open(self, engine_id, address, call, answer_deadline_s):
+        if engine_id in self.down:
+            raise AttemptError(CallOutcome.NOT_SENT, "connection refused")
         fault = self._pop_fault(call.request_id)
         if fault.outcome is not None:
             if fault.delay_s:
@@ -298,8 +326,10 @@
             asyncio.get_running_loop().time(),
             target=call.target,
             deadline_s=call.deadline_s,
+            body=call.body,
         )
         self.runs.append(run)
+        crash_count = self.crash_count(engine_id)
         slot = self._slots.setdefault(engine_id, asyncio.Semaphore(8))
         limit_s = answer_deadline_s - asyncio.get_running_loop().time()
         try:
@@ -307,15 +337,25 @@
                 await slot.acquire()
         except TimeoutError as error:
             raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
-        return MemoryAnswer(self, run, fault, slot)
+        answer = MemoryAnswer(self, run, fault, slot, crash_count)
+        if call.body in self.crashing_bodies:
+            try:
+                await asyncio.sleep(self.crash_after_s)
+                if self.crash_count(engine_id) == crash_count:
+                    self.crash(engine_id, call.body)
+                answer.raise_if_crashed()
+            finally:
+                answer.close()
+        return answer
 
 
 class MemoryAnswer:
     """The events of one run; closing it frees the slot of the engine."""
 
-    def __init__(self, engines, run, fault, slot) -> None:
+    def __init__(self, engines, run, fault, slot, crash_count) -> None:
         self._engines, self._run, self._fault = engines, run, fault
         self._slot = slot
+        self._crash_count = crash_count  # of the engine when the run was sent
         status = fault.status or 200
         self.head = AnswerHead(
             status, (("Content-Type", "text/event-stream"),), status == 200
@@ -328,12 +368,19 @@
         first = 0 if self._run.resume_after is None else self._run.resume_after + 1
         for number in range(first, self._engines.events):
             await asyncio.sleep(self._engines.event_s)
+            self.raise_if_crashed()
             if self._fault.break_after == number - first:
                 yield f"id: {number}\nda".encode()
                 raise AttemptError(CallOutcome.BROKEN, "reset")
             self._run.events.append(number)
             yield f"id: {number}\ndata: {self._engines.text}{number}\n\n".encode()
 
+    def raise_if_crashed(self) -> None:
+        if self._engines.crash_count(self._run.engine) != self._crash_count:
+            raise AttemptError(
+                CallOutcome.BROKEN, "connection reset", connection_lost=True
+            )
+
     def close(self) -> None:
         if self._run.ended_s is None:
             self._run.ended_s = asyncio.get_running_loop().time()
@@ -472,6 +519,11 @@
         self._stacks: dict[str, AsyncExitStack] = {}
         self._initial_hosts = [f"h{number}" for number in range(hosts)]
         self._start_count = 0
+        self.engines.on_crash = self._restart_engine
+        self.engine_down_s = 2.0  # how long a crashed engine is down
+        self.returns_under_new_id = False  # whether it does after a crash
+        self._engine_starts = 1
+        self._restarts: set[asyncio.Task] = set()
 
     async def __aenter__(self):
         self.store.write("op", "config", b"1")
@@ -483,9 +535,35 @@
         return self
 
     async def __aexit__(self, *error):
+        for restart in self._restarts:
+            restart.cancel()
         for name in list(self._stacks):
             await self.kill(name)
 
+    def _restart_engine(self, engine_id: str) -> None:
+        task = asyncio.create_task(self._register_after_crash(engine_id))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _register_after_crash(self, engine_id: str) -> None:
+        """Have a crashed engine's entry lapse or change as the store would."""
+        self._engine_starts += 1
+        start = self._engine_starts
+        lapsed = asyncio.create_task(self._lapse(engine_id))
+        self._restarts.add(lapsed)
+        await asyncio.sleep(self.engine_down_s)
+        name = f"e-{start}" if self.returns_under_new_id else engine_id
+        row = f"{name}#{start}"
+        self.entries[row] = make_engine(name, started_ms=start)
+        if name == engine_id:
+            lapsed.cancel()
+            self.engines.down.discard(engine_id)
+        self.store.write("servers", name, row.encode())
+
+    async def _lapse(self, engine_id: str) -> None:
+        await asyncio.sleep(ENTRY_LIFETIME_S)
+        self.store.write("servers", engine_id, None)
+
     async def start(self, name: str) -> EntryHost:
         self._start_count += 1
         ip = f"10.0.1.{self._start_count}"
