Quarantine requests that crash engines, at all hosts together

Cause: what is known of a crash lay in the state of one attempt. A resend has another id and arrives at another host, and nothing tied the two together.

Change: requests have a fingerprint (method, virtual host, path, body). Hosts count the engine crashes under each, by starts of engines, so that one crash counts once whoever saw it. A crash goes out with the next load report, so that it spreads without the store, and becomes a row once the list of engines shows that the engine has ended, so that it outlives all hosts. A lost connection to an engine that lives is dropped; a run that fell silent or was abandoned counts once the engine has ended. After three crashes a request is refused as not run (3005, 503, with the time of its next trial) and a batch item waits. Two trials, 15 and 30 s later, let an innocent request clear itself; a trial needs a row that only one host can create. Whole answers clear a request everywhere.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -29,6 +29,7 @@
     JobWorker,
 )
 from aspenbridge.observability import log_decision
+from aspenbridge.quarantine import CRASHES_TABLE, Quarantine
 from aspenbridge.relay import OnlinePlacement, Relay
 from aspenbridge.resources import StackOwner
 from aspenbridge.store import Store
@@ -102,13 +103,6 @@
         )
         self.exchange.heartbeat_age_s = lambda: self._heartbeat.age_s
         self.exchange.on_heartbeat = self.hosts.record_heartbeat
-        self.relay = Relay(
-            OnlinePlacement(self.view, random),
-            self.load_view,
-            health,
-            ports.engine_caller,
-            clock,
-        )
         self._job_directory = JobDirectory()
         tables = ports.tables
         feed_options = (ports.feed, clock, random)
@@ -121,8 +115,30 @@
         head_follower = Follower(
             *feed_options, HEADS_TABLE, self._job_directory, all_parts=True
         )
+        self.quarantine = Quarantine(
+            settings.host,
+            engine_directory,
+            engine_follower,
+            self.hosts,
+            store,
+            clock,
+            random,
+            settings.engine_heartbeat_s,
+        )
+        self.quarantine.on_news = self.exchange.schedule_send
+        self.exchange.notices = self.quarantine.notices
+        self.exchange.on_notices = self.quarantine.apply_notices
+        self.relay = Relay(
+            OnlinePlacement(self.view, random),
+            self.load_view,
+            health,
+            ports.engine_caller,
+            self.quarantine,
+            clock,
+        )
         self._followers = (
             Follower(*feed_options, tables.configuration_table, self.configuration),
+            Follower(*feed_options, CRASHES_TABLE, self.quarantine),
             engine_follower,
             host_follower,
             head_follower,
@@ -150,6 +166,7 @@
             self.load_view,
             health,
             ports.engine_caller,
+            self.quarantine,
             clock,
             random,
             lambda: self.configuration.current,
@@ -234,6 +251,7 @@
             self.worker.save_progress(),
             self._claims.run(),
             self._sweep.run(),
+            self.quarantine.run(),
             self._enable_claims(),
         ):
             self.start(coroutine)
--- a/src/aspenbridge/entry/_settings.py
+++ b/src/aspenbridge/entry/_settings.py
@@ -64,3 +64,4 @@
     store: Address
     store_limits: StoreLimits
     bounds: TimeBounds
+    engine_heartbeat_s: float  # between two renewals of an engine's entry
--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -4,7 +4,7 @@
 
 from ._datagrams import Datagrams, UdpDatagrams
 from ._engines import EngineDirectory, EngineEntry
-from ._exchange import LoadExchange
+from ._exchange import CrashNotices, LoadExchange
 from ._follower import Follower, TableCopy
 from ._health import EngineHealth
 from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
@@ -31,6 +31,7 @@
     "CallKind",
     "Candidate",
     "Configuration",
+    "CrashNotices",
     "Datagrams",
     "EngineDirectory",
     "EngineEntry",
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -29,6 +29,19 @@
 SENDER_LIFETIME_S = 3.0
 
 
+class CrashNotices(msgspec.Struct, frozen=True, array_like=True):
+    """
+    What one host saw of requests that crash engines, encoded as an array.
+
+    Requests are given by their fingerprints and times by their age in seconds.
+    ``crashes`` holds the fields of a ``CrashId``, and whether the engine has
+    ended for certain. ``cleared`` holds the requests that have completed.
+    """
+
+    crashes: tuple[tuple[str, tuple[str, int, int], float, bool], ...] = ()
+    cleared: tuple[tuple[str, float], ...] = ()
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """
     The load of one host, encoded as an array.
@@ -45,6 +58,7 @@
     waiting_items: int
     due_wall_s: float
     beat_age_s: float
+    notices: CrashNotices = CrashNotices()
 
 
 class LoadExchange(StackOwner):
@@ -76,13 +90,15 @@
         self.on_report: Callable[[], None] = lambda: None
         self.heartbeat_age_s: Callable[[], float] = lambda: float("inf")
         self.on_heartbeat: Callable[[str, float], None] = lambda host, age_s: None
+        self.notices: Callable[[], CrashNotices] = CrashNotices
+        self.on_notices: Callable[[CrashNotices], None] = lambda notices: None
 
     async def __aenter__(self) -> Self:
         self._send_to = await self._stack.enter_async_context(
             self._datagrams.open(self._address, self.receive)
         )
         self._stack.callback(self._stop_timer)
-        self._load_view.on_own_change = self._schedule_send
+        self._load_view.on_own_change = self.schedule_send
         return self
 
     async def run(self) -> None:
@@ -108,10 +124,12 @@
         backlog = Backlog(report.waiting_items, report.due_wall_s)
         self._load_view.apply_report(report.host, loads, backlog)
         self.on_heartbeat(report.host, report.beat_age_s)
+        self.on_notices(report.notices)
         self._senders[sender] = self._clock.now_s() + SENDER_LIFETIME_S
         self.on_report()
 
-    def _schedule_send(self) -> None:
+    def schedule_send(self) -> None:
+        """Send a report soon; changes until then share it."""
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(SEND_SPACING_S, self._send)
@@ -139,6 +157,7 @@
                 backlog.items,
                 backlog.due_wall_s,
                 self.heartbeat_age_s(),
+                self.notices(),
             )
         )
         for peer in self._recipients():
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -32,6 +32,7 @@
         Route,
     )
     from aspenbridge.ports import Clock, EngineCaller
+    from aspenbridge.quarantine import Quarantine
     from aspenbridge.store import Stored
 
     from ._directory import JobDirectory
@@ -58,6 +59,7 @@
         load_view: LoadView,
         health: EngineHealth,
         engine_caller: EngineCaller,
+        quarantine: Quarantine,
         clock: Clock,
         random: Random,
         configuration: Callable[[], Configuration | None],
@@ -69,6 +71,7 @@
         self._load_view = load_view
         self._health = health
         self._engine_caller = engine_caller
+        self._quarantine = quarantine
         self._clock = clock
         self._random = random
         self._configuration = configuration
@@ -207,6 +210,7 @@
         Return the items that may start now, in the order of their start.
 
         Items without a route and items of an expired job fail permanently.
+        Quarantined items wait for a trial or for the end of their job.
         """
         waiting = []
         now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
@@ -219,7 +223,7 @@
                 self._fail_permanently(job, state, "no route matches the item any more")
             elif self._clock.wall_s() > job.head.expires_wall_s + EXPIRY_SLACK_S:
                 self._fail_permanently(job, state, "the job has expired")
-            else:
+            elif self._quarantine.admits(job.fingerprints[state.index]):
                 waiting.append((job, state, route))
         return waiting
 
@@ -244,6 +248,7 @@
         job, state = run.job, run.state
         self._load_view.add(run.engine_id, batch=-1)
         if state.index in job.running:  # the run was cancelled or raised an error
+            self._record_stopped_run(job, state)
             job.requeue(state)
             state.delay_retry(self._clock.now_s())
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -255,6 +260,9 @@
     ) -> None:
         item = job.items[state.index]
         started_s, events_before = self._clock.now_s(), len(state.events)
+        if not await self._quarantine.begin_run(job.fingerprints[state.index]):
+            job.requeue(state)
+            return
         remaining_s = job.head.expires_wall_s - self._clock.wall_s()
         run = await run_item(
             self._engine_caller,
@@ -278,6 +286,7 @@
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
+        self._update_quarantine(job.fingerprints[state.index], engine, run)
         if run.outcome is ItemOutcome.COMPLETE:
             events = len(state.events)
             run_s = self._clock.now_s() - started_s
@@ -296,6 +305,28 @@
         elif run.call_outcome is None:
             self._health.record_answer(engine.id)
 
+    def _update_quarantine(
+        self, fingerprint: str, engine: EngineEntry, run: ItemRunResult
+    ) -> None:
+        if run.call_outcome is None:
+            self._quarantine.record_completed(fingerprint)
+        elif run.call_outcome is CallOutcome.BROKEN:
+            self._quarantine.record_broken_run(
+                fingerprint, engine, connection_lost=run.connection_lost
+            )
+        else:
+            self._quarantine.record_not_run(fingerprint)
+
+    def _record_stopped_run(self, job: OwnedJob, state: ItemState) -> None:
+        """Count a trial that was stopped as passed if its engine generated."""
+        fingerprint = job.fingerprints[state.index]
+        if not self._quarantine.is_quarantined(fingerprint):
+            return
+        if len(state.events) > state.events_at_delay:
+            self._quarantine.record_completed(fingerprint)
+        else:
+            self._quarantine.record_not_run(fingerprint)
+
     def _retry_or_fail(
         self, job: OwnedJob, state: ItemState, route: Route, run: ItemRunResult
     ) -> None:
--- a/src/aspenbridge/observability/_metrics.py
+++ b/src/aspenbridge/observability/_metrics.py
@@ -38,6 +38,12 @@
 JOBS = Counter(
     "jobs", "Batch jobs by what this host did with them.", ["event"], registry=REGISTRY
 )
+QUARANTINE = Counter(
+    "quarantine",
+    "Requests under which engines crashed, by what became of them or the engine.",
+    ["event"],
+    registry=REGISTRY,
+)
 STORE_CALL_S = Histogram(
     "store_call_seconds",
     "Duration of calls to the store, except for requests for changes.",
--- a/src/aspenbridge/platform/_settings.py
+++ b/src/aspenbridge/platform/_settings.py
@@ -61,6 +61,7 @@
             object_bytes=int(store["blobBytes"]),
         ),
         bounds=_decode_bounds(fields["bounds"]),
+        engine_heartbeat_s=float(fields["heartbeatMs"]) / 1000,
     )
 
 
--- /dev/null
+++ b/src/aspenbridge/quarantine/_records.py
@@ -0,0 +1,52 @@
+"""Rows of crashes and trials; each is written once and never changed."""
+
+from __future__ import annotations
+
+import attrs
+
+from aspenbridge.ports import RowKey
+
+from ._ledger import CrashId
+
+CRASHES_TABLE = "crashes"
+TRIAL = "trial"  # stands in the key of a trial where a crash has a number
+
+
+@attrs.frozen
+class CrashRecord:
+    """A crash of one start of an engine under a request."""
+
+    fingerprint: str
+    engine_id: str
+    started_ms: int
+    number: int
+    at_wall_s: float
+
+
+@attrs.frozen
+class TrialRecord:
+    """A trial of a quarantined request, which one host has claimed."""
+
+    fingerprint: str
+    number: int
+    at_wall_s: float
+
+
+def crash_key(fingerprint: str, crash_id: CrashId) -> RowKey:
+    """Return the key of a crash, which all hosts that saw it share."""
+    engine_id, started_ms, number = crash_id
+    return RowKey(CRASHES_TABLE, f"{fingerprint}/{started_ms}/{number}/{engine_id}")
+
+
+def trial_key(fingerprint: str, number: int) -> RowKey:
+    """Return the key of a trial, which only one host can create."""
+    return RowKey(CRASHES_TABLE, f"{fingerprint}/{TRIAL}/{number}")
+
+
+def parse_key(key: str) -> tuple[str, CrashId | int]:
+    """Return the fingerprint and the crash, or the number of the trial."""
+    fingerprint, start, rest = key.split("/", 2)
+    if start == TRIAL:
+        return fingerprint, int(rest)
+    number, _, engine_id = rest.partition("/")
+    return fingerprint, CrashId(engine_id, int(start), int(number))
--- /dev/null
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -0,0 +1,99 @@
+"""Writes and deletes the rows of crashes, many in one call, and retries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from aspenbridge.store import Changes
+
+from ._records import CrashRecord, TrialRecord, crash_key, trial_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from aspenbridge.ports import Clock, RowKey
+    from aspenbridge.store import Store
+
+    from ._ledger import Crash, Suspect
+
+RETRY_DELAY_S = (0.5, 2.0)  # random, to spread the writes after an outage
+COMMIT_LIMIT_S = 1.0
+TRIAL_CLAIM_LIMIT_S = 0.3  # callers wait for it
+MAX_COMMIT_ROWS = 90  # a transaction may hold 100 rows
+
+
+class CrashRows:
+    """The rows that this host writes."""
+
+    def __init__(self, store: Store, clock: Clock, random: Random) -> None:
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._obsolete: dict[RowKey, float] = {}  # when to try to delete each
+
+    async def write(self, crashes: Iterable[tuple[str, Crash]]) -> None:
+        """
+        Write the crashes that are due, as many as fit into one call.
+
+        :param crashes: crashes with the fingerprints of their requests. Those
+            that were written are marked as stored.
+        """
+        now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
+        due = [
+            (fingerprint, crash)
+            for fingerprint, crash in crashes
+            if crash.confirmed and not crash.stored and crash.write_at_s <= now_s
+        ][:MAX_COMMIT_ROWS]
+        changes = Changes()
+        for fingerprint, crash in due:
+            at_wall_s = wall_s - (now_s - crash.at_s)
+            record = CrashRecord(fingerprint, *crash.id, at_wall_s)
+            changes.put(crash_key(fingerprint, crash.id), record)
+            crash.write_at_s = self._next_try_s()
+        if due and await self._commit(changes, COMMIT_LIMIT_S):
+            for _, crash in due:
+                crash.stored = True
+
+    async def claim_trial(self, fingerprint: str, number: int) -> bool:
+        """Return whether this host, and no other, may make a trial."""
+        key = trial_key(fingerprint, number)
+        record = TrialRecord(fingerprint, number, self._clock.wall_s())
+        changes = Changes().absent(key).put(key, record)
+        return await self._commit(changes, TRIAL_CLAIM_LIMIT_S)
+
+    def discard(self, fingerprint: str, suspect: Suspect) -> None:
+        """Delete the rows of a request soon."""
+        for crash in suspect.crashes.values():
+            if crash.stored:
+                self.discard_row(crash_key(fingerprint, crash.id))
+        for number in suspect.trials:
+            self.discard_row(trial_key(fingerprint, number))
+
+    def discard_row(self, key: RowKey) -> None:
+        """Delete one row soon."""
+        self._obsolete.setdefault(key, self._clock.now_s())
+
+    async def delete(self) -> None:
+        """Delete the discarded rows that are due, in one call."""
+        now_s = self._clock.now_s()
+        due = [key for key, at_s in self._obsolete.items() if at_s <= now_s]
+        due = due[:MAX_COMMIT_ROWS]
+        changes = Changes()
+        for key in due:
+            changes.delete(key)
+            self._obsolete[key] = self._next_try_s()
+        if due and await self._commit(changes, COMMIT_LIMIT_S):
+            for key in due:
+                del self._obsolete[key]
+
+    def _next_try_s(self) -> float:
+        return self._clock.now_s() + self._random.uniform(*RETRY_DELAY_S)
+
+    async def _commit(self, changes: Changes, limit_s: float) -> bool:
+        committed = await self._store.commit(
+            changes, deadline_s=self._clock.now_s() + limit_s
+        )
+        return not isinstance(committed, Failure)
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,7 @@
 from aspenbridge.fleet import CallKind, Refused, virtual_host
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
-from aspenbridge.quarantine import request_fingerprint
+from aspenbridge.quarantine import QUARANTINE_CRASHES, request_fingerprint
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._events import EventSplitter
@@ -32,6 +33,7 @@
         EngineCaller,
         RelayedAnswer,
     )
+    from aspenbridge.quarantine import Quarantine
 
     from ._placement import OnlinePlacement
     from ._request import CallerRequest, ResponseWriter
@@ -59,12 +61,14 @@
         load_view: LoadView,
         health: EngineHealth,
         engine_caller: EngineCaller,
+        quarantine: Quarantine,
         clock: Clock,
     ) -> None:
         self._placement = placement
         self._load_view = load_view
         self._health = health
         self._engine_caller = engine_caller
+        self._quarantine = quarantine
         self._clock = clock
 
     async def serve(
@@ -122,6 +126,8 @@
         """Try engines until one answers; return the outcome for the log."""
         service = self._placement.service(progress.route)
         while True:
+            if not self._quarantine.admits(progress.fingerprint):
+                return await self._fail_quarantined(progress)
             placed = self._placement.place(
                 service,
                 progress.route,
@@ -130,14 +136,23 @@
             )
             if isinstance(placed, Refused):
                 return await self._fail(progress, placed)
+            if not await self._quarantine.begin_run(progress.fingerprint):
+                return await self._fail_quarantined(progress)
             load = self._load_view.load(placed.id)
             progress.engine, progress.found_load = placed.id, (load.online, load.batch)
             try:
                 with self._counted_in_load(placed):
                     await self._attempt(progress, placed)
+                self._quarantine.record_completed(progress.fingerprint)
                 return "answered"
             except AttemptError as error:
                 self._record_failure(progress, placed, error)
+            except asyncio.CancelledError:
+                # The caller has left; the engine may still crash.
+                self._quarantine.record_broken_run(
+                    progress.fingerprint, placed, connection_lost=False
+                )
+                raise
             if not self._may_retry(progress):
                 return await self._fail(progress, Refused(RETRY_AFTER_S))
 
@@ -173,6 +188,11 @@
             self._health.record_refusal(engine.id)
         if error.outcome is CallOutcome.BROKEN:
             progress.may_have_run = True
+            self._quarantine.record_broken_run(
+                progress.fingerprint, engine, connection_lost=error.connection_lost
+            )
+        else:
+            self._quarantine.record_not_run(progress.fingerprint)
         metrics.ATTEMPT_FAILURES.labels(error.outcome.value).inc()
         log_decision(
             "attempt failed",
@@ -185,8 +205,26 @@
             sends=progress.failed_sends,
         )
 
-    async def _fail(self, progress: Progress, refused: Refused) -> str:
-        """Tell the caller at once that no answer comes; return the outcome."""
+    async def _fail_quarantined(self, progress: Progress) -> str:
+        retry_after_s = self._quarantine.retry_after_s(progress.fingerprint)
+        metrics.QUARANTINE.labels("refused").inc()
+        problem = Problem(
+            ResultCode.REQUEST_QUARANTINED,
+            f"{QUARANTINE_CRASHES} or more engines crashed under this request",
+            retry_after_s=retry_after_s,
+        )
+        await self._fail(progress, Refused(retry_after_s), problem)
+        return "quarantined"
+
+    async def _fail(
+        self, progress: Progress, refused: Refused, problem: Problem | None = None
+    ) -> str:
+        """
+        Tell the caller at once that no answer comes; return the outcome.
+
+        :param problem: what to answer if no engine may have run the request,
+            instead of the refusal for a full fleet.
+        """
         progress.refused = refused
         if progress.begun:
             progress.writer.abort()
@@ -195,13 +233,12 @@
             detail = "the engine may have run the request"
             await progress.writer.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
             return "unknown"
-        await progress.writer.refuse(
-            Problem(
-                ResultCode.OVERLOADED,
-                "no engine can serve in time",
-                retry_after_s=refused.retry_after_s,
-            )
+        overloaded = Problem(
+            ResultCode.OVERLOADED,
+            "no engine can serve in time",
+            retry_after_s=refused.retry_after_s,
         )
+        await progress.writer.refuse(problem or overloaded)
         return "refused"
 
     async def _attempt(self, progress: Progress, engine: EngineEntry) -> None:
--- a/src/aspenbridge/result_codes/_codes.py
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -35,6 +35,7 @@
     CUSTOMER_LIMIT = 3002
     DEADLINE_EXCEEDED = 3003
     NO_ENGINE_ALLOWED = 3004
+    REQUEST_QUARANTINED = 3005
     STORE_UNAVAILABLE = 4001
     OUTCOME_UNKNOWN = 4002
     BACKEND_FAILED = 4003
@@ -94,6 +95,11 @@
     _row(ResultCode.CUSTOMER_LIMIT, 429, "The customer is over its share"),
     _row(ResultCode.DEADLINE_EXCEEDED, 504, "The deadline passed"),
     _row(ResultCode.NO_ENGINE_ALLOWED, 503, "No engine may run this request"),
+    _row(
+        ResultCode.REQUEST_QUARANTINED,
+        503,
+        "Engines crashed under this request, and it waits for a trial",
+    ),
     _row(ResultCode.STORE_UNAVAILABLE, 503, "The platform's store is down"),
     _row(
         ResultCode.OUTCOME_UNKNOWN,
--- a/src/aspenbridge/suspects/__init__.py
+++ b/src/aspenbridge/suspects/__init__.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from ._ledger import QUARANTINE_CRASHES, SuspectRecord, fingerprint
+from aspenbridge.quarantine import QUARANTINE_CRASHES
+
+from ._ledger import SuspectRecord, fingerprint
 from ._suspects import Suspects
 
 __all__ = ["QUARANTINE_CRASHES", "SuspectRecord", "Suspects", "fingerprint"]
--- a/src/aspenbridge/suspects/_ledger.py
+++ b/src/aspenbridge/suspects/_ledger.py
@@ -10,6 +10,7 @@
 
 from aspenbridge.membership import LIVE, HostRecord, host_key
 from aspenbridge.ports import Conflict, RowKey, Unavailable
+from aspenbridge.quarantine import QUARANTINE_CRASHES
 from aspenbridge.store import Changes
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
     from aspenbridge.store import Store, Stored
     from aspenbridge.work import Work
 
-QUARANTINE_CRASHES = 3
 SAME_CRASH_WINDOW_S = 1.0  # crashes of one engine within it count as one crash
 MAX_COMMIT_ATTEMPTS = 10
 SUSPECTS_TABLE = "suspects"
--- a/src/aspenbridge/suspects/_suspects.py
+++ b/src/aspenbridge/suspects/_suspects.py
@@ -11,10 +11,10 @@
 from returns.result import Failure, Success
 
 from aspenbridge.peers import SuspectNotice
+from aspenbridge.quarantine import QUARANTINE_CRASHES
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._ledger import (
-    QUARANTINE_CRASHES,
     SAME_CRASH_WINDOW_S,
     SuspectLedger,
     SuspectRecord,
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -7,9 +7,14 @@
 import pytest
 
 from aspenbridge.jobs import JobSubmission, SubmittedItem
+from aspenbridge.quarantine import CRASHES_TABLE, request_fingerprint
+from aspenbridge.quarantine._ledger import TRIAL_DELAYS_S
+from aspenbridge.result_codes import Execution, ResultCode
 from tests.support.entry_fleet import (
     EntryFleet,
+    Fault,
     make_configuration,
+    make_engine,
     make_request,
     make_route,
 )
@@ -19,6 +24,11 @@
 CONTACT_S = 4.0  # a crash is known at every host in touch after this time
 MAX_LATE_RUNS = 3  # that may begin later than CONTACT_S after the third crash
 RESEND_INTERVAL_S = 1.0
+TEXT = "\n".join(f"t{number}" for number in range(10))
+
+
+def fingerprint_of(body, path="/online/x"):
+    return request_fingerprint("POST", "a.example", path, body)
 
 
 def with_fleet(check, **options):
@@ -74,17 +84,349 @@
     with_fleet(check)
 
 
+async def submit(fleet, bodies, host="h0", job_id="j1"):
+    """Submit a job with one item for each body; return its id."""
+    items = tuple(
+        SubmittedItem(f"{job_id}-{n}", f"/batch/{job_id}-{n}", (), body)
+        for n, body in enumerate(bodies)
+    )
+    entry = fleet.hosts[host]
+    route = entry.configuration.current.route_for("a.example", "/batch/")
+    await entry.job_service.submit(JobSubmission(job_id, "a.example", items), route)
+    return job_id
+
+
+async def read_results(fleet, job_id="j1", host="h1"):
+    page = await fleet.hosts[host].job_service.results(job_id, 0, 0.0)
+    return {result.item_id: result.text for result in page.unwrap().results}
+
+
+def stored_crashes(fleet):
+    return [key for key in fleet.store.rows_by_key if key.table == CRASHES_TABLE]
+
+
 def test_crashing_batch_item_is_stopped():
     async def check(fleet):
-        bodies = [b"one", CRASHING, b"three"]
-        items = tuple(
-            SubmittedItem(f"j1-{n}", f"/batch/{n}", (), body)
-            for n, body in enumerate(bodies)
-        )
-        host = fleet.hosts["h0"]
-        route = host.configuration.current.route_for("a.example", "/batch/")
-        await host.job_service.submit(JobSubmission("j1", "a.example", items), route)
+        await submit(fleet, [b"one", CRASHING, b"three"])
         await asyncio.sleep(50.0)
         assert_stopped(fleet)
+        assert set(await read_results(fleet)) == {"j1-0", "j1-2"}
+
+    with_fleet(check)
+
+
+def test_quarantined_item_fails_only_when_its_job_expires():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(59.0)
+        assert await read_results(fleet) == {}
+        await asyncio.sleep(6.0)
+        assert await read_results(fleet) == {"j1-0": None}
+
+    with_fleet(check)
+
+
+def test_quarantined_item_stays_so_when_its_job_changes_hosts():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(12.0)
+        await fleet.kill("h0")
+        await asyncio.sleep(45.0)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+def test_quarantined_request_is_refused_as_not_run():
+    async def check(fleet):
+        first = await resend(fleet, 3)
+        assert [reply.status for reply in first] == [502, 502, 503]
+        assert first[1].problem.code is ResultCode.OUTCOME_UNKNOWN
+        problem = first[2].problem
+        assert problem.code is ResultCode.REQUEST_QUARANTINED
+        assert problem.execution is Execution.NOT_RUN
+        assert 10.0 < problem.retry_after_s < 15.0
+        refused_id = f"/online/x-{CRASHING[:4]}-2"
+        assert refused_id not in {run.request_id for run in fleet.engines.runs}
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("new_id", [False, True])
+@pytest.mark.parametrize("down_s", [1.0, 6.0])
+def test_crashing_request_is_stopped_however_its_engines_return(new_id, down_s):
+    async def check(fleet):
+        fleet.returns_under_new_id, fleet.engine_down_s = new_id, down_s
+        await resend(fleet, 40)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("path", ["/online/x", "/once/x"])
+def test_crashing_request_is_stopped_when_its_engines_fall_silent(path):
+    async def check(fleet):
+        fleet.engines.crashes_are_silent = True
+        await resend(fleet, 40, path)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+def test_crashing_request_is_stopped_when_its_callers_leave_early():
+    async def check(fleet):
+        fleet.engines.crash_after_s = 0.2
+        fleet.engines.abandoned_runs_go_on = True
+        for number in range(40):
+            request = make_request(f"r{number}", body=CRASHING)
+            task = asyncio.create_task(fleet.relay(f"h{number % 3}", request))
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.sleep(RESEND_INTERVAL_S)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+def test_crashes_are_remembered_when_all_hosts_are_killed():
+    async def check(fleet):
+        await resend(fleet, 2)
+        await asyncio.sleep(6.0)
+        for name in list(fleet.hosts):
+            await fleet.kill(name)
+        for name in ("h0", "h1", "h2"):
+            await fleet.start(name)
+        await asyncio.sleep(1.0)
+        await resend(fleet, 30, first=2)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+def test_crashes_are_remembered_when_the_host_that_saw_them_is_killed_at_once():
+    async def check(fleet):
+        await fleet.relay("h0", make_request("r0", body=CRASHING))
+        await asyncio.sleep(0.1)
+        await fleet.kill("h0")
+        await asyncio.sleep(12.0)
+        assert len(stored_crashes(fleet)) == 2
+        await resend(fleet, 30)
+        assert len(crashes_of(fleet)) <= 3 + len(TRIAL_DELAYS_S)
+
+    with_fleet(check)
+
+
+def test_host_that_joins_late_learns_of_crashes():
+    async def check(fleet):
+        await resend(fleet, 3)
+        await asyncio.sleep(6.0)
+        runs = len(fleet.engines.runs)
+        late = await fleet.start("late")
+        await asyncio.sleep(0.5)
+        reply = await fleet.relay("late", make_request("late", body=CRASHING))
+        assert (reply.status, len(fleet.engines.runs)) == (503, runs)
+        assert late.quarantine.is_quarantined(fingerprint_of(CRASHING))
+
+    with_fleet(check)
+
+
+def test_host_that_hears_no_other_host_learns_of_crashes_from_the_store():
+    async def check(fleet):
+        fleet.datagrams.groups.append({fleet.address("h2")})
+        await resend(fleet, 2)
+        await asyncio.sleep(6.0)
+        reply = await fleet.relay("h2", make_request("r9", body=CRASHING))
+        assert reply.problem.code is ResultCode.REQUEST_QUARANTINED
+
+    with_fleet(check)
+
+
+def test_host_that_was_cut_off_learns_of_crashes_when_it_is_back():
+    async def check(fleet):
+        fleet.cut_off("h2")
+        for number in range(2):
+            await fleet.relay("h0", make_request(f"r{number}", body=CRASHING))
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(10.0)
+        fleet.reconnect()
+        await asyncio.sleep(CONTACT_S)
+        await resend(fleet, 30)
+        assert_stopped(fleet)
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("engines", [1, 5])
+def test_crashing_request_is_stopped_while_the_store_is_away(engines):
+    async def check(fleet):
+        fleet.store.unreachable_for = {"*"}
+        await resend(fleet, 30)
+        assert_stopped(fleet)
+        assert len(crashes_of(fleet)) == 3
+        assert stored_crashes(fleet) == []
+        fleet.store.unreachable_for = set()
+        await asyncio.sleep(10.0)
+        assert len(stored_crashes(fleet)) == len(crashes_of(fleet))
+
+    with_fleet(check, engines=engines)
+
+
+def test_crashes_of_an_outage_are_stored_although_the_host_that_saw_them_is_gone():
+    async def check(fleet):
+        fleet.store.unreachable_for = {"*"}
+        await fleet.relay("h0", make_request("r0", body=CRASHING))
+        await asyncio.sleep(1.0)
+        await fleet.kill("h0")
+        await asyncio.sleep(5.0)
+        fleet.store.unreachable_for = set()
+        await asyncio.sleep(15.0)
+        assert len(stored_crashes(fleet)) == 2
 
     with_fleet(check)
+
+
+def test_several_crashing_requests_at_once_are_each_stopped():
+    async def check(fleet):
+        bodies = [b"%d crashes" % number for number in range(4)]
+        fleet.engines.crashing_bodies |= set(bodies)
+        await asyncio.gather(
+            *(resend(fleet, 40, f"/online/{n}", body) for n, body in enumerate(bodies))
+        )
+        for body in bodies:
+            assert_stopped(fleet, body)
+
+    with_fleet(check, engines=8)
+
+
+def test_copies_that_are_resent_at_one_moment_share_the_trials():
+    async def check(fleet):
+        for number in range(60):
+            copies = (
+                fleet.relay(host, make_request(f"{host}-{number}", body=CRASHING))
+                for host in fleet.hosts
+            )
+            await asyncio.gather(*copies)
+            await asyncio.sleep(RESEND_INTERVAL_S)
+        assert_stopped(fleet)
+
+    with_fleet(check, engines=8)
+
+
+def test_requests_beside_a_crashing_one_are_never_quarantined():
+    async def check(fleet):
+        resends = asyncio.create_task(resend(fleet, 40))
+        await submit(fleet, [b"item %d" % number for number in range(40)])
+        replies = []
+        for number in range(300):
+            host = f"h{number % 3}"
+            request = make_request(f"i{number}", body=b"innocent %d" % number)
+            replies.append(asyncio.create_task(fleet.relay(host, request)))
+            await asyncio.sleep(0.1)
+        await resends
+        assert_stopped(fleet)
+        codes = {
+            reply.result().problem and reply.result().problem.code for reply in replies
+        }
+        assert ResultCode.REQUEST_QUARANTINED not in codes
+        assert len(await read_results(fleet)) == 40
+
+    with_fleet(check, events=30)
+
+
+def test_items_complete_although_engines_crash_again_and_again_of_themselves():
+    async def check(fleet):
+        await submit(fleet, [b"item %d" % number for number in range(40)])
+        for number in range(24):
+            await asyncio.sleep(1.0)
+            engine = f"e{number % 5}"
+            if engine not in fleet.engines.down:
+                fleet.engines.crash(engine)
+        await asyncio.sleep(30.0)
+        results = await read_results(fleet)
+        assert len(results) == 40
+        assert None not in results.values()
+
+    with_fleet(check, events=150)
+
+
+def test_innocent_item_gets_its_trial_after_an_outage_of_the_store():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(10.0)
+        fleet.engines.crashing_bodies.clear()
+        fleet.store.unreachable_for = {"*"}
+        await asyncio.sleep(30.0)
+        assert len(crashes_of(fleet)) == 3
+        fleet.store.unreachable_for = set()
+        await asyncio.sleep(10.0)
+        assert await read_results(fleet) == {"j1-0": TEXT}
+
+    with_fleet(check)
+
+
+def test_innocent_item_is_cleared_everywhere_when_its_trial_completes():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(8.0)
+        hosts = fleet.hosts.values()
+        fingerprint = fingerprint_of(CRASHING, "/batch/j1-0")
+        assert all(host.quarantine.is_quarantined(fingerprint) for host in hosts)
+        fleet.engines.crashing_bodies.clear()
+        await asyncio.sleep(20.0)
+        assert await read_results(fleet) == {"j1-0": TEXT}
+        assert not any(host.quarantine.is_quarantined(fingerprint) for host in hosts)
+        assert stored_crashes(fleet) == []
+
+    with_fleet(check)
+
+
+def test_answers_that_break_off_at_a_living_engine_do_not_quarantine():
+    async def check(fleet):
+        broken = Fault(break_after=1)
+        fleet.engines.faults["*"] = [broken, broken]
+        await fleet.relay("h0", make_request("r0"))
+        await asyncio.sleep(12.0)
+        assert stored_crashes(fleet) == []
+        fleet.engines.faults["*"] = [broken, broken]
+        await fleet.relay("h0", make_request("r1"))
+        reply = await fleet.relay("h0", make_request("r2"))
+        assert reply.finished
+
+    with_fleet(check)
+
+
+def test_end_of_a_draining_engine_is_no_crash():
+    async def check(fleet):
+        fleet.entries["drain"] = make_engine("e0", draining=True)
+        task = asyncio.create_task(fleet.relay("h0", make_request("r0")))
+        await asyncio.sleep(0.1)
+        fleet.store.write("servers", "e0", b"drain")
+        await asyncio.sleep(0.1)
+        fleet.engines.crash("e0")
+        assert (await task).finished
+        assert len(fleet.hosts["h0"].quarantine._ledger) == 0
+
+    with_fleet(check, events=30, engines=2)
+
+
+def test_hosts_write_each_crash_once_and_many_in_one_call():
+    async def check(fleet):
+        fleet.engines.event_s = 1.0
+        requests = [
+            fleet.relay(
+                f"h{number % 3}",
+                make_request(f"r{number}", "/once/x", body=b"%d" % number),
+            )
+            for number in range(16)
+        ]
+        tasks = [asyncio.create_task(request) for request in requests]
+        await asyncio.sleep(0.5)
+        for engine in list(fleet.entries):
+            fleet.engines.crash(engine)
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(15.0)
+        rows = [c for c in fleet.store.history if c.key.table == CRASHES_TABLE]
+        assert len(rows) == 16
+        assert len({change.version for change in rows}) <= 3 * 2
+
+    with_fleet(check, engines=2)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -288,6 +288,8 @@
         self.faults: dict[str, list[Fault]] = {}  # by request id; "*" for any request
         self.crashing_bodies: set[bytes] = set()  # they crash engines that run them
         self.crash_after_s = EVENT_S  # from when such a request begins to run
+        self.crashes_are_silent = False  # connections stay open without data
+        self.abandoned_runs_go_on = False  # when a crashing request is cancelled
         self.crashes: list[Crash] = []
         self.down: set[str] = set()  # engines that accept no connection
         self.on_crash = lambda engine_id: None
@@ -340,14 +342,31 @@
         answer = MemoryAnswer(self, run, fault, slot, crash_count)
         if call.body in self.crashing_bodies:
             try:
-                await asyncio.sleep(self.crash_after_s)
-                if self.crash_count(engine_id) == crash_count:
-                    self.crash(engine_id, call.body)
+                await self._run_crashing(engine_id, call.body, crash_count, limit_s)
                 answer.raise_if_crashed()
             finally:
                 answer.close()
         return answer
 
+    async def _run_crashing(self, engine_id, body, crash_count, limit_s):
+        """Crash an engine unless it has crashed meanwhile."""
+
+        def crash():
+            if self.crash_count(engine_id) == crash_count:
+                self.crash(engine_id, body)
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self.crash_after_s, crash)
+        try:
+            if self.crashes_are_silent:
+                await asyncio.sleep(limit_s)
+                raise AttemptError(CallOutcome.BROKEN, "no answer in time")
+            await asyncio.sleep(self.crash_after_s + 0.001)
+        except asyncio.CancelledError:
+            if not self.abandoned_runs_go_on:
+                timer.cancel()
+            raise
+
 
 class MemoryAnswer:
     """The events of one run; closing it frees the slot of the engine."""
@@ -579,6 +598,7 @@
             store=Address("10.0.2.1", 1),
             store_limits=StoreLimits(65536, 8_000_000),
             bounds=TimeBounds(8.0, 120.0),
+            engine_heartbeat_s=1.2,
         )
         client = self.store.client(name)
         ports = EntryPorts(
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -22,6 +22,7 @@
 nodeName = "{name}"
 zone = "a-1"
 region = "a"
+heartbeatMs = 1200
 ip = "{ip}"
 portRange = [{peers},{peers}]
 [zones]
