Count a crashed engine that is still down once

A connection to an engine that has crashed may be accepted and reset while it is down (seen with the links of the soak's engines). Each such send under one request got a number of its own and counted as a further crash, so a request beside others could be quarantined by one crash. The number now rises only while the list of engines is too old to tell of a restart. Test: failed before, with 3 crashes instead of 1.

--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -169,9 +169,20 @@
         return float("-inf") if suspect is None else suspect.allowed_from_s()
 
     def crash_id(
-        self, fingerprint: str, engine_id: str, started_ms: int, now_s: float
+        self,
+        fingerprint: str,
+        engine_id: str,
+        started_ms: int,
+        now_s: float,
+        *,
+        list_current: bool,
     ) -> CrashId:
-        """Return the id of a crash of an engine that this host sees now."""
+        """
+        Return the id of a crash of an engine that this host sees now.
+
+        :param list_current: whether the list of engines would show that the
+            engine started again since an earlier crash.
+        """
         suspect = self._suspects.get(fingerprint)
         earlier = [
             crash
@@ -181,7 +192,7 @@
         if not earlier:
             return CrashId(engine_id, started_ms)
         last = max(earlier, key=lambda crash: crash.id.number)
-        same = now_s - last.at_s < SAME_CRASH_WINDOW_S
+        same = list_current or now_s - last.at_s < SAME_CRASH_WINDOW_S
         return last.id if same else last.id._replace(number=last.id.number + 1)
 
     def record(self, fingerprint: str, crash: Crash) -> Crash | None:
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from aspenbridge.fleet import CrashNotices, rank
+from aspenbridge.fleet import FRESH_LIMIT_S, CrashNotices, rank
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.store import decode_record
 
@@ -143,7 +143,11 @@
             return
         now_s = self._clock.now_s()
         crash_id = self._ledger.crash_id(
-            fingerprint, engine.id, engine.started_ms, now_s
+            fingerprint,
+            engine.id,
+            engine.started_ms,
+            now_s,
+            list_current=self._engine_follower.age_s < FRESH_LIMIT_S,
         )
         crash = self._record(
             fingerprint, Crash(crash_id, now_s, silent=not connection_lost)
--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -141,7 +141,15 @@
 def test_engine_that_crashes_again_counts_again_though_the_list_is_old():
     ledger = CrashLedger()
     for at_s, number in ((0.0, 0), (0.4, 0), (3.0, 1), (6.0, 2)):
-        crash_id = ledger.crash_id("f", "e0", 1, at_s)
+        crash_id = ledger.crash_id("f", "e0", 1, at_s, list_current=False)
         assert crash_id == CrashId("e0", 1, number)
         ledger.record("f", Crash(crash_id, at_s))
     assert ledger.crash_count("f") == 3
+
+
+def test_engine_that_is_still_down_does_not_count_again():
+    ledger = CrashLedger()
+    for at_s in (0.0, 2.0, 3.5):
+        crash_id = ledger.crash_id("f", "e0", 1, at_s, list_current=True)
+        ledger.record("f", Crash(crash_id, at_s))
+    assert ledger.crash_count("f") == 1
