Soak: requests that crash engines, and a check that they are stopped

A fault resends a request at one or two hosts under new ids; each engine that runs it resets its connections for 1 to 3 s and returns under its old id or as another engine.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -71,13 +71,22 @@
         version = self._random.choice(self.versions[-3:])
         path = f"/v{version}/" if prefix == "/seen/" else prefix
         path += request_id
+        await self._send(path, request_id, prefix, version)
+
+    async def send_crashing_request(self, path: str) -> None:
+        """Send a request that crashes engines, under a new id."""
+        await self._send(path, self._new_id("c"), "/free/", self.newest_version)
+
+    async def _send(
+        self, path: str, request_id: str, prefix: str, version: int
+    ) -> None:
         if prefix == "/once/":
             self._oracle.run_once_ids.add(request_id)
         host = self._random_host()
         incarnation = f"{host.name}.{host.incarnation}"
         self._oracle.host_by_request[request_id] = host.name
         newest_served = self._oracle.newest_served.get(incarnation, 0)
-        body = request_id.encode()
+        body = path.encode()
         try:
             status, events = await self._post(host, path, request_id, body)
         except CONNECTION_ERRORS:
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -14,6 +14,7 @@
 from ._links import Link
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
 SLOTS = 8  # requests that an engine runs at a time
@@ -21,6 +22,7 @@
 EVENT_INTERVAL_S = 0.02
 ONLINE_EVENTS = 12
 ITEM_EVENTS = 100
+CRASHING_PREFIX = "/free/crash-"  # of requests that crash engines
 ATTEMPT_ID_HEADER = "X-Aspenbridge-Attempt-Id"
 SERVER_STAMP_HEADER = "X-Aspenbridge-Server-Stamp"
 NOT_EXECUTED_HEADERS = {"X-Aspenbridge-Not-Executed": "1"}
@@ -58,10 +60,13 @@
     One incarnation of an engine, behind a link that can have faults.
 
     :ivar runs: the requests that were started, shared by all engines.
+    :ivar on_crash: called with the engine and the path that crashed it.
     """
 
     def __init__(self, name: str, random: Random, runs: list[EngineRun]) -> None:
         self.name = name
+        self.started_ms = 1
+        self.on_crash: Callable[[EngineStandIn, str], None] = lambda *_: None
         self.runs = runs
         self.faults = EngineFaults()
         self._random = random
@@ -105,6 +110,10 @@
         headers = {ATTEMPT_ID_HEADER: request_id, SERVER_STAMP_HEADER: self.name}
         if self._draw_fault(self.faults.fail):
             return web.Response(status=500, headers=headers)
+        if request.path.startswith(CRASHING_PREFIX):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            self.on_crash(self, request.path)
+            return self._abort_connection(request)
         events = expected_events(request.path, body)
         if self._draw_fault(self.faults.wrong_response):
             headers[ATTEMPT_ID_HEADER], events = (
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -8,7 +8,7 @@
 
 from tests.support.platform_standins import STALE_READS_S
 
-from ._engines import EngineFaults
+from ._engines import CRASHING_PREFIX, EngineFaults
 from ._hosts import DRAIN_S
 from ._links import LinkState
 from ._oracle import StalePeriod, now_s
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from ._engines import EngineStandIn
     from ._run import SoakRun
 
 FAULT_INTERVAL_S = 0.7  # about the mean time between two faults
@@ -30,6 +31,8 @@
 # the store last up to 1.5 times as long. It is longer than the time after
 # which a host without heartbeats counts as lost.
 MAX_FAULT_S = 5.0
+CRASHING_S = (8.0, 20.0)  # how long a request that crashes engines is resent
+CRASHED_S = (1.0, 3.0)  # how long a crashed engine is down
 
 
 class Faults:
@@ -44,6 +47,7 @@
         self._random = run.random
         self._tasks: set[asyncio.Task[None]] = set()
         self.counts: Counter[str] = Counter()
+        run.on_crash = self._crash_engine
 
     async def inject(self, seconds: float) -> None:
         """
@@ -69,23 +73,28 @@
             ("engine errs", self._engine_faulty),
             ("engine crashed", self._engine_crashes),
             ("engine drained", self._engine_drains),
+            ("request crashes engines", self._request_crashes_engines),
             ("configuration changed", self._change_configuration),
         ]
         while now_s() < until_s:
             name, fault = self._random.choice(kinds)
             self.counts[name] += 1
-            task = asyncio.create_task(fault())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(fault())
             await asyncio.sleep(self._random.uniform(0.2, 2 * FAULT_INTERVAL_S))
 
+    def _start(self, fault: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(fault)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def heal(self) -> None:
         """
         Wait until the faults have ended, and restore all parts of the run.
 
         Hosts that are down are started again.
         """
-        await asyncio.gather(*self._tasks)
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
         self._run.store.unavailable = False
         self._run.clear_engine_faults()
         for host in self._run.hosts:
@@ -225,6 +234,38 @@
         self._run.store.write("servers", engine.name, None)
         await self._run.add_engine()
 
+    async def _request_crashes_engines(self) -> None:
+        """Resend a request that crashes engines, at one host or several."""
+        number = self.counts["request crashes engines"]
+        path = f"{CRASHING_PREFIX}{number}"
+        until_s = now_s() + self._random.uniform(*CRASHING_S)
+        while now_s() < until_s:
+            copies = self._random.choice((1, 1, 2))
+            await asyncio.gather(
+                *(self._run.callers.send_crashing_request(path) for _ in range(copies))
+            )
+            await asyncio.sleep(self._random.uniform(0.1, 1.0))
+
+    def _crash_engine(self, engine: EngineStandIn, path: str) -> None:
+        """Reset an engine's connections; it returns, or another one comes."""
+        if engine.link.state is not LinkState.RESET:
+            self._run.oracle.crashed_s.setdefault(path, []).append(now_s())
+            engine.link.set(LinkState.RESET)
+            self._start(self._engine_returns(engine))
+
+    async def _engine_returns(self, engine: EngineStandIn) -> None:
+        await asyncio.sleep(self._random.uniform(*CRASHED_S))
+        if engine not in self._run.engines:
+            return  # it was drained
+        if self._random.random() < 0.5:
+            self._run.engines.remove(engine)
+            self._run.store.write("servers", engine.name, None)
+            await self._run.add_engine()
+            return
+        engine.started_ms += 1
+        engine.link.set(LinkState.OPEN)
+        self._run.register(engine, "ready")
+
     async def _engine_drains(self) -> None:
         """Drain an engine, and check that it gets no requests after that."""
         if len(self._run.engines) < 2:
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
@@ -36,6 +37,7 @@
 
     :ivar store_link: the link through which the host calls the store.
     :ivar incarnation: how often the process was started.
+    :ivar changed_s: when it was started, paused, resumed, stopped or killed.
     :ivar kill_count: how often ``kill`` was called; ``stop`` calls it when the
         process does not end in time.
     """
@@ -49,6 +51,7 @@
         self.incarnation = 0
         self.paused = False
         self.kill_count = 0
+        self.changed_s: list[float] = []
         self._directory = directory
         self._removed_guard = removed_guard
         self._starting = asyncio.Lock()  # faults of one host may overlap
@@ -82,6 +85,7 @@
     async def _spawn(self) -> None:
         self.incarnation += 1
         self.paused = False
+        self.changed_s.append(time.monotonic())
         path = self._directory / f"{self.name}.toml"
         path.write_text(
             SETTINGS.format(
@@ -174,4 +178,6 @@
             return False
         assert self._process is not None
         self._process.send_signal(number)
+        if number is not signal.SIGHUP:
+            self.changed_s.append(time.monotonic())
         return True
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -13,6 +13,11 @@
 
 if TYPE_CHECKING:
     from ._engines import EngineRun
+    from ._hosts import HostProcess
+
+MAX_CRASHES = 3  # after which a request is stopped
+CONTACT_S = 4.0  # until all hosts know of a crash
+MAX_LATE_SENDS = 3  # later than CONTACT_S after the last crash allowed
 
 
 @attrs.define
@@ -53,6 +58,7 @@
         incarnation has served.
     :ivar jobs: the submitted jobs by id, accepted or not.
     :ivar drain_started_s: when the drain of each engine started.
+    :ivar crashed_s: when engines crashed, by the path of the request.
     :ivar host_by_request: the name of the host that each request was sent to.
     """
 
@@ -63,6 +69,7 @@
     jobs: dict[str, SentJob] = attrs.field(factory=dict)
     newest_served: dict[str, int] = attrs.field(factory=dict)
     drain_started_s: dict[str, float] = attrs.field(factory=dict)
+    crashed_s: dict[str, list[float]] = attrs.field(factory=dict)
     host_by_request: dict[str, str] = attrs.field(factory=dict)
     stale_periods: list[StalePeriod] = attrs.field(factory=list)
     response_counts: Counter[str] = attrs.field(factory=Counter)
@@ -173,6 +180,33 @@
                     "true refusals", f"{job.job_id} was refused, {ran[0]} ran"
                 )
 
+    def check_crashing_requests(self, hosts: list[HostProcess]) -> None:
+        """
+        Check that a request that crashes engines is stopped.
+
+        Sends do not count of a host that was disturbed in the ``CONTACT_S``
+        before, or while it may have missed updates of the store.
+        """
+        changed_s = {host.name: host.changed_s for host in hosts}
+        for path, crashed_s in self.crashed_s.items():
+            late = [
+                run.request_id
+                for run in self.runs
+                if run.path == path
+                and len(crashed_s) >= MAX_CRASHES
+                and run.started_s > crashed_s[MAX_CRASHES - 1] + CONTACT_S
+                and self._in_touch(run, changed_s)
+            ]
+            if len(late) > MAX_LATE_SENDS:
+                self.add_violation("crashing request", f"{path} sent as {late}")
+
+    def _in_touch(self, run: EngineRun, changed_s: dict[str, list[float]]) -> bool:
+        host = self.host_by_request[run.request_id]
+        since_s = run.started_s - CONTACT_S
+        if any(since_s < at_s <= run.started_s for at_s in changed_s[host]):
+            return False
+        return not self._may_miss_updates(host, since_s, run.started_s)
+
     def check_jobs_ended(self) -> None:
         """Check that each accepted job has a result for every item."""
         for job in self.jobs.values():
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -24,6 +24,7 @@
 from ._oracle import Oracle
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 ENGINES = 3
@@ -64,6 +65,7 @@
         self.hosts: list[HostProcess] = []
         self.engines: list[EngineStandIn] = []
         self.version = 0
+        self.on_crash: Callable[[EngineStandIn, str], None] = lambda *_: None
         self._engine_number = 0
         self._directory = directory
         self._stack = AsyncExitStack()
@@ -90,6 +92,7 @@
             await self._settle()
             self.oracle.check_runs()
             self.oracle.check_jobs_ended()
+            self.oracle.check_crashing_requests(self.hosts)
             self.oracle.fault_counts = faults.counts
         return self.oracle
 
@@ -134,6 +137,7 @@
         self._engine_number += 1
         name = f"i-{self._engine_number}"
         engine = EngineStandIn(name, self.random, self.runs)
+        engine.on_crash = lambda *crash: self.on_crash(*crash)
         await self._stack.enter_async_context(engine)
         self.engines.append(engine)
         self.register(engine, "ready")
@@ -141,7 +145,7 @@
 
     def register(self, engine: EngineStandIn, state: str) -> None:
         """Write the row that registers an engine in a state."""
-        row = engine_row(engine.link.address, state)
+        row = engine_row(engine.link.address, state, engine.started_ms)
         self.store.write("servers", engine.name, row)
 
     def change_configuration(self) -> None:
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -19,6 +19,7 @@
 from aspenbridge.jobs import _repository
 from aspenbridge.platform import _engine_calls
 from aspenbridge.platform.__main__ import run
+from aspenbridge.quarantine._ledger import CrashLedger
 from aspenbridge.relay import _request
 from aspenbridge.store import Changes, Stored
 
@@ -83,6 +84,13 @@
     )
 
 
+def _without_crash_memory() -> None:
+    def record(self: CrashLedger, fingerprint: str, crash: object) -> None:
+        return None
+
+    CrashLedger.record = record  # type: ignore[assignment,method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "write condition": _without_write_condition,
     "claim check": _without_claim_check,
@@ -90,6 +98,7 @@
     "revision order": _without_revision_order,
     "drain": _without_drain,
     "at most once": _without_at_most_once,
+    "crash memory": _without_crash_memory,
 }
 
 
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -50,9 +50,12 @@
 }
 
 
-def engine_row(address: str, state: str = "ready") -> dict[str, Any]:
+def engine_row(
+    address: str, state: str = "ready", started_ms: int = 1
+) -> dict[str, Any]:
     """Return the row by which an engine registers."""
     return {
+        "born": started_ms,
         "service": "llm",
         "addr": address,
         "zone": "a-1",
