End with exit code 0 when SIGTERM comes again at the very end

The loop's signal handlers go with the loop, and a SIGTERM between its end and that of the process ended the process by the signal, after all was served. Callers lost nothing; the platform sees a crash. Signals are now ignored from the end of the shutdown on. Test: failed before, with -15 (SIGTERM each 5 ms until the process is gone).

--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -49,9 +49,13 @@
     settings = load_entry_settings(path)
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reloading.set)
+    events = {
+        signal.SIGTERM: stopping,
+        signal.SIGINT: stopping,
+        signal.SIGHUP: reloading,
+    }
+    for number, event in events.items():
+        loop.add_signal_handler(number, event.set)
     logger.info("host %s starts", settings.host)
     async with AsyncExitStack() as stack:
         host, ingress, store = await _start_host(stack, settings)
@@ -67,6 +71,11 @@
         await _wait_for_stop(stopping, host)
         logger.info("host %s stops", settings.host)
         await _shut_down(host, ingress, settings)
+    for number in events:
+        # A signal between the end of the loop and of the process would
+        # otherwise make a clean stop look like a crash.
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
     return EXIT_TASK_DIED if host.task_died.is_set() else 0
 
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import tomllib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import aiohttp
@@ -124,6 +124,22 @@
         return runner.run(coroutine)
 
 
+def test_process_exits_cleanly_when_sigterm_is_repeated_to_its_end(tmp_path):
+    async def check():
+        async with (
+            host_process(tmp_path) as (process, ports, _),
+            aiohttp.ClientSession() as session,
+        ):
+            await wait_status(session, f"http://127.0.0.1:{ports[1]}/readyz", 200)
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.005)
+            return process.returncode
+
+    assert run_on_loop(check()) == 0
+
+
 def test_process_serves_reloads_and_stops_without_breaking_a_stream(tmp_path):
     async def check():
         async with (
