Let innocent items out of quarantine: trials aren't used up by crashes

A request that crashed all three engines at once and again took the items beside it along. One item counted five crashes in nine seconds before its first trial; the crashes beyond the third used up both trials, and it waited for an hour. Only trials use up trials now. A crash after an engine has run an item well for a second counts less: four crashes are needed then, so that a request that crashes its engines late is still stopped within the allowed three sends. Tests: the count of trials and the late crashes failed before.

Further tests from guards that could be removed unnoticed: draining engines, silent runs, clearing without the store, slots of held items, trials that were refused or preempted. A second check in the relay did nothing and is out.

--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -43,6 +43,8 @@
 
 logger = logging.getLogger(__name__)
 DISPATCH_INTERVAL_S = 0.25  # nothing wakes the loop when a retry delay ends
+# An item that crashes engines does so within this time from its start.
+LATE_CRASH_S = 1.0
 EXPIRY_SLACK_S = 3.0  # exceeds the clock skew between two hosts
 
 
@@ -286,7 +288,11 @@
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
-        self._update_quarantine(job.fingerprints[state.index], engine, run)
+        ran_well = (
+            len(state.events) > events_before
+            and self._clock.now_s() - started_s >= LATE_CRASH_S
+        )
+        self._update_quarantine(job.fingerprints[state.index], engine, run, ran_well)
         if run.outcome is ItemOutcome.COMPLETE:
             events = len(state.events)
             run_s = self._clock.now_s() - started_s
@@ -306,13 +312,20 @@
             self._health.record_answer(engine.id)
 
     def _update_quarantine(
-        self, fingerprint: str, engine: EngineEntry, run: ItemRunResult
+        self,
+        fingerprint: str,
+        engine: EngineEntry,
+        run: ItemRunResult,
+        ran_well: bool,
     ) -> None:
         if run.call_outcome is None:
             self._quarantine.record_completed(fingerprint)
         elif run.call_outcome is CallOutcome.BROKEN:
             self._quarantine.record_broken_run(
-                fingerprint, engine, connection_lost=run.connection_lost
+                fingerprint,
+                engine,
+                connection_lost=run.connection_lost,
+                late=ran_well,
             )
         else:
             self._quarantine.record_not_run(fingerprint)
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -25,6 +25,9 @@
     from aspenbridge.fleet import EngineEntry
 
 QUARANTINE_CRASHES = 3
+# Also counts crashes of engines that had run the request well for a while. Of
+# these, one more is needed, since it mostly ran beside the cause.
+QUARANTINE_CRASHES_IN_ALL = 4
 # How long a quarantined request waits for each of its trials. Both trials of a
 # batch item fit into the time until its job expires.
 TRIAL_DELAYS_S = (15.0, 30.0)
@@ -66,6 +69,7 @@
 
     ``at_s`` is the monotonic time at which the run broke off. ``silent``: the
     connection did not end, but no data came in time or the caller left.
+    ``late``: the engine had generated for a while before.
     ``confirmed`` tells whether the engine has ended for certain, ``stored``
     whether the store holds a row of the crash. ``write_at_s`` is when this
     host writes the row, unless another host has by then.
@@ -74,6 +78,7 @@
     id: CrashId
     at_s: float
     silent: bool = False
+    late: bool = False
     confirmed: bool = False
     stored: bool = False
     write_at_s: float = float("inf")
@@ -106,15 +111,15 @@
     @property
     def quarantined(self) -> bool:
         """Whether the request runs in trials only."""
-        return self.count >= QUARANTINE_CRASHES
+        early = sum(c.counted and not c.late for c in self.crashes.values())
+        return early >= QUARANTINE_CRASHES or self.count >= QUARANTINE_CRASHES_IN_ALL
 
     def allowed_from_s(self) -> float:
         """Return from when on the request may run."""
         if not self.quarantined:
             return float("-inf")
-        trials = max(len(self.trials), self.count - QUARANTINE_CRASHES)
         delays_s = (*TRIAL_DELAYS_S, RETENTION_S)
-        return self.last_s + delays_s[min(trials, len(TRIAL_DELAYS_S))]
+        return self.last_s + delays_s[min(len(self.trials), len(TRIAL_DELAYS_S))]
 
 
 def judge_engine(
@@ -211,6 +216,7 @@
             suspect = self._suspects[fingerprint] = Suspect()
         known = suspect.crashes.setdefault(crash.id, crash)
         known.silent = known.silent and crash.silent
+        known.late = known.late and crash.late
         known.confirmed = known.confirmed or crash.confirmed
         known.stored = known.stored or crash.stored
         return known
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -18,7 +18,6 @@
 from aspenbridge.store import decode_record
 
 from ._ledger import (
-    QUARANTINE_CRASHES,
     Crash,
     CrashId,
     CrashLedger,
@@ -134,12 +133,19 @@
             self._rows.discard_row(trial_key(fingerprint, number))
 
     def record_broken_run(
-        self, fingerprint: str, engine: EngineEntry, *, connection_lost: bool
+        self,
+        fingerprint: str,
+        engine: EngineEntry,
+        *,
+        connection_lost: bool,
+        late: bool = False,
     ) -> None:
         """
         Record that a request may have run without a whole answer.
 
         An engine that is leaving ends its runs as planned.
+
+        :param late: whether the engine had generated for a while before.
         """
         self._own_trials.pop(fingerprint, None)
         entry = self._engines.get(engine.id)
@@ -154,7 +160,7 @@
             list_current=self._engine_follower.age_s < FRESH_LIMIT_S,
         )
         crash = self._record(
-            fingerprint, Crash(crash_id, now_s, silent=not connection_lost)
+            fingerprint, Crash(crash_id, now_s, silent=not connection_lost, late=late)
         )
         if crash is not None:
             self._seen[fingerprint, crash_id] = crash
@@ -189,7 +195,7 @@
                 if not crash.stored and (fingerprint, crash.id) not in self._seen
             ]
         crashes = [
-            (fingerprint, crash.id, now_s - crash.at_s, crash.confirmed)
+            (fingerprint, crash.id, now_s - crash.at_s, crash.late, crash.confirmed)
             for fingerprint, crash in sorted(known, key=lambda item: item[1].at_s)
             if crash.counted
         ]
@@ -205,8 +211,10 @@
         now_s = self._clock.now_s()
         for fingerprint, age_s in notices.cleared:
             self._ledger.clear(fingerprint, now_s - age_s)
-        for fingerprint, crash_id, age_s, confirmed in notices.crashes:
-            crash = Crash(CrashId(*crash_id), now_s - age_s, confirmed=confirmed)
+        for fingerprint, crash_id, age_s, late, confirmed in notices.crashes:
+            crash = Crash(
+                CrashId(*crash_id), now_s - age_s, late=late, confirmed=confirmed
+            )
             self._record(fingerprint, crash)
 
     def replace(self, rows: tuple[Row, ...]) -> None:
@@ -240,15 +248,14 @@
             await self._rows.delete()
 
     def _record(self, fingerprint: str, crash: Crash) -> Crash | None:
-        count_before = self._ledger.crash_count(fingerprint)
+        quarantined_before = self._ledger.is_quarantined(fingerprint)
         known = self._ledger.record(fingerprint, crash)
         if known is None:
             return None
         if known.confirmed and not known.stored and known.write_at_s == float("inf"):
             delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
             known.write_at_s = self._clock.now_s() + delay_s
-        count = self._ledger.crash_count(fingerprint)
-        if count > count_before and count >= QUARANTINE_CRASHES:
+        if self._ledger.is_quarantined(fingerprint) and not quarantined_before:
             metrics.QUARANTINE.labels("quarantined").inc()
             self._log("request quarantined", fingerprint, engine=crash.id.engine_id)
         return known
@@ -260,8 +267,9 @@
             began_s = self._monotonic_s(trial.at_wall_s)
             self._ledger.record_trial(fingerprint, subject, began_s)
             return
-        at_s = self._monotonic_s(decode_record(value, CrashRecord).at_wall_s)
-        crash = Crash(subject, at_s, confirmed=True, stored=True)
+        record = decode_record(value, CrashRecord)
+        at_s = self._monotonic_s(record.at_wall_s)
+        crash = Crash(subject, at_s, late=record.late, confirmed=True, stored=True)
         if self._record(fingerprint, crash) is None and fingerprint in self._cleared_s:
             # Another host wrote it before it heard of the clearing.
             self._rows.discard_row(crash_key(fingerprint, subject))
--- a/src/aspenbridge/quarantine/_records.py
+++ b/src/aspenbridge/quarantine/_records.py
@@ -21,6 +21,7 @@
     started_ms: int
     number: int
     at_wall_s: float
+    late: bool
 
 
 @attrs.frozen
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -126,8 +126,6 @@
         """Try engines until one answers; return the outcome for the log."""
         service = self._placement.service(progress.route)
         while True:
-            if not self._quarantine.admits(progress.fingerprint):
-                return await self._fail_quarantined(progress)
             placed = self._placement.place(
                 service,
                 progress.route,
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from aspenbridge.jobs import JobSubmission, SubmittedItem
+from aspenbridge.ports import CallOutcome
 from aspenbridge.quarantine import CRASHES_TABLE, request_fingerprint
 from aspenbridge.quarantine._ledger import TRIAL_DELAYS_S
 from aspenbridge.result_codes import Execution, ResultCode
@@ -424,6 +425,93 @@
     with_fleet(check, events=30, engines=2)
 
 
+def test_end_of_a_drained_engine_that_leaves_the_list_is_no_crash():
+    async def check(fleet):
+        fleet.entries["drain"] = make_engine("e0", draining=True)
+        task = asyncio.create_task(fleet.relay("h0", make_request("r0", "/once/x")))
+        await asyncio.sleep(0.1)
+        fleet.store.write("servers", "e0", b"drain")
+        await asyncio.sleep(0.1)
+        fleet.engines.crash("e0")
+        fleet.store.write("servers", "e0", None)
+        assert (await task).aborted
+        await asyncio.sleep(3.0)
+        assert len(fleet.hosts["h0"].quarantine._ledger) == 0
+
+    with_fleet(check, events=30, engines=2)
+
+
+def test_request_that_engines_are_slow_to_answer_is_not_quarantined():
+    async def check(fleet):
+        slow = Fault(outcome=CallOutcome.BROKEN)
+        fleet.engines.faults["*"] = [slow] * 4
+        for number in range(2):
+            reply = await fleet.relay("h0", make_request(f"r{number}"))
+            assert reply.status == 502
+        assert (await fleet.relay("h0", make_request("r2"))).finished
+
+    with_fleet(check)
+
+
+def test_request_that_completes_at_one_host_is_cleared_at_others_without_the_store():
+    async def check(fleet):
+        fleet.store.unreachable_for = {"*"}
+        await fleet.relay("h0", make_request("r0", body=CRASHING))
+        fleet.engines.crashing_bodies.clear()
+        await asyncio.sleep(0.5)
+        ledgers = [host.quarantine._ledger for host in fleet.hosts.values()]
+        assert [ledger.crash_count(fingerprint_of(CRASHING)) for ledger in ledgers]
+        assert (await fleet.relay("h1", make_request("r1", body=CRASHING))).finished
+        await asyncio.sleep(0.1)
+        assert [len(ledger) for ledger in ledgers] == [0, 0, 0]
+
+    with_fleet(check)
+
+
+def test_quarantined_item_takes_no_slot_from_others():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(8.0)
+        assert fleet.hosts["h0"].load_view.own_backlog.items == 0
+        assert fleet.hosts["h0"].load_view.own_loads() == {}
+
+    with_fleet(check)
+
+
+def test_trial_that_an_engine_refuses_is_made_again():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(8.0)
+        fleet.engines.crashing_bodies.clear()
+        fleet.engines.faults["j1-0"] = [Fault(outcome=CallOutcome.REFUSED)]
+        await asyncio.sleep(26.0)
+        assert await read_results(fleet) == {"j1-0": TEXT}
+
+    with_fleet(check)
+
+
+def test_trial_that_is_preempted_while_its_engine_generates_has_passed():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        host = fleet.hosts["h0"]
+        await asyncio.sleep(8.0)
+        fingerprint = fingerprint_of(CRASHING, "/batch/j1-0")
+        assert host.quarantine.is_quarantined(fingerprint)
+        fleet.engines.crashing_bodies.clear()
+        while not host.load_view.own_loads():
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+        online = [
+            asyncio.create_task(fleet.relay("h0", make_request(f"r{number}")))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.2)
+        assert not host.quarantine.is_quarantined(fingerprint)
+        await asyncio.gather(*online)
+
+    with_fleet(check, events=150, engines=1)
+
+
 def test_hosts_write_each_crash_once_and_many_in_one_call():
     async def check(fleet):
         fleet.engines.event_s = 1.0
@@ -445,3 +533,18 @@
         assert len({change.version for change in rows}) <= 3 * 2
 
     with_fleet(check, engines=2)
+
+
+def test_request_runs_again_once_an_operator_has_deleted_its_rows():
+    async def check(fleet):
+        await resend(fleet, 3)
+        await asyncio.sleep(6.0)
+        fleet.engines.crashing_bodies.clear()
+        for key in stored_crashes(fleet):
+            fleet.store.write(key.table, key.key, None)
+        await asyncio.sleep(0.1)
+        for host in fleet.hosts:
+            request = make_request(f"{host}-released", body=CRASHING)
+            assert (await fleet.relay(host, request)).finished
+
+    with_fleet(check)
