--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -136,14 +136,19 @@
             self.quarantine,
             clock,
         )
+        crash_follower = Follower(*feed_options, CRASHES_TABLE, self.quarantine)
         self._followers = (
             Follower(*feed_options, tables.configuration_table, self.configuration),
-            Follower(*feed_options, CRASHES_TABLE, self.quarantine),
+            crash_follower,
             engine_follower,
             host_follower,
             head_follower,
         )
-        self._loaded_before_claims = (host_follower.loaded, head_follower.loaded)
+        self._loaded_before_claims = (
+            host_follower.loaded,
+            head_follower.loaded,
+            crash_follower.loaded,
+        )
         self.reachability = Reachability(
             self._heartbeat, host_follower, self.hosts, self.load_view
         )
@@ -270,9 +275,10 @@
 
     async def _enable_claims(self) -> None:
         """
-        Enable claims once the tables of hosts and of jobs have been read.
+        Enable claims once the tables that they depend on have been read.
 
-        Before that, a live owner of a job could count as lost.
+        Before that, a live owner of a job could count as lost, and an item
+        that crashes engines could run again.
         """
         for loaded in self._loaded_before_claims:
             await loaded.wait()
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -138,6 +138,22 @@
     with_fleet(check)
 
 
+def test_host_claims_no_job_before_it_has_read_the_crashes():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(12.0)
+        runs = len(fleet.engines.runs)
+        await fleet.kill("h0")
+        fleet.store.unreadable_tables = {CRASHES_TABLE}
+        await fleet.start("late")
+        await asyncio.sleep(6.0)
+        fleet.store.unreadable_tables = set()
+        await asyncio.sleep(1.0)
+        assert len(fleet.engines.runs) == runs
+
+    with_fleet(check, hosts=1)
+
+
 def test_quarantined_request_is_refused_as_not_run():
     async def check(fleet):
         first = await resend(fleet, 3)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -67,6 +67,7 @@
         # fail after a timeout if ``calls_time_out`` is set, else at once.
         self.unreachable_for: set[str] = set()
         self.calls_time_out = False
+        self.unreadable_tables: set[str] = set()  # reads of them fail
         # How many of the next writes get no reply. Only writes to the table
         # ``lossy_table`` count, or all writes if it is empty. After such a
         # write the hosts in ``unreachable_after_loss`` can't reach the store.
@@ -177,7 +178,8 @@
         raise AssertionError("not used")
 
     async def rows(self, table, part="", *, start="", end=""):
-        if not await self._wait_for_store():
+        unreadable = table in self._store.unreadable_tables
+        if not await self._wait_for_store() or unreadable:
             return Failure(Unavailable("store unreachable", maybe_applied=False))
         rows = sorted(
             (
