Keep the note of a trial that another host has claimed

Read in review: a host whose claim of a trial met another host's row dropped its note of that trial, also when the feed had brought the row meanwhile, and asked for the same trial again with each resend. It now keeps the note; after a claim without an answer it drops it, as before. A trial that no engine began gets a new number, since its row may still exist. An item that another host takes over starts with the events it had, so that they do not count as those of its trial.

--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -43,6 +43,7 @@
         self.events = list(record.events)
         self.last_event_id = record.last_event_id if self.events else None
         self.failures = record.failures
+        self.events_at_delay = len(self.events)
         self.mark_saved()
 
     @property
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -96,6 +96,7 @@
     crashes: dict[CrashId, Crash] = attrs.field(factory=dict)
     # When each trial began, by its number; the first one has number 1.
     trials: dict[int, float] = attrs.field(factory=dict)
+    last_trial: int = 0  # its number, also if it was removed
 
     @property
     def last_s(self) -> float:
@@ -229,13 +230,14 @@
     def next_trial(self, fingerprint: str) -> int:
         """Return the number of the next trial of a request."""
         suspect = self._suspects.get(fingerprint)
-        return max(suspect.trials, default=0) + 1 if suspect else 1
+        return suspect.last_trial + 1 if suspect else 1
 
     def record_trial(self, fingerprint: str, number: int, began_s: float) -> None:
         """Note that a trial of a suspect has begun at some host."""
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
             suspect.trials.setdefault(number, began_s)
+            suspect.last_trial = max(suspect.last_trial, number)
 
     def remove_trial(self, fingerprint: str, number: int) -> None:
         """Forget a trial that no engine began."""
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -12,9 +12,11 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from returns.result import Failure
 
 from aspenbridge.fleet import FRESH_LIMIT_S, CrashNotices, rank
 from aspenbridge.observability import log_decision, metrics
+from aspenbridge.ports import Unavailable
 from aspenbridge.store import decode_record
 
 from ._ledger import (
@@ -48,15 +50,17 @@
 # A host that did not see a crash itself writes its row only if the one that
 # did has not done so by then. Random delays spread the writes of many hosts.
 OTHERS_WRITE_DELAY_S = (3.0, 6.0)
-# After a claim that failed; by then the feed has shown another host's claim.
-CLAIM_RETRY_S = 2.0
+CLAIM_RETRY_S = 2.0  # between two claims while the store is away
 
 
 class Quarantine:
     """
     Decides which requests may run, by what is known of their crashes.
 
-    Is the copy of the table of crashes, which a follower updates.
+    Is this host's copy of the table of crashes, which a follower updates. The
+    relay and the worker of batch items report each run: ``begin_run`` before
+    it is sent, then ``record_completed``, ``record_broken_run`` or
+    ``record_not_run``.
     """
 
     def __init__(
@@ -113,17 +117,19 @@
         if not self.admits(fingerprint):
             return False
         number = self._ledger.next_trial(fingerprint)
-        # Noted before the claim, so that this host claims it only once.
+        # Noted before the claim, so that this host claims it only once. After
+        # a conflict the note stands for the trial of the other host.
         self._ledger.record_trial(fingerprint, number, self._clock.now_s())
         claimed = await self._rows.claim_trial(fingerprint, number)
-        if claimed:
+        if not isinstance(claimed, Failure):
             metrics.QUARANTINE.labels("trial").inc()
             self._own_trials[fingerprint] = number
-        else:
+        elif isinstance(claimed.failure(), Unavailable):
             self._ledger.remove_trial(fingerprint, number)
             self._claims_from_s = self._clock.now_s() + CLAIM_RETRY_S
-        self._log("quarantine trial", fingerprint, number=number, claimed=claimed)
-        return claimed
+        own = fingerprint in self._own_trials
+        self._log("quarantine trial", fingerprint, number=number, claimed=own)
+        return own
 
     def record_not_run(self, fingerprint: str) -> None:
         """Record that no engine began a request that was sent."""
--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -14,7 +14,9 @@
     from collections.abc import Iterable
     from random import Random
 
-    from aspenbridge.ports import Clock, RowKey
+    from returns.result import Result
+
+    from aspenbridge.ports import Clock, Committed, Conflict, RowKey, Unavailable
     from aspenbridge.store import Store
 
     from ._ledger import Crash, Suspect
@@ -53,16 +55,19 @@
             record = CrashRecord(fingerprint, *crash.id, at_wall_s, crash.late)
             changes.put(crash_key(fingerprint, crash.id), record)
             crash.write_at_s = self._next_try_s()
-        if due and await self._commit(changes, COMMIT_LIMIT_S):
+        if due and await self._commit(changes):
             for _, crash in due:
                 crash.stored = True
 
-    async def claim_trial(self, fingerprint: str, number: int) -> bool:
-        """Return whether this host, and no other, may make a trial."""
+    async def claim_trial(
+        self, fingerprint: str, number: int
+    ) -> Result[Committed, Conflict | Unavailable]:
+        """Claim a trial; fails with ``Conflict`` if another host has it."""
         key = trial_key(fingerprint, number)
         record = TrialRecord(fingerprint, number, self._clock.wall_s())
         changes = Changes().absent(key).put(key, record)
-        return await self._commit(changes, TRIAL_CLAIM_LIMIT_S)
+        deadline_s = self._clock.now_s() + TRIAL_CLAIM_LIMIT_S
+        return await self._store.commit(changes, deadline_s=deadline_s)
 
     def discard(self, fingerprint: str, suspect: Suspect) -> None:
         """Delete the rows of a request soon."""
@@ -85,15 +90,15 @@
         for key in due:
             changes.delete(key)
             self._obsolete[key] = self._next_try_s()
-        if due and await self._commit(changes, COMMIT_LIMIT_S):
+        if due and await self._commit(changes):
             for key in due:
                 del self._obsolete[key]
 
     def _next_try_s(self) -> float:
         return self._clock.now_s() + self._random.uniform(*RETRY_DELAY_S)
 
-    async def _commit(self, changes: Changes, limit_s: float) -> bool:
+    async def _commit(self, changes: Changes) -> bool:
         committed = await self._store.commit(
-            changes, deadline_s=self._clock.now_s() + limit_s
+            changes, deadline_s=self._clock.now_s() + COMMIT_LIMIT_S
         )
         return not isinstance(committed, Failure)
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -344,6 +344,22 @@
     with_fleet(check, engines=8)
 
 
+def test_host_that_lost_the_claim_of_a_trial_knows_that_one_was_made():
+    async def check(fleet):
+        await resend(fleet, 3)
+        await asyncio.sleep(16.0)
+        requests = [make_request(f"{host}-t", body=CRASHING) for host in fleet.hosts]
+        fleet.store.feeds_stalled_until_s = fleet.clock.now_s() + 60.0
+        for host, request in zip(fleet.hosts, requests, strict=True):
+            await fleet.relay(host, request)
+        assert len(crashes_of(fleet)) == 4
+        fingerprint = fingerprint_of(CRASHING)
+        for host in fleet.hosts.values():
+            assert host.quarantine.retry_after_s(fingerprint) > 25.0
+
+    with_fleet(check)
+
+
 def test_requests_beside_a_crashing_one_are_never_quarantined():
     async def check(fleet):
         resends = asyncio.create_task(resend(fleet, 40))
--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -100,6 +100,7 @@
     ledger.record_trial("f", 1, 20.0)
     ledger.remove_trial("f", 1)
     assert ledger.allowed_from_s("f") == allowed_s
+    assert ledger.next_trial("f") == 2
 
 
 def test_crash_before_a_clearing_does_not_count_when_it_is_reported_late():
