--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -212,3 +212,22 @@
 def test_hop_by_hop_headers_are_not_forwarded():
     headers = (("Connection", "A, keep-alive"), ("A", "1"), ("TE", "x"), ("B", "2"))
     assert end_to_end_headers(headers) == (("B", "2"),)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    ("answer", "connection_lost"),
+    [
+        ("", True),
+        (f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}Content-Length: 9\r\n\r\nok", True),
+        (f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}{CHUNKED_STREAM_HEADERS}\r\n5\r\ne", True),
+        (f"HTTP/1.1 200 OK\r\n{STAMP_HEADER}Content-Length: 2\r\n\r\nok", False),
+    ],
+)
+def test_only_an_answer_whose_connection_ends_looks_like_a_crash(
+    answer, connection_lost, reset
+):
+    with pytest.raises(AttemptError) as raised:
+        run_on_loop(call_engine(answer, reset=reset))
+    assert raised.value.outcome is CallOutcome.BROKEN
+    assert raised.value.connection_lost is connection_lost
