--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -25,8 +25,8 @@
     from aspenbridge.fleet import EngineEntry
 
 QUARANTINE_CRASHES = 3
-# Also counts crashes of engines that had run the request well for a while. Of
-# these, one more is needed, since it mostly ran beside the cause.
+# The limit if crashes count that came after the engine had generated for a
+# while. It is higher, since such a request mostly ran beside the one to blame.
 QUARANTINE_CRASHES_IN_ALL = 4
 # How long a quarantined request waits for each of its trials. Both trials of a
 # batch item fit into the time until its job expires.
@@ -35,7 +35,7 @@
 # An engine is down for longer than this after a crash, and all hosts see the
 # crash within it.
 SAME_CRASH_WINDOW_S = 1.0
-MAX_REQUESTS = 1000  # about 300 bytes each in memory and 300 in the store
+MAX_REQUESTS = 1000  # up to 2 MB of memory with five crashes each
 # Clocks and delays of two hosts may put a crash this much after its clearing.
 CLEARING_SLACK_S = 0.2
 
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -40,7 +40,7 @@
 UPDATE_INTERVAL_S = 0.5
 # How long a host repeats a notice; load reports go out each second.
 NOTICE_LIFETIME_S = 5.0
-MAX_NOTICES = 16  # of each kind in one report, which should fit one packet
+MAX_NOTICES = 16  # of each kind in one report; together 1.3 kB
 # How often a host also tells what others saw and the store does not hold yet,
 # for hosts that have just started; one of them may be the one that saw it.
 PASS_ON_INTERVAL_S = 1.0
