--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -39,7 +39,11 @@
     jobs, violations = 0, {}
     for seed in range(options.seed, options.seed + options.runs):
         run = Options(
-            seed, options.seconds, options.hosts, options.without, options.slot
+            seed,
+            options.seconds,
+            options.hosts,
+            options.without,
+            subnet=options.slot,
         )
         oracle = run_seed(run, options.logs)
         _print(
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -76,8 +76,9 @@
             ("request crashes engines", self._request_crashes_engines),
             ("configuration changed", self._change_configuration),
         ]
+        first = [kind for kind in kinds if kind[0] == self._run.options.first_fault]
         while now_s() < until_s:
-            name, fault = self._random.choice(kinds)
+            name, fault = first.pop() if first else self._random.choice(kinds)
             self.counts[name] += 1
             self._start(fault())
             await asyncio.sleep(self._random.uniform(0.2, 2 * FAULT_INTERVAL_S))
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -44,6 +44,7 @@
     seconds: float = 12.0
     hosts: int = 4
     removed_guard: str = ""  # a key of GUARDS; empty: none is removed
+    first_fault: str = ""  # a kind of fault to begin with; empty: any
     subnet: int = 1  # hosts listen on 127.0.<subnet>.*; differs in parallel runs
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,3 +15,12 @@
     assert oracle.fault_counts.total() > 0
     assert oracle.response_counts["whole"] > 0
     assert any(job.accepted and job.done for job in oracle.jobs.values())
+
+
+def test_short_run_stops_a_request_that_crashes_engines():
+    kind = "request crashes engines"
+    options = Options(8, SECONDS, hosts=3, first_fault=kind, subnet=SUBNET)
+    oracle = run_seed(options)
+    assert oracle.violations == []
+    assert oracle.fault_counts[kind] > 0
+    assert any(len(crashed_s) >= 3 for crashed_s in oracle.crashed_s.values())
