--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from typing import Any
 
@@ -176,5 +176,9 @@
 
 
 def open_files(pid: int) -> list[str]:
-    directory = Path(f"/proc/{pid}/fd")
-    return [str(entry.readlink()) for entry in directory.iterdir()]
+    """Return what a process has open; it may close files meanwhile."""
+    names = []
+    for entry in Path(f"/proc/{pid}/fd").iterdir():
+        with suppress(FileNotFoundError):  # closed since it was listed
+            names.append(str(entry.readlink()))
+    return names
