--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -12,6 +12,7 @@
 from aspenbridge.jobs._claims import CLAIM_TURN_S
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._progress_saver import MIN_NEW_EVENTS, SAVE_INTERVAL_S
+from aspenbridge.jobs._records import ProgressRecord
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
 from tests.support.entry_fleet import (
@@ -600,3 +601,9 @@
         assert len(fleet.engines.runs) == 3
 
     with_fleet(check)
+
+
+def test_events_from_another_host_do_not_count_as_progress_of_the_next_run():
+    state = ItemState(0)
+    state.restore(ProgressRecord(1, ("t0", "t1")))
+    assert state.events_at_delay == len(state.events) == 2
