--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -12,7 +12,13 @@
 
 if TYPE_CHECKING:
     from aspenbridge.fleet import EngineEntry
-    from aspenbridge.ports import CallOutcome, Clock, EngineCaller, RelayedAnswer
+    from aspenbridge.ports import (
+        BodyEnd,
+        CallOutcome,
+        Clock,
+        EngineCaller,
+        RelayedAnswer,
+    )
 
     from ._messages import SubmittedItem
     from ._owned import ItemState
@@ -47,12 +53,14 @@
 
     ``call_outcome`` tells how an interrupted attempt failed; it is None if the
     engine answered. ``connection_lost`` is that of ``AttemptError``.
+    ``body_end`` is None if no head of an answer came.
     """
 
     outcome: ItemOutcome
     reason: str = ""
     call_outcome: CallOutcome | None = None
     connection_lost: bool = False
+    body_end: BodyEnd | None = None
 
 
 async def run_item(
@@ -81,21 +89,24 @@
         deadline_s=deadline_s,
         resume_after=state.last_event_id,
     )
+    body_end = None
     try:
         answer = await engine_caller.open(
             engine.id, engine.address, call, clock.now_s() + ANSWER_LIMIT_S
         )
+        body_end = answer.head.body_end
         try:
-            return await _read_answer(answer, state)
+            run = await _read_answer(answer, state)
         finally:
             answer.close()
     except AttemptError as error:
-        return ItemRunResult(
+        run = ItemRunResult(
             ItemOutcome.INTERRUPTED,
             error.reason,
             error.outcome,
             error.connection_lost,
         )
+    return attrs.evolve(run, body_end=body_end)
 
 
 async def _read_answer(answer: RelayedAnswer, state: ItemState) -> ItemRunResult:
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -284,6 +284,8 @@
             outcome=run.outcome.value,
             reason=run.reason,
             connection_lost=run.connection_lost,
+            body_end=run.body_end and run.body_end.value,
+            events=len(state.events) - events_before,
             fingerprint=job.fingerprints[state.index],
             last_event=state.last_event_id,
         )
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from aspenbridge.ports import AnswerHead, AttemptError, CallOutcome
+from aspenbridge.ports import AnswerHead, AttemptError, BodyEnd, CallOutcome
 
 from . import _names as names
 
@@ -37,6 +37,7 @@
     }
 )
 HTTP_MISDIRECTED_REQUEST = 421
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -165,5 +166,15 @@
         status=response.status,
         headers=end_to_end_headers(tuple(headers.items())),
         streams=content_type.startswith("text/event-stream"),
+        body_end=_body_end(response),
     )
     return EngineResponse(head, response)
+
+
+def _body_end(response: aiohttp.ClientResponse) -> BodyEnd:
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return BodyEnd.CHUNKS
+    has_length = "Content-Length" in response.headers
+    if has_length or response.status in STATUSES_WITHOUT_BODY:
+        return BodyEnd.LENGTH
+    return BodyEnd.CONNECTION
--- a/src/aspenbridge/ports/__init__.py
+++ b/src/aspenbridge/ports/__init__.py
@@ -29,6 +29,7 @@
 from ._relayed import (
     AnswerHead,
     AttemptError,
+    BodyEnd,
     EngineCaller,
     Headers,
     RelayedAnswer,
@@ -53,6 +54,7 @@
     "ADAPTER_SEPARATOR",
     "AnswerHead",
     "AttemptError",
+    "BodyEnd",
     "CallOutcome",
     "ChangeFeed",
     "ChangePage",
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -32,6 +33,19 @@
     resume_after: int | None = None  # id of the last event already received
 
 
+class BodyEnd(Enum):
+    """
+    What marks the end of an answer's body.
+
+    ``CONNECTION``: the answer has neither a length nor chunks, and its body
+    ends when the engine closes the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @attrs.frozen
 class AnswerHead:
     """The status and headers of an engine's answer."""
@@ -39,6 +53,7 @@
     status: int
     headers: Headers
     streams: bool  # whether the body is a stream of events
+    body_end: BodyEnd
 
 
 class RelayedAnswer(Protocol):
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -199,6 +199,8 @@
             outcome=error.outcome.value,
             reason=error.reason,
             connection_lost=error.connection_lost,
+            body_end=progress.answer and progress.answer.body_end.value,
+            events=progress.events_sent,
             fingerprint=progress.fingerprint,
             sends=progress.failed_sends,
         )
@@ -250,9 +252,11 @@
         call = progress.call
         if progress.begun:
             call = attrs.evolve(call, resume_after=progress.events.last_id)
+        progress.answer = None
         answer = await self._engine_caller.open(
             engine.id, engine.address, call, self._answer_deadline_s(progress)
         )
+        progress.answer = answer.head
         try:
             self._health.record_answer(engine.id)
             if answer.head.streams and answer.head.status < SERVER_ERROR:
@@ -277,7 +281,8 @@
                 progress.first_event_s = self._clock.now_s()
             if not progress.begun:
                 await progress.begin(answer.head)
-            await progress.writer.write(b"".join(event.raw for event in events))
+            data = b"".join(event.raw for event in events)
+            await progress.send(data, len(events))
         if not progress.begun:
             await progress.begin(answer.head)
         await progress.writer.finish()
@@ -292,7 +297,7 @@
             reason = f"engine answered with status {answer.head.status}"
             raise AttemptError(CallOutcome.BROKEN, reason)
         await progress.begin(answer.head)
-        await progress.writer.write(body)
+        await progress.send(body)
         await progress.writer.finish()
 
     def _chunks(
@@ -327,6 +332,10 @@
             configuration=version,
             outcome=outcome,
             status=progress.status,
+            streams=progress.answer and progress.answer.streams,
+            body_end=progress.answer and progress.answer.body_end.value,
+            events=progress.events_sent,
+            body_bytes=progress.bytes_sent,
             engine=progress.engine,
             found_online=progress.found_load[0],
             found_batch=progress.found_load[1],
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -70,6 +70,9 @@
     engine: str = ""  # the engine of the last attempt
     # Online requests and batch items on this engine just before the attempt.
     found_load: tuple[int, int] = (0, 0)
+    answer: AnswerHead | None = None  # of the last attempt, if it came
+    events_sent: int = 0  # of all attempts
+    bytes_sent: int = 0
     first_event_s: float | None = None
     refused: Refused | None = None  # set when the request has failed
 
@@ -83,6 +86,12 @@
         self.status = head.status
         await self.writer.begin(head)
 
+    async def send(self, data: bytes, events: int = 0) -> None:
+        """Send a part of the body, which has so many events, to the caller."""
+        self.events_sent += events
+        self.bytes_sent += len(data)
+        await self.writer.write(data)
+
     @property
     def may_send_again(self) -> bool:
         """
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -13,7 +13,7 @@
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform._connections import open_engine_session
 from aspenbridge.platform._engine_calls import HttpEngineCaller, end_to_end_headers
-from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.ports import AttemptError, BodyEnd, CallOutcome, RelayedCall
 
 STAMP_HEADER = "X-Aspenbridge-Server-Stamp: s\r\n"
 OWN_HEADERS = "X-Aspenbridge-Attempt-Id: r1\r\n" + STAMP_HEADER
@@ -156,6 +156,20 @@
     assert body == b"ok"
 
 
+@pytest.mark.parametrize(
+    ("framing", "body", "body_end"),
+    [
+        ("Content-Length: 2\r\n", "ok", BodyEnd.LENGTH),
+        ("Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n", BodyEnd.CHUNKS),
+        ("", "ok", BodyEnd.CONNECTION),
+    ],
+)
+def test_head_tells_what_marks_the_end_of_the_body(framing, body, body_end):
+    answer = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}{framing}\r\n{body}"
+    head, received, _ = run_on_loop(call_engine(answer))
+    assert (head.body_end, received) == (body_end, b"ok")
+
+
 def test_bytes_after_the_response_are_ignored():
     first = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}Content-Length: 2\r\n\r\nok"
     _, body, _ = run_on_loop(call_engine(first + "HTTP/1.1 200 OK\r\n\r\nextra"))
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -198,3 +198,10 @@
         ("r1", 422),
         ("r2", 200),
     ]
+    assert [
+        (line["streams"], line["events"], line["body_bytes"]) for line in lines
+    ] == [
+        (False, 0, len(b"failed")),
+        (True, 10, len(stream_of(10))),
+    ]
+    assert {line["body_end"] for line in lines} == {"chunks"}
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -29,6 +29,7 @@
 from aspenbridge.ports import (
     AnswerHead,
     AttemptError,
+    BodyEnd,
     CallOutcome,
     ChangePage,
     Committed,
@@ -379,7 +380,10 @@
         self._crash_count = crash_count  # of the engine when the run was sent
         status = fault.status or 200
         self.head = AnswerHead(
-            status, (("Content-Type", "text/event-stream"),), status == 200
+            status,
+            (("Content-Type", "text/event-stream"),),
+            status == 200,
+            BodyEnd.CHUNKS,
         )
 
     async def body(self):
