Failing tests: answers that break off without length or chunks look whole

Each framing by each end at each moment, over real sockets, for streams, resumed streams, whole answers and items.

--- /dev/null
+++ b/tests/platform/test_answer_ends.py
@@ -0,0 +1,379 @@
+"""How answers end at the engine and at the caller, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import itertools
+import json
+import socket
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+import pytest
+
+from aspenbridge.clock import SystemClock
+from aspenbridge.entry import Address
+from aspenbridge.loop import NumericAddressLoop
+from aspenbridge.platform._connections import open_engine_session
+from aspenbridge.platform._engine_calls import HttpEngineCaller
+from aspenbridge.platform._ingress import Ingress
+from tests.support.engine_scripts import (
+    Answer,
+    End,
+    Framing,
+    ScriptedEngine,
+    stream_of,
+)
+from tests.support.entry_fleet import (
+    EntryFleet,
+    make_configuration,
+    make_engine,
+    make_route,
+)
+
+EVENTS = 4
+STREAM = stream_of(EVENTS)
+TEXT = "t0\nt1\nt2\nt3"
+WHOLE = b"the body of an answer that is not a stream"
+BUDGET_MS = 1500  # of a request; longer than a host waits for the next event
+ENGINES = 3
+SLOTS = 1000  # all cases run at once
+
+
+class Reply(NamedTuple):
+    """What a caller received, and whether it looks complete to it."""
+
+    status: int
+    body: bytes
+    complete: bool
+    headers: dict[str, str]
+
+
+class HostUnderTest:
+    """A host with its HTTP servers before a scripted engine."""
+
+    def __init__(self) -> None:
+        self._stack = AsyncExitStack()
+        self._number = 0
+
+    async def __aenter__(self) -> HostUnderTest:
+        clock = SystemClock()
+        self.engine = await self._stack.enter_async_context(ScriptedEngine())
+        session = await self._stack.enter_async_context(open_engine_session())
+        self.fleet = EntryFleet(clock, hosts=1, engines=0)
+        self.fleet.engines = HttpEngineCaller(session, clock)
+        self.fleet.entries = {
+            f"e{n}": make_engine(
+                f"e{n}", ip="127.0.0.1", port=self.engine.port, slots=SLOTS
+            )
+            for n in range(ENGINES)
+        }
+        routes = (
+            make_route(),
+            make_route("once", resumable=False, max_attempts=1),
+            make_route("batch", kind=make_configuration().routes[1].kind),
+        )
+        self.fleet.configurations[b"1"] = make_configuration(1, routes)
+        await self._stack.enter_async_context(self.fleet)
+        addresses = [free_address() for _ in range(3)]
+        self.callers = addresses[0]
+        self.host = self.fleet.hosts["h0"]
+        self.ingress = await self._stack.enter_async_context(
+            Ingress(self.host, *addresses)
+        )
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
+
+    async def connect(self) -> socket.socket:
+        sock = socket.socket()
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (self.callers.ip, self.callers.port))
+        return sock
+
+    async def send(self, sock, path, answers, *, version="1.1", headers=()) -> str:
+        """Send a request whose script is given; return its id."""
+        self._number += 1
+        request_id = f"r{self._number}"
+        self.engine.scripts[request_id] = list(answers)
+        lines = [
+            f"POST /{path}/{request_id} HTTP/{version}",
+            "Host: a.example",
+            f"X-Aspenbridge-Attempt-Id: {request_id}",
+            f"X-Aspenbridge-Deadline-Ms: {BUDGET_MS}",
+            "Content-Length: 1",
+            *headers,
+        ]
+        data = "\r\n".join([*lines, "", "q"]).encode()
+        await asyncio.get_running_loop().sock_sendall(sock, data)
+        return request_id
+
+    async def call(self, path, answers, **options) -> Reply:
+        """Send one request on a connection of its own; return the reply."""
+        with await self.connect() as sock:
+            await self.send(sock, path, answers, **options)
+            return await read_reply(sock)
+
+
+def free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", sock.getsockname()[1])
+
+
+async def read_reply(sock) -> Reply:
+    """Read one reply; it ends where its framing or the connection ends."""
+    loop = asyncio.get_running_loop()
+    data, closed, reset = b"", False, False
+    while not closed and not (reply := parse_reply(data, ended=False)):
+        try:
+            received = await loop.sock_recv(sock, 65536)
+        except ConnectionResetError:
+            reset, received = True, b""
+        closed = not received
+        data += received
+    if closed:
+        reply = parse_reply(data, ended=not reset)
+    return reply or Reply(0, data, complete=False, headers={})
+
+
+def parse_reply(data: bytes, *, ended: bool) -> Reply | None:
+    """
+    Return the reply, or None while it is incomplete.
+
+    :param ended: whether the connection has ended in an orderly way.
+    """
+    head, found, body = data.partition(b"\r\n\r\n")
+    if not found:
+        return None
+    lines = head.decode().split("\r\n")
+    status = int(lines[0].split()[1])
+    fields = dict(line.split(": ", 1) for line in lines[1:])
+    if "Content-Length" in fields:
+        length = int(fields["Content-Length"])
+        return (
+            Reply(status, body[:length], True, fields) if len(body) >= length else None
+        )
+    if fields.get("Transfer-Encoding") != "chunked":
+        return Reply(status, body, True, fields) if ended else None
+    parts = b""
+    while body:
+        size, found, body = body.partition(b"\r\n")
+        length = int(size or b"0", 16)
+        if not found or len(body) < length + 2:
+            return None
+        if length == 0:
+            return Reply(status, parts, True, fields)
+        parts, body = parts + body[:length], body[length + 2 :]
+    return None
+
+
+def with_host(check):
+    async def main():
+        async with HostUnderTest() as under_test:
+            return await check(under_test)
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        return runner.run(main())
+
+
+class Moment(NamedTuple):
+    """When an answer ends: after so much of its head or body."""
+
+    name: str
+    sent: dict[str, int]
+
+
+STREAM_MOMENTS = (
+    Moment("in the head", {"head_bytes": 90}),
+    Moment("before the first event", {"sent_bytes": 0}),
+    Moment("inside the first event", {"sent_bytes": 9}),
+    Moment("inside an event", {"sent_bytes": len(stream_of(2)) + 9}),
+    Moment("between events", {"sent_bytes": len(stream_of(2))}),
+    Moment("after the last event", {"sent_bytes": len(STREAM)}),
+    Moment("at the end", {}),
+)
+WHOLE_MOMENTS = (
+    Moment("in the head", {"head_bytes": 90}),
+    Moment("before the body", {"sent_bytes": 0}),
+    Moment("in the body", {"sent_bytes": 9}),
+    Moment("after the body", {"sent_bytes": len(WHOLE)}),
+    Moment("at the end", {}),
+)
+
+
+def is_sound(framing: Framing, end: End, moment: Moment) -> bool:
+    """
+    Whether an answer that ends like this is whole, as far as it can be told.
+
+    An answer without length and chunks that closes between two events looks
+    like a whole one with fewer events.
+    """
+    if framing is Framing.NONE:
+        ends = ("between events", "after the last event", "after the body")
+        return end is End.CLOSE and moment.name in (*ends, "at the end")
+    if framing is Framing.LENGTH:
+        return moment.name.startswith("after the") or moment.name == "at the end"
+    return moment.name == "at the end"
+
+
+def expected_stream(framing: Framing, moment: Moment) -> bytes:
+    cut = framing is Framing.NONE and moment.name == "between events"
+    return stream_of(2) if cut else STREAM
+
+
+def broken(results, is_right) -> list[str]:
+    """Return a line for each case that did not come out right."""
+    return [
+        f"{framing.value}, {end.value}, {moment.name}: {result[:3]}"
+        for (framing, end, moment), result in results
+        if not is_right(framing, end, moment, result)
+    ]
+
+
+async def play(run_case, moments):
+    async def one(case):
+        return case, await run_case(*case)
+
+    return await asyncio.gather(
+        *(one(case) for case in itertools.product(Framing, End, moments))
+    )
+
+
+def test_stream_that_may_run_once_is_complete_only_if_its_engine_ended_it():
+    async def check(host):
+        async def run_case(framing, end, moment):
+            answer = Answer(STREAM, framing, end, **moment.sent)
+            return await host.call("once", [answer])
+
+        def is_right(framing, end, moment, reply):
+            if is_sound(framing, end, moment):
+                body = expected_stream(framing, moment)
+                return (reply.status, reply.body, reply.complete) == (200, body, True)
+            return reply.status == 502 or not reply.complete
+
+        assert broken(await play(run_case, STREAM_MOMENTS), is_right) == []
+
+    with_host(check)
+
+
+def test_resumable_stream_is_whole_although_its_first_run_breaks_off():
+    async def check(host):
+        async def run_case(framing, end, moment):
+            sent = moment.sent.get("sent_bytes", len(STREAM))
+            events = STREAM[: 0 if "head_bytes" in moment.sent else sent].count(b"\n\n")
+            rest = Answer(stream_of(EVENTS, events), framing=Framing.CHUNKS)
+            answer = Answer(STREAM, framing, end, **moment.sent)
+            return await host.call("online", [answer, rest])
+
+        def is_right(framing, end, moment, reply):
+            body = expected_stream(framing, moment)
+            return (reply.status, reply.body, reply.complete) == (200, body, True)
+
+        assert broken(await play(run_case, STREAM_MOMENTS), is_right) == []
+
+    with_host(check)
+
+
+def test_resumed_stream_is_complete_only_if_its_second_engine_ended_it():
+    async def check(host):
+        async def run_case(framing, end, moment):
+            first = Answer(STREAM, end=End.RESET, sent_bytes=len(stream_of(1)))
+            sent = dict(moment.sent)
+            if "sent_bytes" in sent:
+                sent["sent_bytes"] = max(0, sent["sent_bytes"] - len(stream_of(1)))
+            if moment.name == "inside the first event":
+                sent["sent_bytes"] = 9
+            second = Answer(stream_of(EVENTS, 1), framing, end, **sent)
+            return await host.call("online", [first, second])
+
+        def is_right(framing, end, moment, reply):
+            if is_sound(framing, end, moment):
+                body = expected_stream(framing, moment)
+                return (reply.status, reply.body, reply.complete) == (200, body, True)
+            return not reply.complete
+
+        assert broken(await play(run_case, STREAM_MOMENTS), is_right) == []
+
+    with_host(check)
+
+
+def test_whole_answer_is_a_success_only_if_its_engine_ended_it():
+    async def check(host):
+        async def run_case(framing, end, moment):
+            kind = "application/octet-stream"
+            answer = Answer(WHOLE, framing, end, content_type=kind, **moment.sent)
+            return await host.call("once", [answer])
+
+        def is_right(framing, end, moment, reply):
+            if is_sound(framing, end, moment):
+                return (reply.status, reply.body, reply.complete) == (200, WHOLE, True)
+            return reply.status == 502 or not reply.complete
+
+        assert broken(await play(run_case, WHOLE_MOMENTS), is_right) == []
+
+    with_host(check)
+
+
+async def submit_item(host, answers) -> str:
+    """Submit a job with one item; its id and the item's are the same."""
+    with await host.connect() as sock:
+        host._number += 1
+        item_id = f"j{host._number}"
+        host.engine.scripts[item_id] = list(answers)
+        body = base64.b64encode(item_id.encode()).decode()
+        item = {"id": item_id, "path": f"/batch/{item_id}", "headers": {}}
+        job = {"requests": [item | {"body": body, "tokens": 10}]}
+        data = json.dumps(job)
+        lines = [
+            f"POST /batch/{item_id} HTTP/1.1",
+            "Host: a.example",
+            f"X-Aspenbridge-Attempt-Id: {item_id}",
+            f"Content-Length: {len(data)}",
+        ]
+        request = "\r\n".join([*lines, "", data]).encode()
+        await asyncio.get_running_loop().sock_sendall(sock, request)
+        assert (await read_reply(sock)).status == 202
+        return item_id
+
+
+async def item_result(host, item_id):
+    service = host.host.job_service
+    while not (page := (await service.results(item_id, 0, 1.0)).unwrap()).results:
+        await asyncio.sleep(0.05)
+    return page.results[0].text
+
+
+@pytest.mark.parametrize("resumed", [False, True])
+def test_item_has_its_whole_text_although_a_run_breaks_off(resumed):
+    async def check(host):
+        async def run_case(framing, end, moment):
+            begun = 1 if resumed else 0
+            before = len(stream_of(begun))
+            first = Answer(STREAM, end=End.RESET, sent_bytes=before)
+            sent = dict(moment.sent)
+            if "sent_bytes" in sent:
+                sent["sent_bytes"] = max(0, sent["sent_bytes"] - before)
+            run = Answer(stream_of(EVENTS, begun), framing, end, **sent)
+            read = (sent.get("sent_bytes", len(run.body)), run.body)
+            whole = read[1][: 0 if "head_bytes" in sent else read[0]].count(b"\n\n")
+            rests = [
+                Answer(stream_of(EVENTS, begun + whole), framing=Framing.CHUNKS),
+                Answer(stream_of(EVENTS, begun + whole), framing=Framing.CHUNKS),
+            ]
+            script = [first, run, *rests] if resumed else [run, *rests]
+            item_id = await submit_item(host, script)
+            async with asyncio.timeout(15.0):
+                return await item_result(host, item_id)
+
+        def is_right(framing, end, moment, text):
+            cut = framing is Framing.NONE and moment.name == "between events"
+            return text == (TEXT if not cut or end is not End.CLOSE else "t0\nt1")
+
+        moments = [m for m in STREAM_MOMENTS if m.name != "inside the first event"]
+        assert broken(await play(run_case, moments), is_right) == []
+
+    with_host(check)
--- /dev/null
+++ b/tests/support/engine_scripts.py
@@ -0,0 +1,143 @@
+"""An engine on loopback whose answers, and how they end, are scripted."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import AsyncExitStack
+from enum import Enum
+from typing import Self
+
+import attrs
+
+from aspenbridge.loop import listening_socket
+
+LINGER_ON_ZERO_S = struct.pack("ii", 1, 0)  # closing the socket resets the connection
+READ_DELAY_S = 0.05  # in which the host reads what was sent
+
+
+class Framing(Enum):
+    """How an answer marks the end of its body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NONE = "none"
+
+
+class End(Enum):
+    """How a connection ends after what was sent of an answer."""
+
+    CLOSE = "orderly close"
+    RESET = "reset"
+    # The reset arrives together with the data before it.
+    RESET_BEHIND_DATA = "reset behind data"
+    SILENCE = "silence"
+
+
+@attrs.frozen
+class Answer:
+    """
+    An answer, of which only a part may be sent.
+
+    :ivar body: the whole body.
+    :ivar sent_bytes: how much of the body is sent; None for all of it.
+    :ivar head_bytes: how much of the head is sent; None for all of it.
+    """
+
+    body: bytes
+    framing: Framing = Framing.CHUNKS
+    end: End = End.CLOSE
+    sent_bytes: int | None = None
+    head_bytes: int | None = None
+    content_type: str = "text/event-stream"
+    status: int = 200
+
+    def encode(self, request_id: str) -> bytes:
+        lines = [
+            f"HTTP/1.1 {self.status} Status",
+            f"X-Aspenbridge-Attempt-Id: {request_id}",
+            "X-Aspenbridge-Server-Stamp: stamp",
+            f"Content-Type: {self.content_type}",
+        ]
+        if self.framing is Framing.LENGTH:
+            lines.append(f"Content-Length: {len(self.body)}")
+        if self.framing is Framing.CHUNKS:
+            lines.append("Transfer-Encoding: chunked")
+        head = "\r\n".join([*lines, "", ""]).encode()
+        if self.head_bytes is not None:
+            return head[: self.head_bytes]
+        sent = self.body[: self.sent_bytes]
+        if self.framing is not Framing.CHUNKS:
+            return head + sent
+        chunk = b"%x\r\n%b\r\n" % (len(sent), sent) if sent else b""
+        return head + chunk + (b"0\r\n\r\n" if self.sent_bytes is None else b"")
+
+
+class ScriptedEngine:
+    """
+    Answers each request with the next answer of its script.
+
+    :ivar scripts: the answers by request id; each is used once.
+    :ivar resumed_after: the ``Last-Event-Id`` of each send, by request id.
+    """
+
+    def __init__(self) -> None:
+        self.scripts: dict[str, list[Answer]] = {}
+        self.resumed_after: dict[str, list[int | None]] = {}
+        self._stack = AsyncExitStack()
+        self.port = 0
+
+    async def __aenter__(self) -> Self:
+        listener = self._stack.enter_context(listening_socket("127.0.0.1", 0))
+        self.port = listener.getsockname()[1]
+        accepting = asyncio.create_task(self._accept(listener))
+        self._stack.callback(accepting.cancel)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.TaskGroup() as serving:
+            while True:
+                sock, _ = await loop.sock_accept(listener)
+                serving.create_task(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        with sock:
+            fields = await _read_request(sock)
+            request_id = fields["X-Aspenbridge-Attempt-Id"]
+            after = fields.get("Last-Event-Id")
+            sends = self.resumed_after.setdefault(request_id, [])
+            sends.append(None if after is None else int(after))
+            answer = self.scripts[request_id].pop(0)
+            # Nothing else runs between this and a reset behind the data.
+            sock.send(answer.encode(request_id))
+            if answer.end is End.SILENCE:
+                await asyncio.get_running_loop().sock_recv(sock, 1)
+            if answer.end is End.RESET:
+                await asyncio.sleep(READ_DELAY_S)
+            if answer.end in (End.RESET, End.RESET_BEHIND_DATA):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
+
+
+async def _read_request(sock: socket.socket) -> dict[str, str]:
+    """Read a request with its body; return its headers."""
+    loop, data = asyncio.get_running_loop(), b""
+    while b"\r\n\r\n" not in data:
+        data += await loop.sock_recv(sock, 65536)
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")[1:]
+    fields = dict(line.split(": ", 1) for line in lines)
+    missing = int(fields.get("Content-Length", 0)) - len(body)
+    while missing > 0:
+        missing -= len(await loop.sock_recv(sock, 65536))
+    return fields
+
+
+def stream_of(events: int, first: int = 0) -> bytes:
+    """Return the events from ``first`` on of a stream of so many events."""
+    numbers = range(first, events)
+    return b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in numbers)
