Take a body that its server resets for broken off, also behind unread data

Cause: when a reset arrives together with data that is not read yet, libuv reads the data and, as it polled a hang-up after a partial read, reports an orderly end of the connection without another read. The HTTP library takes that end for the end of the body. The store's client and the older program's clients had no check of resets at all: their bodies without a length also looked whole after a reset that came later.

Now one class of client connections, used by all of them, asks the socket for a pending error when the loop reports the end of the data, and fails the body that is being read.

Ruled out: parsing errors (no exception in the traces), our own closing of the connection.

--- a/src/aspenbridge/backends/_session.py
+++ b/src/aspenbridge/backends/_session.py
@@ -4,13 +4,15 @@
 
 import aiohttp
 
+from aspenbridge.client_connections import ClientConnector
+
 MAX_CONNECTIONS_PER_SERVER = 2048
 CONNECT_TIMEOUT_S = 1.0
 
 
 def open_session() -> aiohttp.ClientSession:
     """Return a new session, which the caller must close."""
-    connector = aiohttp.TCPConnector(limit=0, limit_per_host=MAX_CONNECTIONS_PER_SERVER)
+    connector = ClientConnector(limit=0, limit_per_host=MAX_CONNECTIONS_PER_SERVER)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
     return aiohttp.ClientSession(connector=connector, timeout=timeout)
 
--- a/src/aspenbridge/loop.py
+++ b/src/aspenbridge/loop.py
@@ -87,6 +87,18 @@
     return sock
 
 
+def pending_error(transport: asyncio.BaseTransport) -> OSError | None:
+    """
+    Return and clear the error of a socket that no call has reported yet.
+
+    When a reset arrives together with data, libuv reports the data and then an
+    orderly end of the connection; the reset stays pending on the socket.
+    """
+    sock = transport.get_extra_info("socket")
+    number = 0 if sock is None else sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
+
+
 LISTEN_BACKLOG = 1024
 # Allocations before a collection of the youngest generation, then collections
 # of each generation before the next older one is collected.
@@ -95,6 +107,7 @@
 __all__ = [
     "NumericAddressLoop",
     "listening_socket",
+    "pending_error",
     "run_on_loop",
     "tune_garbage_collector",
 ]
--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from aspenbridge.client_connections import ClientConnection, ClientConnector
 
+if TYPE_CHECKING:
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientRequest
 
 # Two round trips between regions, and the TCP handshake.
@@ -30,32 +30,21 @@
 )
 
 
-class EngineConnection(ResponseHandler):
+class EngineConnection(ClientConnection):
     """
     A connection that carries one request to an engine.
 
     Closing it resets the connection. An orderly close would first send the
     buffered data, and the engine would start a request whose caller no longer
     waits for it.
-
-    A response body without a length is incomplete if the engine resets the
-    connection. aiohttp treats any end of the connection as the end of such a
-    body, so ``connection_lost`` reports a reset as an error of the body.
     """
 
     def close(self) -> None:
         """Reset the connection without sending buffered data."""
         self.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection had an error."""
-        body = self._payload
-        if exc is not None and body is not None and not body.is_eof():
-            body.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc}"))
-        super().connection_lost(exc)
-
 
-class NumericConnector(aiohttp.TCPConnector):
+class NumericConnector(ClientConnector):
     """
     Connects to numeric IP addresses with the loop's ``create_connection``.
 
@@ -65,8 +54,6 @@
     descriptor.
     """
 
-    protocol_factory: Callable[[], ResponseHandler] | None = None
-
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -80,7 +67,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, protocol = await self._loop.create_connection(
-                    self.protocol_factory or args[0], ip, port
+                    args[0], ip, port
                 )
         except TimeoutError as error:
             raise aiohttp.ConnectionTimeoutError(
@@ -94,6 +81,12 @@
         return transport, protocol
 
 
+class EngineConnector(NumericConnector):
+    """Opens connections to engines."""
+
+    connection_class = EngineConnection
+
+
 def open_store_session() -> aiohttp.ClientSession:
     """Return a session that reuses its connections to the store."""
     return aiohttp.ClientSession(
@@ -109,11 +102,8 @@
     the next request arrives. With one request per connection, neither can
     affect another request.
     """
-    connector = NumericConnector(limit=0, force_close=True)
-    loop = asyncio.get_running_loop()
-    connector.protocol_factory = lambda: EngineConnection(loop)
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=EngineConnector(limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -40,20 +40,24 @@
     """
     An answer, of which only a part may be sent.
 
-    :ivar body: the whole body.
+    :ivar body: the whole body; None for the events after ``Last-Event-Id`` of
+        a stream of ``events`` events.
     :ivar sent_bytes: how much of the body is sent; None for all of it.
     :ivar head_bytes: how much of the head is sent; None for all of it.
     """
 
-    body: bytes
+    body: bytes | None = None
     framing: Framing = Framing.CHUNKS
     end: End = End.CLOSE
     sent_bytes: int | None = None
     head_bytes: int | None = None
     content_type: str = "text/event-stream"
     status: int = 200
+    events: int = 0
 
-    def encode(self, request_id: str) -> bytes:
+    def encode(self, request_id: str, after: int | None) -> bytes:
+        first = 0 if after is None else after + 1
+        body = stream_of(self.events, first) if self.body is None else self.body
         lines = [
             f"HTTP/1.1 {self.status} Status",
             f"X-Aspenbridge-Attempt-Id: {request_id}",
@@ -61,13 +65,13 @@
             f"Content-Type: {self.content_type}",
         ]
         if self.framing is Framing.LENGTH:
-            lines.append(f"Content-Length: {len(self.body)}")
+            lines.append(f"Content-Length: {len(body)}")
         if self.framing is Framing.CHUNKS:
             lines.append("Transfer-Encoding: chunked")
         head = "\r\n".join([*lines, "", ""]).encode()
         if self.head_bytes is not None:
             return head[: self.head_bytes]
-        sent = self.body[: self.sent_bytes]
+        sent = body[: self.sent_bytes]
         if self.framing is not Framing.CHUNKS:
             return head + sent
         chunk = b"%x\r\n%b\r\n" % (len(sent), sent) if sent else b""
@@ -109,12 +113,12 @@
         with sock:
             fields = await _read_request(sock)
             request_id = fields["X-Aspenbridge-Attempt-Id"]
-            after = fields.get("Last-Event-Id")
-            sends = self.resumed_after.setdefault(request_id, [])
-            sends.append(None if after is None else int(after))
+            after_text = fields.get("Last-Event-Id")
+            after = None if after_text is None else int(after_text)
+            self.resumed_after.setdefault(request_id, []).append(after)
             answer = self.scripts[request_id].pop(0)
             # Nothing else runs between this and a reset behind the data.
-            sock.send(answer.encode(request_id))
+            sock.send(answer.encode(request_id, after))
             if answer.end is End.SILENCE:
                 await asyncio.get_running_loop().sock_recv(sock, 1)
             if answer.end is End.RESET:
