Take an answer whose connection ends before its body for broken off

Batch items got an empty or short text as completed.

Cause: an answer with neither a length nor chunks ends with its connection, and the relay finished an answer that never began. A process that dies also ends its connections in an orderly way.

Now such an answer is broken off if it is a success and nothing of its body came: a stream that may be resumed goes on at another engine, any other request gets 502, a begun stream is cut. A resumed run that has nothing left to generate looks the same; a batch item then drops its last event and runs again from there, so that the next run has an event to send.

Not told apart: an answer without length and chunks that closes in an orderly way between two events, or inside a body that is not a stream, counts as whole.

--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -8,7 +8,7 @@
 import attrs
 
 from aspenbridge.ports import AttemptError, RelayedCall
-from aspenbridge.relay import EventSplitter, read_chunks, read_events
+from aspenbridge.relay import EmptyAnswerError, EventSplitter, read_chunks, read_events
 
 if TYPE_CHECKING:
     from aspenbridge.fleet import EngineEntry
@@ -100,6 +100,10 @@
         finally:
             answer.close()
     except AttemptError as error:
+        if isinstance(error, EmptyAnswerError):
+            # A run that had nothing left to generate looks the same, so the
+            # next one begins an event earlier.
+            state.drop_last_event()
         run = ItemRunResult(
             ItemOutcome.INTERRUPTED,
             error.reason,
@@ -117,7 +121,7 @@
         return ItemRunResult(ItemOutcome.FAILED, f"status {status}")
     splitter = EventSplitter(state.last_event_id)
     chunks = read_chunks(answer, lambda: EVENT_GAP_LIMIT_S)
-    async for events in read_events(chunks, splitter):
+    async for events in read_events(answer.head, chunks, splitter):
         for event in events:
             state.events.append(event.data)
             state.last_event_id = event.id
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -56,6 +56,12 @@
         self.saved_events = len(self.events)
         self.saved_failures = self.failures
 
+    def drop_last_event(self) -> None:
+        """Forget the last event, if there is one, so that it is run again."""
+        if self.events and self.last_event_id is not None:
+            self.events.pop()
+            self.last_event_id = self.last_event_id - 1 if self.events else None
+
     def delay_retry(self, now_s: float) -> None:
         """
         Put off the next run by an exponential backoff.
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -12,6 +12,7 @@
 
     from ._backends import CallOutcome
 
+FIRST_NOT_SUCCESS = 300  # the lowest status of a redirect or a failure
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -55,6 +56,16 @@
     streams: bool  # whether the body is a stream of events
     body_end: BodyEnd
 
+    @property
+    def needs_body(self) -> bool:
+        """
+        Whether the answer has broken off if its body turns out to be empty.
+
+        The connection of an engine that crashes may end in an orderly way
+        after the head of the answer.
+        """
+        return self.body_end is BodyEnd.CONNECTION and self.status < FIRST_NOT_SUCCESS
+
 
 class RelayedAnswer(Protocol):
     """An answer whose body is still being received."""
--- a/src/aspenbridge/relay/__init__.py
+++ b/src/aspenbridge/relay/__init__.py
@@ -4,12 +4,13 @@
 
 from ._events import EventError, EventSplitter, StreamEvent
 from ._placement import OnlinePlacement
-from ._reading import read_chunks, read_events
+from ._reading import EmptyAnswerError, read_chunks, read_events
 from ._relay import Relay
 from ._request import CallerRequest, ResponseWriter
 
 __all__ = [
     "CallerRequest",
+    "EmptyAnswerError",
     "EventError",
     "EventSplitter",
     "OnlinePlacement",
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from aspenbridge.ports import RelayedAnswer
+    from aspenbridge.ports import AnswerHead, RelayedAnswer
 
     from ._events import EventSplitter, StreamEvent
 
@@ -40,21 +40,36 @@
         yield chunk
 
 
+class EmptyAnswerError(AttemptError):
+    """An answer ended before its body began, and may have broken off."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            CallOutcome.BROKEN,
+            "connection ended before the body of the answer",
+            connection_lost=True,
+        )
+
+
 async def read_events(
-    chunks: AsyncIterator[bytes], splitter: EventSplitter
+    head: AnswerHead, chunks: AsyncIterator[bytes], splitter: EventSplitter
 ) -> AsyncIterator[list[StreamEvent]]:
     """
     Yield lists of the events that arrived together.
 
     :raises AttemptError: when an event can't be parsed or is out of order, or
         the last one is incomplete.
+    :raises EmptyAnswerError: when there is no event, and nothing but the end
+        of the connection tells that there is none.
     """
+    empty = True
     async for chunk in chunks:
         try:
             events = splitter.feed(chunk)
         except EventError as error:
             raise AttemptError(CallOutcome.BROKEN, str(error)) from error
         if events:
+            empty = False
             yield events
     if splitter.pending:
         raise AttemptError(
@@ -62,3 +77,19 @@
             "stream ended in the middle of an event",
             connection_lost=True,
         )
+    if empty and head.needs_body:
+        raise EmptyAnswerError
+
+
+async def read_whole(head: AnswerHead, chunks: AsyncIterator[bytes]) -> bytes:
+    """
+    Return the body of an answer that is not a stream.
+
+    :raises AttemptError: when the answer breaks off.
+    :raises EmptyAnswerError: when the body is empty, and nothing but the end
+        of the connection tells so.
+    """
+    body = b"".join([chunk async for chunk in chunks])
+    if not body and head.needs_body:
+        raise EmptyAnswerError
+    return body
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -15,7 +15,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._events import EventSplitter
-from ._reading import read_chunks, read_events
+from ._reading import read_chunks, read_events, read_whole
 from ._request import Progress
 
 if TYPE_CHECKING:
@@ -276,7 +276,7 @@
     async def _relay_events(self, progress: Progress, answer: RelayedAnswer) -> None:
         progress.events.restart()
         chunks = self._chunks(progress, answer)
-        async for events in read_events(chunks, progress.events):
+        async for events in read_events(answer.head, chunks, progress.events):
             if progress.first_event_s is None:
                 progress.first_event_s = self._clock.now_s()
             if not progress.begun:
@@ -289,7 +289,7 @@
 
     async def _relay_whole(self, progress: Progress, answer: RelayedAnswer) -> None:
         """Relay an answer that is not a stream, once it is complete."""
-        body = b"".join([chunk async for chunk in self._chunks(progress, answer)])
+        body = await read_whole(answer.head, self._chunks(progress, answer))
         failed = answer.head.status >= SERVER_ERROR
         # If a stream has begun, a whole answer can't continue it, whatever its
         # status.
