Take replies and objects of the store that were cut off for unanswered

Same class as the answers of engines: a reply with neither a length nor chunks ends with its connection. A cut reply raised a decoding error, which ended the task that read it, and with it the host: its followers, its claims.

Now a reply that can't be decoded may have been applied and is tried again; items that can't be decoded count as unread; a result that lies in an object has the object's size in its row (new field, 0 in rows of older builds, which are read as before), and another size is a failed read: 503.

--- a/src/aspenbridge/jobs/_messages.py
+++ b/src/aspenbridge/jobs/_messages.py
@@ -62,6 +62,7 @@
     """
     Return the items that a stored object holds.
 
-    :raises msgspec.ValidationError: when the body holds something else.
+    :raises msgspec.DecodeError: when the body is not whole, or holds something
+        else.
     """
     return msgspec.msgpack.decode(body, type=tuple[SubmittedItem, ...])
--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -66,6 +66,8 @@
     item_id: str
     text: str | None
     text_object: str = ""  # name of the object with a text too long for a row
+    # Size of that object; 0 in records of builds that did not store it.
+    text_bytes: int = 0
 
 
 @attrs.frozen
--- a/src/aspenbridge/jobs/_repository.py
+++ b/src/aspenbridge/jobs/_repository.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from returns.result import Failure
+import msgspec
+from returns.result import Failure, Success
 
 from aspenbridge.observability import log_decision
-from aspenbridge.ports import Conflict
+from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.store import Changes, Stored, decode_record
 
 from ._messages import decode_items
@@ -35,7 +36,6 @@
         Clock,
         Committed,
         ObjectStore,
-        Unavailable,
     )
     from aspenbridge.store import Store
 
@@ -51,6 +51,24 @@
 SAVE_LIMIT_S = 1.0  # short, since the next save follows soon
 
 
+async def read_items(
+    objects: ObjectStore, job_id: str
+) -> Result[tuple[SubmittedItem, ...] | None, Unavailable]:
+    """
+    Return a job's items from the store, or None if it does not hold them.
+
+    An object that was not read whole counts as unavailable.
+    """
+    read = await objects.get(items_object(job_id))
+    if isinstance(read, Failure) or (body := read.unwrap()) is None:
+        return read.map(lambda _: None)
+    try:
+        return Success(decode_items(body))
+    except msgspec.DecodeError as error:
+        reason = f"items of {job_id!r} can't be decoded: {error}"
+        return Failure(Unavailable(reason, maybe_applied=False))
+
+
 class JobRepository:
     """
     Reads and writes the records of jobs.
@@ -126,10 +144,11 @@
         if text is None or len(text.encode()) <= self._max_text_bytes:
             return ResultRecord(index, item_id, text)
         name = f"text-{job.head.id}-{index}-{self._random.randbytes(8).hex()}"
-        stored = await self._objects.put(name, text.encode())
+        encoded = text.encode()
+        stored = await self._objects.put(name, encoded)
         if isinstance(stored, Failure):
             return None
-        return ResultRecord(index, item_id, "", name)
+        return ResultRecord(index, item_id, "", name, len(encoded))
 
     async def _write_head(
         self, job: OwnedJob, changes: Changes, head: JobHead, deadline_s: float
@@ -275,10 +294,8 @@
 
         Also returns None when the object that holds them does not exist.
         """
-        read = await self._objects.get(items_object(job_id))
-        if isinstance(read, Failure) or (body := read.unwrap()) is None:
-            return None
-        return decode_items(body)
+        read = await read_items(self._objects, job_id)
+        return None if isinstance(read, Failure) else read.unwrap()
 
     async def progress(self, job_id: str) -> list[tuple[int, ProgressRecord]] | None:
         """
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -13,7 +13,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes, Stored, decode_record
 
-from ._messages import ItemResult, ResultPage, decode_items, encode_items
+from ._messages import ItemResult, ResultPage, encode_items
 from ._records import (
     JobHead,
     JobState,
@@ -22,6 +22,7 @@
     items_object,
     result_key,
 )
+from ._repository import read_items
 
 if TYPE_CHECKING:
     from aspenbridge.fleet import Follower, Reachability, Route
@@ -175,11 +176,10 @@
             return head_result
         items = self._owned.items(job_id)
         if items is None:
-            read = await self._objects.get(items_object(job_id))
+            read = await read_items(self._objects, job_id)
             if isinstance(read, Failure):
                 return Failure(self._store_problem(read.failure(), maybe_applied=False))
-            stored = read.unwrap()
-            items = decode_items(stored) if stored is not None else ()
+            items = read.unwrap() or ()
         for item in items:
             if item.id == item_id:
                 return Success(item.body)
@@ -271,6 +271,12 @@
         if body is None:
             detail = f"result text object {record.text_object!r} is missing"
             return Failure(Problem(ResultCode.INTERNAL_ERROR, detail))
+        if record.text_bytes and len(body) != record.text_bytes:
+            error = Unavailable(
+                f"result text object {record.text_object!r} was not read whole",
+                maybe_applied=False,
+            )
+            return Failure(self._store_problem(error, maybe_applied=False))
         return Success(body.decode())
 
     def _store_problem(self, error: Unavailable, *, maybe_applied: bool) -> Problem:
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -38,6 +38,7 @@
 FEED_TIMEOUT_MARGIN_S = 0.8
 # With these statuses the store has not applied the call.
 NOT_APPLIED_STATUSES = (502, 503, 429)
+HISTORY_LOST_STATUS = 410
 MAX_ROWS_PER_CALL = 500  # the maximum number of rows in one response
 LAST_CHARACTER = "\U0010ffff"
 
@@ -74,7 +75,7 @@
             ],
             "remove": [_encode_key(delete.key) for delete in transaction.deletes],
         }
-        result = await self._call(
+        result = await self._call_json(
             "POST",
             names.TRANSACT_PATH,
             body=msgspec.json.encode(body),
@@ -82,8 +83,7 @@
         )
         if isinstance(result, Failure):
             return result
-        status, reply = result.unwrap()
-        fields = msgspec.json.decode(reply)
+        status, fields = result.unwrap()
         if status == 412:
             rows = {row.key: row for row in map(_decode_row, fields.get("rows", ()))}
             return Failure(
@@ -136,10 +136,10 @@
         query = {"table": table, "part": part}
         query |= {"from": start} if start else {}
         query |= {"to": end} if end else {}
-        result = await self._call("GET", names.ROWS_PATH, query=query)
+        result = await self._call_json("GET", names.ROWS_PATH, query=query)
         if isinstance(result, Failure):
             return result
-        fields = msgspec.json.decode(result.unwrap()[1])
+        _, fields = result.unwrap()
         return Success(
             RowRange(
                 rows=tuple(map(_decode_row, fields["rows"])),
@@ -153,10 +153,10 @@
         parts: list[str] = []
         while True:
             query = {"table": table} | ({"after": parts[-1]} if parts else {})
-            result = await self._call("GET", names.PARTS_PATH, query=query)
+            result = await self._call_json("GET", names.PARTS_PATH, query=query)
             if isinstance(result, Failure):
                 return result
-            fields = msgspec.json.decode(result.unwrap()[1])
+            _, fields = result.unwrap()
             parts.extend(fields["parts"])
             if not fields.get("hasMore") or not fields["parts"]:
                 return Success(tuple(parts))
@@ -174,19 +174,18 @@
             "after": str(after),
             "waitMs": str(int(wait_s * 1000)),
         }
-        result = await self._call(
+        result = await self._call_json(
             "GET",
             names.CHANGES_PATH,
             query=query,
-            expected_statuses=(200, 410),
+            expected_statuses=(200, HISTORY_LOST_STATUS),
             timeout_s=wait_s + FEED_TIMEOUT_MARGIN_S,
         )
         if isinstance(result, Failure):
             return result
-        status, reply = result.unwrap()
-        if status == 410:
+        status, fields = result.unwrap()
+        if status == HISTORY_LOST_STATUS:
             return Failure(HistoryLost())
-        fields = msgspec.json.decode(reply)
         return Success(
             ChangePage(tuple(map(_decode_change, fields["rows"])), fields["ver"])
         )
@@ -222,6 +221,13 @@
         )
         return result.map(lambda reply: None)
 
+    async def _call_json(
+        self, method: str, path: str, **options: Any
+    ) -> Result[tuple[int, dict[str, Any]], Unavailable]:
+        """Make a call whose reply has a JSON body, if it has one."""
+        result = await self._call(method, path, **options)
+        return result.bind(_decode_reply)
+
     async def _call(
         self,
         method: str,
@@ -263,6 +269,24 @@
         )
 
 
+def _decode_reply(
+    reply: tuple[int, bytes],
+) -> Result[tuple[int, dict[str, Any]], Unavailable]:
+    """
+    Return the status and the fields of a reply.
+
+    A reply without a length may have been cut off.
+    """
+    status, body = reply
+    if status == HISTORY_LOST_STATUS:
+        return Success((status, {}))
+    try:
+        return Success((status, msgspec.json.decode(body)))
+    except msgspec.DecodeError as error:
+        reason = f"reply can't be decoded: {error}"
+        return Failure(Unavailable(reason, maybe_applied=True))
+
+
 def _observe_duration(path: str, outcome: str, started_s: float) -> None:
     if path == names.CHANGES_PATH:
         return  # its duration is mostly the requested wait
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -417,6 +417,34 @@
     with_fleet(check)
 
 
+def test_text_object_that_was_not_read_whole_is_no_result():
+    async def check(fleet):
+        fleet.engines.text = "x" * 6000
+        await submit(fleet, "h0", make_job(items=1))
+        (whole,) = await wait_done(fleet, "h1", "j1", 1)
+        fleet.store.cuts_objects = True
+        page = await fleet.hosts["h1"].job_service.results("j1", 0, 0.0)
+        assert page.failure().code is ResultCode.STORE_UNAVAILABLE
+        fleet.store.cuts_objects = False
+        assert await wait_done(fleet, "h1", "j1", 1) == (whole,)
+
+    with_fleet(check)
+
+
+def test_items_that_were_not_read_whole_are_read_again():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        fleet.store.cuts_objects = True
+        body = await fleet.hosts["h1"].job_service.body("j1", "j1-0")
+        assert body.failure().code is ResultCode.STORE_UNAVAILABLE
+        await fleet.kill("h0")
+        await asyncio.sleep(10.0)
+        fleet.store.cuts_objects = False
+        assert {r.text for r in await wait_done(fleet, "h1", "j1", 3)} == {TEXT}
+
+    with_fleet(check)
+
+
 def test_refused_runs_do_not_count_as_failed_attempts():
     async def check(fleet):
         refused = Fault(outcome=CallOutcome.REFUSED)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,6 +25,7 @@
     Transaction,
     Unavailable,
 )
+from tests.support.engine_scripts import Answer, Framing, ScriptedEngine
 
 KEY = RowKey("t", "k", "p1")
 WIRE_ROW = {
@@ -137,3 +138,28 @@
 def test_full_store_counts_as_unavailable():
     result, _ = call_store(507, {}, lambda c: c.put("a", b"x"))
     assert isinstance(result.failure(), Unavailable)
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        transact,
+        lambda c: c.rows("t"),
+        lambda c: c.parts("t"),
+        lambda c: c.changes("t", 4, 0.5),
+    ],
+)
+@pytest.mark.parametrize("sent_bytes", [0, 9])
+def test_reply_that_is_cut_off_counts_as_none(call, sent_bytes):
+    reply = {"rows": [WIRE_ROW], "parts": ["p"], "ver": 9}
+    answer = Answer(json.dumps(reply).encode(), Framing.NONE, sent_bytes=sent_bytes)
+
+    async def main():
+        async with ScriptedEngine() as script, open_store_session() as session:
+            script.scripts[""] = [answer]
+            return await call(StoreClient(session, f"127.0.0.1:{script.port}"))
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        error = runner.run(main()).failure()
+    assert isinstance(error, Unavailable)
+    assert error.maybe_applied
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -112,7 +112,7 @@
     async def _serve(self, sock: socket.socket) -> None:
         with sock:
             fields = await _read_request(sock)
-            request_id = fields["X-Aspenbridge-Attempt-Id"]
+            request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -69,6 +69,7 @@
         self.unreachable_for: set[str] = set()
         self.calls_time_out = False
         self.unreadable_tables: set[str] = set()  # reads of them fail
+        self.cuts_objects = False  # reads of objects return their first half
         # How many of the next writes get no reply. Only writes to the table
         # ``lossy_table`` count, or all writes if it is empty. After such a
         # write the hosts in ``unreachable_after_loss`` can't reach the store.
@@ -235,7 +236,10 @@
     async def get(self, name):
         if not await self._wait_for_store():
             return Failure(Unavailable("store unreachable", maybe_applied=False))
-        return Success(self._store.objects.get(name))
+        body = self._store.objects.get(name)
+        if body is not None and self._store.cuts_objects:
+            body = body[: len(body) // 2]
+        return Success(body)
 
     async def delete(self, name):
         self._store.objects.pop(name, None)
