Take cut replies of the older program's platform for unanswered

The same fault in its clients of the table service and the host list: a reply that can't be decoded raised an error and ended the task that read it. Its clients of engines ask for a finish reason and its peers' messages hold their own length, so neither takes a cut body for a whole one; a plain service's reply without a length that closes inside in an orderly way still looks whole, as nothing shows that it isn't.

--- a/src/aspenbridge/backends/_platform.py
+++ b/src/aspenbridge/backends/_platform.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
 import attrs
@@ -26,6 +26,7 @@
 
     from aspenbridge.ports import Transaction
 
+Reply = TypeVar("Reply")
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
@@ -99,6 +100,14 @@
             return Failure(Unavailable(type(error).__name__, maybe_applied=maybe_sent))
 
 
+def _decode(reply: bytes, reply_type: type[Reply]) -> Result[Reply, Unavailable]:
+    """Return the content of a reply; one without a length may be cut off."""
+    try:
+        return Success(msgspec.json.decode(reply, type=reply_type))
+    except msgspec.DecodeError as error:
+        return Failure(Unavailable(str(error), maybe_applied=True))
+
+
 class HttpTable:
     """Client for the transactional table service."""
 
@@ -117,10 +126,15 @@
             return Failure(result.failure())
         status, reply = result.unwrap()
         if status == STATUS_CONFLICT:
-            entries = msgspec.json.decode(reply, type=list[ConflictEntry])
-            return Failure(Conflict({entry.key: entry.row for entry in entries}))
-        versions = msgspec.json.decode(reply, type=list[VersionEntry])
-        return Success(Committed({entry.key: entry.version for entry in versions}))
+            conflict = _decode(reply, list[ConflictEntry])
+            if isinstance(conflict, Failure):
+                return conflict
+            rows = {entry.key: entry.row for entry in conflict.unwrap()}
+            return Failure(Conflict(rows))
+        versions = _decode(reply, list[VersionEntry])
+        return versions.map(
+            lambda entries: Committed({entry.key: entry.version for entry in entries})
+        )
 
     async def read(
         self, keys: Sequence[RowKey]
@@ -128,9 +142,8 @@
         """Return the rows in the order of the keys; None for absent rows."""
         body = msgspec.json.encode(ReadQuery(tuple(keys)))
         result = await self._client.send("POST", "/v1/read", body)
-        return result.map(
-            lambda reply: tuple(msgspec.json.decode(reply[1], type=list[Row | None]))
-        )
+        rows = result.bind(lambda reply: _decode(reply[1], list[Row | None]))
+        return rows.map(tuple)
 
     async def scan(
         self, table: str, prefix: str, *, after: str = "", limit: int = 1000
@@ -138,7 +151,7 @@
         """Return a page of rows whose keys have the prefix, in key order."""
         body = msgspec.json.encode(ScanQuery(table, prefix, after, limit))
         result = await self._client.send("POST", "/v1/scan", body)
-        return result.map(lambda reply: msgspec.json.decode(reply[1], type=Page))
+        return result.bind(lambda reply: _decode(reply[1], Page))
 
 
 class HttpObjects:
@@ -178,6 +191,5 @@
     async def hosts(self) -> Result[tuple[HostEntry, ...], Unavailable]:
         """Return each listed host."""
         result = await self._client.send("GET", "/v1/hosts")
-        return result.map(
-            lambda reply: tuple(msgspec.json.decode(reply[1], type=list[HostEntry]))
-        )
+        hosts = result.bind(lambda reply: _decode(reply[1], list[HostEntry]))
+        return hosts.map(tuple)
