Serve HTTP/1.0 callers, and reset what would look complete to them

Callers of HTTP/1.0 got a 500 of the HTTP library after an engine had run their request: chunks were asked for, which that version doesn't know. Found by the tests of what a caller sees of an answer's end; no caller of the platform uses this version.

Whole answers now have a length for all callers. A stream to an HTTP/1.0 caller ends with its connection, so that a cut one must not end in an orderly way: its connection is reset when it is closed, by an abort, a stop or the kernel after a kill, unless the end of the body was written after all of the body had left.

--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING, TypeVar
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from returns.result import Failure
 
 from aspenbridge.observability import log_decision
@@ -21,6 +24,9 @@
     from aspenbridge.result_codes import Problem
 
 Value = TypeVar("Value")
+# Values of SO_LINGER: whether it is on, and for how many seconds.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
 class HttpResponseWriter:
@@ -29,14 +35,25 @@
     def __init__(self, request: web.BaseRequest, host: EntryHost) -> None:
         self._request = request
         self._host = host
+        self._ends_with_connection = False
         self.response: web.StreamResponse | None = None
 
-    async def begin(self, head: AnswerHead) -> None:
-        """Send status and headers."""
+    async def begin(self, head: AnswerHead, length: int | None = None) -> None:
+        """
+        Send status and headers.
+
+        :param length: the size of the body in bytes, if it is known.
+        """
         response = web.StreamResponse(status=head.status)
         for name, value in head.headers:
             response.headers.add(name, value)
-        response.enable_chunked_encoding()
+        if length is not None:
+            response.content_length = length
+        elif self._request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            self._ends_with_connection = True
+            self._expect_reset()
         if self._host.leaving:
             response.force_close()
         self.response = response
@@ -51,11 +68,37 @@
         """End the body."""
         assert self.response is not None
         await self.response.write_eof()
+        if self._ends_with_connection:
+            self._set_linger(ORDERLY_CLOSE)
 
     def abort(self) -> None:
         """Close the connection, so that the response is seen as incomplete."""
-        if self._request.transport is not None:
-            self._request.transport.close()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._ends_with_connection:
+            transport.abort()
+        else:
+            transport.close()
+
+    def _expect_reset(self) -> None:
+        """
+        Have the connection reset, unless the body ends before it is closed.
+
+        An HTTP/1.0 caller takes an orderly close for the end of the body, also
+        one by the kernel when this process is killed. Without a write buffer
+        the end of the body is written only after all of the body has left.
+        """
+        transport = self._request.transport
+        if isinstance(transport, asyncio.WriteTransport):
+            transport.set_write_buffer_limits(high=0)
+        self._set_linger(RESET_ON_CLOSE)
+
+    def _set_linger(self, option: bytes) -> None:
+        transport = self._request.transport
+        sock = None if transport is None else transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     async def refuse(self, problem: Problem) -> None:
         """Set the response to an error of this system itself."""
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -296,7 +296,7 @@
         if progress.begun or (failed and progress.may_switch_engine):
             reason = f"engine answered with status {answer.head.status}"
             raise AttemptError(CallOutcome.BROKEN, reason)
-        await progress.begin(answer.head)
+        await progress.begin(answer.head, len(body))
         await progress.send(body)
         await progress.writer.finish()
 
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -37,8 +37,8 @@
 class ResponseWriter(Protocol):
     """Writes the response to one request of a caller."""
 
-    async def begin(self, head: AnswerHead) -> None:
-        """Send status and headers."""
+    async def begin(self, head: AnswerHead, length: int | None = None) -> None:
+        """Send status and headers; ``length`` is the body's, if known."""
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -81,10 +81,10 @@
         """Whether the head of an answer was sent to the caller."""
         return self.status is not None
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: AnswerHead, length: int | None = None) -> None:
         """Send the head of an engine's answer to the caller."""
         self.status = head.status
-        await self.writer.begin(head)
+        await self.writer.begin(head, length)
 
     async def send(self, data: bytes, events: int = 0) -> None:
         """Send a part of the body, which has so many events, to the caller."""
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -388,3 +388,95 @@
         assert host.engine.resumed_after[item_id] == [None, EVENTS - 1, EVENTS - 2]
 
     with_host(check)
+
+
+BIG_EVENTS = 60_000  # more bytes than the buffers between host and caller hold
+BROKEN_OFF = {"sent_bytes": len(stream_of(2)) + 9}
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("framing", Framing)
+def test_sound_answers_reach_callers_of_each_http_version_whole(version, framing):
+    async def check(host):
+        stream = await host.call("once", [Answer(STREAM, framing)], version=version)
+        assert stream[:3] == (200, STREAM, True)
+        whole = Answer(WHOLE, framing, content_type="text/plain")
+        reply = await host.call("once", [whole], version=version)
+        assert reply[:3] == (200, WHOLE, True)
+        assert reply.headers["Content-Length"] == str(len(WHOLE))
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("end", End)
+def test_broken_stream_does_not_look_complete_to_a_slow_caller(version, end):
+    async def check(host):
+        body = stream_of(BIG_EVENTS)
+        answer = Answer(body, Framing.NONE, end, sent_bytes=len(body) - 3)
+        with await host.connect() as sock:
+            await host.send(sock, "once", [answer], version=version)
+            await asyncio.sleep(0.3)
+            reply = await read_reply(sock)
+        assert not reply.complete
+
+    with_host(check)
+
+
+def test_whole_stream_reaches_a_slow_caller_whole():
+    async def check(host):
+        body = stream_of(BIG_EVENTS)
+        with await host.connect() as sock:
+            await host.send(sock, "once", [Answer(body, Framing.NONE)])
+            await asyncio.sleep(0.3)
+            assert (await read_reply(sock))[:3] == (200, body, True)
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_kept_connection_ends_with_a_broken_stream_and_brings_nothing_more(version):
+    async def check(host):
+        keep = ("Connection: keep-alive",)
+        whole = Answer(WHOLE, content_type="text/plain")
+        with await host.connect() as sock:
+            await host.send(sock, "once", [whole], version=version, headers=keep)
+            assert (await read_reply(sock))[:3] == (200, WHOLE, True)
+            broken_off = Answer(STREAM, Framing.NONE, End.RESET, **BROKEN_OFF)
+            await host.send(sock, "once", [broken_off], version=version, headers=keep)
+            reply = await read_reply(sock)
+            assert not reply.complete
+            assert b"HTTP/1" not in reply.body[len(b"HTTP/1") :]
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_stream_cut_by_a_stop_of_the_host_does_not_look_complete(version):
+    async def check(host):
+        answer = Answer(STREAM, Framing.NONE, End.SILENCE, sent_bytes=len(stream_of(2)))
+        with await host.connect() as sock:
+            await host.send(sock, "once", [answer], version=version)
+            await asyncio.sleep(0.2)
+            assert not await host.ingress.drain(0.1)
+            await host.ingress.__aexit__(None, None, None)
+            reply = await read_reply(sock)
+        assert not reply.complete
+
+    with_host(check)
+
+
+def test_request_whose_body_is_cut_off_reaches_no_engine():
+    async def check(host):
+        for headers in (("Content-Length: 9",), ("Transfer-Encoding: chunked",)):
+            with await host.connect() as sock:
+                lines = ["POST /once/cut HTTP/1.1", "Host: a.example", *headers]
+                part = "5\r\nabc" if "chunked" in headers[0] else "abc"
+                data = "\r\n".join([*lines, "", part]).encode()
+                await asyncio.get_running_loop().sock_sendall(sock, data)
+                await asyncio.sleep(0.1)
+                sock.shutdown(socket.SHUT_WR)
+                assert (await read_reply(sock)).status != 200
+        assert host.engine.resumed_after == {}
+
+    with_host(check)
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -14,6 +14,7 @@
 from aspenbridge.loop import listening_socket
 
 LINGER_ON_ZERO_S = struct.pack("ii", 1, 0)  # closing the socket resets the connection
+LAST_BYTES = 40  # of an answer; the engine sends them in one piece
 READ_DELAY_S = 0.05  # in which the host reads what was sent
 
 
@@ -117,10 +118,13 @@
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
             answer = self.scripts[request_id].pop(0)
+            data = answer.encode(request_id, after)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, data[:-LAST_BYTES])
             # Nothing else runs between this and a reset behind the data.
-            sock.send(answer.encode(request_id, after))
+            sock.send(data[-LAST_BYTES:])
             if answer.end is End.SILENCE:
-                await asyncio.get_running_loop().sock_recv(sock, 1)
+                await loop.sock_recv(sock, 1)
             if answer.end is End.RESET:
                 await asyncio.sleep(READ_DELAY_S)
             if answer.end in (End.RESET, End.RESET_BEHIND_DATA):
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -510,7 +510,7 @@
     problem: object = None
     first_write_s: float | None = None  # when the first part was written
 
-    async def begin(self, head):
+    async def begin(self, head, length=None):
         self.status = head.status
 
     async def write(self, data):
