Place batch items again however many engines crashed under them

Cause: the quarantine of requests that crash engines took batch items for requests that may come again. An item is owed whatever crashes under it, its users hand in none that crashes engines, and nobody resends it.

Now items are not quarantined and don't report crashes. Their runs are put off by growing delays, up to 4 s for 6.4 s before, since an item has to be placed within 5 s of a calm. A host no longer waits for the table of crashes before it claims jobs. The flag 'late' of crashes, which only items had, is still written for hosts of the build before.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -136,10 +136,9 @@
             self.quarantine,
             clock,
         )
-        crash_follower = Follower(*feed_options, CRASHES_TABLE, self.quarantine)
         self._followers = (
             Follower(*feed_options, tables.configuration_table, self.configuration),
-            crash_follower,
+            Follower(*feed_options, CRASHES_TABLE, self.quarantine),
             engine_follower,
             host_follower,
             head_follower,
@@ -147,7 +146,6 @@
         self._loaded_before_claims = (
             host_follower.loaded,
             head_follower.loaded,
-            crash_follower.loaded,
         )
         self.reachability = Reachability(
             self._heartbeat, host_follower, self.hosts, self.load_view
@@ -171,7 +169,6 @@
             self.load_view,
             health,
             ports.engine_caller,
-            self.quarantine,
             clock,
             random,
             lambda: self.configuration.current,
@@ -277,8 +274,7 @@
         """
         Enable claims once the tables that they depend on have been read.
 
-        Before that, a live owner of a job could count as lost, and an item
-        that crashes engines could run again.
+        Before that, a live owner of a job could count as lost.
         """
         for loaded in self._loaded_before_claims:
             await loaded.wait()
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -34,9 +34,9 @@
     What one host saw of requests that crash engines, encoded as an array.
 
     Requests are given by their fingerprints and times by their age in seconds.
-    ``crashes`` holds the fields of a ``CrashId``, whether the engine had run
-    the request for a while, and whether it has ended for certain. ``cleared``
-    holds the requests that have completed.
+    ``crashes`` holds the fields of a ``CrashId``, a flag that only builds that
+    quarantined batch items set, and whether the engine has ended for certain.
+    ``cleared`` holds the requests that have completed.
     """
 
     crashes: tuple[tuple[str, tuple[str, int, int], float, bool, bool], ...] = ()
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -21,7 +21,9 @@
     from ._records import JobHead, ProgressRecord
 
 RETRY_DELAY_S = 0.1  # an engine frees a slot about this often
-MAX_DOUBLINGS = 6  # 6.4 s, by which an engine that crashed has restarted
+# An item has to be placed within 5 s once engines are up and have free slots.
+MAX_RETRY_DELAY_S = 4.0
+MAX_DOUBLINGS = 6  # reach that delay
 
 
 @attrs.define
@@ -70,7 +72,7 @@
         """
         self.events_at_delay = len(self.events)
         doublings = min(self.failures + self.runs_without_progress, MAX_DOUBLINGS)
-        delay_s = RETRY_DELAY_S * 2**doublings
+        delay_s = min(RETRY_DELAY_S * 2**doublings, MAX_RETRY_DELAY_S)
         self.not_before_s = now_s + delay_s
 
 
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -32,7 +32,6 @@
         Route,
     )
     from aspenbridge.ports import Clock, EngineCaller
-    from aspenbridge.quarantine import Quarantine
     from aspenbridge.store import Stored
 
     from ._directory import JobDirectory
@@ -43,8 +42,6 @@
 
 logger = logging.getLogger(__name__)
 DISPATCH_INTERVAL_S = 0.25  # nothing wakes the loop when a retry delay ends
-# An item that crashes engines does so within this time from its start.
-LATE_CRASH_S = 1.0
 EXPIRY_SLACK_S = 3.0  # exceeds the clock skew between two hosts
 
 
@@ -61,7 +58,6 @@
         load_view: LoadView,
         health: EngineHealth,
         engine_caller: EngineCaller,
-        quarantine: Quarantine,
         clock: Clock,
         random: Random,
         configuration: Callable[[], Configuration | None],
@@ -73,7 +69,6 @@
         self._load_view = load_view
         self._health = health
         self._engine_caller = engine_caller
-        self._quarantine = quarantine
         self._clock = clock
         self._random = random
         self._configuration = configuration
@@ -212,7 +207,6 @@
         Return the items that may start now, in the order of their start.
 
         Items without a route and items of an expired job fail permanently.
-        Quarantined items wait for a trial or for the end of their job.
         """
         waiting = []
         now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
@@ -225,7 +219,7 @@
                 self._fail_permanently(job, state, "no route matches the item any more")
             elif self._clock.wall_s() > job.head.expires_wall_s + EXPIRY_SLACK_S:
                 self._fail_permanently(job, state, "the job has expired")
-            elif self._quarantine.admits(job.fingerprints[state.index]):
+            else:
                 waiting.append((job, state, route))
         return waiting
 
@@ -250,7 +244,6 @@
         job, state = run.job, run.state
         self._load_view.add(run.engine_id, batch=-1)
         if state.index in job.running:  # the run was cancelled or raised an error
-            self._record_stopped_run(job, state)
             job.requeue(state)
             state.delay_retry(self._clock.now_s())
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -262,9 +255,6 @@
     ) -> None:
         item = job.items[state.index]
         started_s, events_before = self._clock.now_s(), len(state.events)
-        if not await self._quarantine.begin_run(job.fingerprints[state.index]):
-            job.requeue(state)
-            return
         remaining_s = job.head.expires_wall_s - self._clock.wall_s()
         run = await run_item(
             self._engine_caller,
@@ -290,11 +280,6 @@
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
-        ran_well = (
-            len(state.events) > events_before
-            and self._clock.now_s() - started_s >= LATE_CRASH_S
-        )
-        self._update_quarantine(job.fingerprints[state.index], engine, run, ran_well)
         if run.outcome is ItemOutcome.COMPLETE:
             events = len(state.events)
             run_s = self._clock.now_s() - started_s
@@ -313,35 +298,6 @@
         elif run.call_outcome is None:
             self._health.record_answer(engine.id)
 
-    def _update_quarantine(
-        self,
-        fingerprint: str,
-        engine: EngineEntry,
-        run: ItemRunResult,
-        ran_well: bool,
-    ) -> None:
-        if run.call_outcome is None:
-            self._quarantine.record_completed(fingerprint)
-        elif run.call_outcome is CallOutcome.BROKEN:
-            self._quarantine.record_broken_run(
-                fingerprint,
-                engine,
-                connection_lost=run.connection_lost,
-                late=ran_well,
-            )
-        else:
-            self._quarantine.record_not_run(fingerprint)
-
-    def _record_stopped_run(self, job: OwnedJob, state: ItemState) -> None:
-        """Count a trial that was stopped as passed if its engine generated."""
-        fingerprint = job.fingerprints[state.index]
-        if not self._quarantine.is_quarantined(fingerprint):
-            return
-        if len(state.events) > state.events_at_delay:
-            self._quarantine.record_completed(fingerprint)
-        else:
-            self._quarantine.record_not_run(fingerprint)
-
     def _retry_or_fail(
         self, job: OwnedJob, state: ItemState, route: Route, run: ItemRunResult
     ) -> None:
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -25,11 +25,7 @@
     from aspenbridge.fleet import EngineEntry
 
 QUARANTINE_CRASHES = 3
-# The limit if crashes count that came after the engine had generated for a
-# while. It is higher, since such a request mostly ran beside the one to blame.
-QUARANTINE_CRASHES_IN_ALL = 4
-# How long a quarantined request waits for each of its trials. Both trials of a
-# batch item fit into the time until its job expires.
+# How long a quarantined request waits for each of its trials.
 TRIAL_DELAYS_S = (15.0, 30.0)
 RETENTION_S = 3600.0  # from a request's last crash until it is forgotten
 # An engine is down for longer than this after a crash, and all hosts see the
@@ -69,7 +65,6 @@
 
     ``at_s`` is the monotonic time at which the run broke off. ``silent``: the
     connection did not end, but no data came in time or the caller left.
-    ``late``: the engine had generated for a while before.
     ``confirmed`` tells whether the engine has ended for certain, ``stored``
     whether the store holds a row of the crash. ``write_at_s`` is when this
     host writes the row, unless another host has by then.
@@ -78,7 +73,6 @@
     id: CrashId
     at_s: float
     silent: bool = False
-    late: bool = False
     confirmed: bool = False
     stored: bool = False
     write_at_s: float = float("inf")
@@ -112,8 +106,7 @@
     @property
     def quarantined(self) -> bool:
         """Whether the request runs in trials only."""
-        early = sum(c.counted and not c.late for c in self.crashes.values())
-        return early >= QUARANTINE_CRASHES or self.count >= QUARANTINE_CRASHES_IN_ALL
+        return self.count >= QUARANTINE_CRASHES
 
     def allowed_from_s(self) -> float:
         """Return from when on the request may run."""
@@ -217,7 +210,6 @@
             suspect = self._suspects[fingerprint] = Suspect()
         known = suspect.crashes.setdefault(crash.id, crash)
         known.silent = known.silent and crash.silent
-        known.late = known.late and crash.late
         known.confirmed = known.confirmed or crash.confirmed
         known.stored = known.stored or crash.stored
         return known
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -58,9 +58,9 @@
     Decides which requests may run, by what is known of their crashes.
 
     Is this host's copy of the table of crashes, which a follower updates. The
-    relay and the worker of batch items report each run: ``begin_run`` before
-    it is sent, then ``record_completed``, ``record_broken_run`` or
-    ``record_not_run``.
+    relay reports each run: ``begin_run`` before it is sent, then
+    ``record_completed``, ``record_broken_run`` or ``record_not_run``. Batch
+    items are not held back: they are still owed after any number of crashes.
     """
 
     def __init__(
@@ -144,14 +144,11 @@
         engine: EngineEntry,
         *,
         connection_lost: bool,
-        late: bool = False,
     ) -> None:
         """
         Record that a request may have run without a whole answer.
 
         An engine that is leaving ends its runs as planned.
-
-        :param late: whether the engine had generated for a while before.
         """
         self._own_trials.pop(fingerprint, None)
         entry = self._engines.get(engine.id)
@@ -166,7 +163,7 @@
             list_current=self._engine_follower.age_s < FRESH_LIMIT_S,
         )
         crash = self._record(
-            fingerprint, Crash(crash_id, now_s, silent=not connection_lost, late=late)
+            fingerprint, Crash(crash_id, now_s, silent=not connection_lost)
         )
         if crash is not None:
             self._seen[fingerprint, crash_id] = crash
@@ -201,7 +198,7 @@
                 if not crash.stored and (fingerprint, crash.id) not in self._seen
             ]
         crashes = [
-            (fingerprint, crash.id, now_s - crash.at_s, crash.late, crash.confirmed)
+            (fingerprint, crash.id, now_s - crash.at_s, False, crash.confirmed)
             for fingerprint, crash in sorted(known, key=lambda item: item[1].at_s)
             if crash.counted
         ]
@@ -217,10 +214,8 @@
         now_s = self._clock.now_s()
         for fingerprint, age_s in notices.cleared:
             self._ledger.clear(fingerprint, now_s - age_s)
-        for fingerprint, crash_id, age_s, late, confirmed in notices.crashes:
-            crash = Crash(
-                CrashId(*crash_id), now_s - age_s, late=late, confirmed=confirmed
-            )
+        for fingerprint, crash_id, age_s, _, confirmed in notices.crashes:
+            crash = Crash(CrashId(*crash_id), now_s - age_s, confirmed=confirmed)
             self._record(fingerprint, crash)
 
     def replace(self, rows: tuple[Row, ...]) -> None:
@@ -275,7 +270,7 @@
             return
         record = decode_record(value, CrashRecord)
         at_s = self._monotonic_s(record.at_wall_s)
-        crash = Crash(subject, at_s, late=record.late, confirmed=True, stored=True)
+        crash = Crash(subject, at_s, confirmed=True, stored=True)
         if self._record(fingerprint, crash) is None and fingerprint in self._cleared_s:
             # Another host wrote it before it heard of the clearing.
             self._rows.discard_row(crash_key(fingerprint, subject))
--- a/src/aspenbridge/quarantine/_records.py
+++ b/src/aspenbridge/quarantine/_records.py
@@ -21,7 +21,7 @@
     started_ms: int
     number: int
     at_wall_s: float
-    late: bool
+    late: bool = False  # only read by builds that quarantined batch items
 
 
 @attrs.frozen
--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -52,7 +52,7 @@
         changes = Changes()
         for fingerprint, crash in due:
             at_wall_s = wall_s - (now_s - crash.at_s)
-            record = CrashRecord(fingerprint, *crash.id, at_wall_s, crash.late)
+            record = CrashRecord(fingerprint, *crash.id, at_wall_s)
             changes.put(crash_key(fingerprint, crash.id), record)
             crash.write_at_s = self._next_try_s()
         if due and await self._commit(changes):
--- a/tests/entry/test_unlucky_items.py
+++ b/tests/entry/test_unlucky_items.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from tests.entry.test_crashing_requests import read_results, submit, with_fleet
+from aspenbridge.quarantine import CRASHES_TABLE
+from tests.entry.test_crashing_requests import (
+    CRASHING,
+    crashes_of,
+    read_results,
+    stored_crashes,
+    submit,
+    with_fleet,
+)
 
 ITEMS = 12
 EVENTS = 150  # three seconds of an engine's work
@@ -82,3 +90,76 @@
         assert await all_done(fleet)
 
     with_fleet(check, events=EVENTS)
+
+
+def test_item_is_never_quarantined():
+    async def check(fleet):
+        fleet.engine_down_s = 0.4
+        await submit(fleet, bodies())
+        await crash_under_items(fleet)
+        for host in fleet.hosts.values():
+            assert len(host.quarantine._ledger) == 0
+        assert stored_crashes(fleet) == []
+
+    with_fleet(check, events=EVENTS)
+
+
+def test_item_that_crashes_each_engine_is_retried_with_delays_until_its_job_expires():
+    async def check(fleet):
+        await submit(fleet, [b"one", CRASHING, b"three"])
+        await asyncio.sleep(59.0)
+        assert set(await read_results(fleet)) == {"j1-0", "j1-2"}
+        # Delays of 0.1 s, doubled up to 4 s, leave room for so many runs.
+        assert 10 <= len(crashes_of(fleet)) <= 7 + 60 / 4.0
+        await asyncio.sleep(10.0)
+        assert (await read_results(fleet))["j1-1"] is None
+
+    with_fleet(check)
+
+
+def test_item_that_waits_for_its_next_run_takes_no_slot_from_others():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        async with asyncio.timeout(40.0):
+            while len(crashes_of(fleet)) < 8:
+                await asyncio.sleep(0.1)
+        host = fleet.hosts["h0"]
+        assert not host.load_view.own_loads()
+
+        def fail():
+            raise AssertionError("a slot was taken")
+
+        host.load_view.on_own_change = fail
+        await asyncio.sleep(2.5)
+        assert not host.task_died.is_set()
+
+    with_fleet(check)
+
+
+def test_item_under_which_engines_crashed_is_finished_during_an_outage_of_the_store():
+    async def check(fleet):
+        await submit(fleet, [CRASHING])
+        await asyncio.sleep(10.0)
+        fleet.engines.crashing_bodies.clear()
+        fleet.store.unreachable_for = {"*"}
+        runs = len(fleet.engines.runs)
+        await asyncio.sleep(CALM_S + RUN_S)
+        assert len(fleet.engines.runs) == runs + 1
+        fleet.store.unreachable_for = set()
+        await asyncio.sleep(5.0)
+        assert await read_results(fleet) == {"j1-0": TEXT}
+
+    with_fleet(check, events=EVENTS)
+
+
+def test_host_claims_jobs_before_it_has_read_the_crashes():
+    async def check(fleet):
+        await submit(fleet, bodies())
+        await asyncio.sleep(1.0)
+        await fleet.kill("h0")
+        fleet.store.unreadable_tables = {CRASHES_TABLE}
+        await fleet.start("late")
+        await asyncio.sleep(15.0)
+        assert len(await read_results(fleet, host="late")) == ITEMS
+
+    with_fleet(check, hosts=1, events=EVENTS)
