Read all pages of a job's saved progress when it is claimed

One read returns 500 rows or a megabyte at most, which about fifty long items of a job exceed; the others began anew at the next owner, and their saved rows stayed until the job was removed. The test of a takeover also reads pages of one row; that case failed before.

--- a/src/aspenbridge/jobs/_repository.py
+++ b/src/aspenbridge/jobs/_repository.py
@@ -36,6 +36,7 @@
         Clock,
         Committed,
         ObjectStore,
+        Row,
     )
     from aspenbridge.store import Store
 
@@ -305,17 +306,25 @@
         """
         # All rows of a job are in one part, a partition of the table. "0"
         # follows "/" in key order, so the range holds all keys of the job.
-        read = await self._feed.rows(
-            PROGRESS_TABLE, part_of(job_id), start=f"{job_id}/", end=f"{job_id}0"
-        )
-        if isinstance(read, Failure):
-            return None
+        start, end = f"{job_id}/", f"{job_id}0"
+        rows: list[Row] = []
+        while True:
+            read = await self._feed.rows(
+                PROGRESS_TABLE, part_of(job_id), start=start, end=end
+            )
+            if isinstance(read, Failure):
+                return None
+            page = read.unwrap()
+            rows.extend(page.rows)
+            if page.complete or not page.rows:
+                break
+            start = page.rows[-1].key.key + "\0"
         return [
             (
                 int(row.key.key.rpartition("/")[2]),
                 decode_record(row.value, ProgressRecord),
             )
-            for row in read.unwrap().rows
+            for row in rows
         ]
 
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -244,8 +244,10 @@
     return sum(key.table == "job_progress" for key in fleet.store.rows_by_key)
 
 
-def test_host_that_takes_over_resumes_from_the_last_save():
+@pytest.mark.parametrize("page_rows", [500, 1])
+def test_host_that_takes_over_resumes_from_the_last_save(page_rows):
     async def check(fleet):
+        fleet.store.page_rows = page_rows
         fleet.engines.event_s = 0.05
         await submit(fleet, "h0", make_job())
         await asyncio.sleep(4.5)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -69,6 +69,7 @@
         self.unreachable_for: set[str] = set()
         self.calls_time_out = False
         self.unreadable_tables: set[str] = set()  # reads of them fail
+        self.page_rows = 500  # the most rows that one read returns
         self.cuts_objects = False  # reads of objects return their first half
         # How many of the next writes get no reply. Only writes to the table
         # ``lossy_table`` count, or all writes if it is empty. After such a
@@ -193,7 +194,9 @@
             ),
             key=lambda row: row.key.key,
         )
-        return Success(RowRange(tuple(rows), self._store.version, complete=True))
+        page = tuple(rows[: self._store.page_rows])
+        complete = len(page) == len(rows)
+        return Success(RowRange(page, self._store.version, complete=complete))
 
     async def parts(self, table):
         if not await self._wait_for_store():
