--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -12,7 +12,7 @@
 from aspenbridge.jobs._claims import CLAIM_TURN_S
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._progress_saver import MIN_NEW_EVENTS, SAVE_INTERVAL_S
-from aspenbridge.jobs._records import ProgressRecord
+from aspenbridge.jobs._records import PROGRESS_TABLE, ProgressRecord
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
 from tests.support.entry_fleet import (
@@ -247,7 +247,7 @@
 @pytest.mark.parametrize("page_rows", [500, 1])
 def test_host_that_takes_over_resumes_from_the_last_save(page_rows):
     async def check(fleet):
-        fleet.store.page_rows = page_rows
+        fleet.store.page_rows[PROGRESS_TABLE] = page_rows
         fleet.engines.event_s = 0.05
         await submit(fleet, "h0", make_job())
         await asyncio.sleep(4.5)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -45,6 +45,7 @@
 
 STORE_DELAY_S = 0.004
 CALL_TIMEOUT_S = 1.0  # time after which a call without a reply fails
+MAX_PAGE_ROWS = 500
 EVENT_S = 0.02  # time between two events of a run
 ENTRY_LIFETIME_S = 3.6  # of an engine that is silent, in the store
 
@@ -69,7 +70,8 @@
         self.unreachable_for: set[str] = set()
         self.calls_time_out = False
         self.unreadable_tables: set[str] = set()  # reads of them fail
-        self.page_rows = 500  # the most rows that one read returns
+        # The most rows that one read of a table returns, if not ``MAX_PAGE_ROWS``.
+        self.page_rows: dict[str, int] = {}
         self.cuts_objects = False  # reads of objects return their first half
         # How many of the next writes get no reply. Only writes to the table
         # ``lossy_table`` count, or all writes if it is empty. After such a
@@ -194,7 +196,7 @@
             ),
             key=lambda row: row.key.key,
         )
-        page = tuple(rows[: self._store.page_rows])
+        page = tuple(rows[: self._store.page_rows.get(table, MAX_PAGE_ROWS)])
         complete = len(page) == len(rows)
         return Success(RowRange(page, self._store.version, complete=complete))
 
