Soak: answers that end early, or have neither length nor chunks

Engines end answers in drawn ways: each framing, by a close, a reset, a reset behind the last data or silence, in the head or at any event, sound ones without a length among them; all but the close between two events, which nothing tells from the end. Links pass resets on, and reset where they lost data: so far their 'reset' closed in an orderly way, and so did a connection whose bytes were dropped, which no network does. Two guards to remove: the check of pending resets and that of empty answers.

--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -11,6 +11,8 @@
 import attrs
 from aiohttp import web
 
+from tests.support.engine_scripts import Answer, End, Framing
+
 from ._links import Link
 
 if TYPE_CHECKING:
@@ -25,6 +27,7 @@
 CRASHING_PREFIX = "/free/crash-"  # of requests that crash engines
 ATTEMPT_ID_HEADER = "X-Aspenbridge-Attempt-Id"
 SERVER_STAMP_HEADER = "X-Aspenbridge-Server-Stamp"
+SILENCE_S = 2.0  # longer than a host waits for the next event
 NOT_EXECUTED_HEADERS = {"X-Aspenbridge-Not-Executed": "1"}
 
 
@@ -53,6 +56,9 @@
     wrong_response: float = 0.0  # responds as if to another request
     break_stream: float = 0.0  # aborts the connection after half of the events
     fail: float = 0.0  # responds with status 500
+    # Ends the response in a drawn way: it may be sound and have no length, or
+    # break off at any moment by a close, a reset or silence.
+    draw_end: float = 0.0
 
 
 class EngineStandIn:
@@ -120,6 +126,11 @@
                 "f" * 16,
                 ["of another request"] * len(events),
             )
+        first = int(request.headers.get("Last-Event-Id", -1)) + 1
+        if self._draw_fault(self.faults.draw_end):
+            return await self._respond_with_drawn_end(
+                request, request_id, events, first
+            )
         response = web.StreamResponse(
             headers=headers | {"Content-Type": "text/event-stream"}
         )
@@ -128,16 +139,48 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
             return self._abort_connection(request)
         await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", -1)) + 1
         breaks = self._draw_fault(self.faults.break_stream)
         for number in range(first, len(events)):
             await asyncio.sleep(EVENT_INTERVAL_S)
             if breaks and number == len(events) // 2:
                 return self._abort_connection(request)
-            event = f"id: {number}\ndata: {events[number]}\n\n"
-            await response.write(event.encode())
+            await response.write(_encode_events(events, number, number + 1))
         return response
 
+    async def _respond_with_drawn_end(
+        self, request: web.BaseRequest, request_id: str, events: list[str], first: int
+    ) -> web.StreamResponse:
+        """Send all or a part of a response and end the connection."""
+        draw = self._random
+        framing, end = draw.choice(list(Framing)), draw.choice(list(End))
+        stop = draw.randint(first, len(events))
+        body, sent = (_encode_events(events, first, n) for n in (len(events), stop))
+        parts: list[dict[str, int]] = [
+            {},
+            {"head_bytes": draw.randint(1, 100)},
+            {"sent_bytes": 0},
+            {"sent_bytes": min(len(sent) + draw.randint(1, 10), len(body))},
+            {"sent_bytes": len(sent)},
+        ]
+        part = draw.choice(parts)
+        if framing is Framing.NONE and end is End.CLOSE and part == parts[-1]:
+            part = {}  # a close between two events looks like the end
+        data = Answer(body, framing, end, **part).encode(request_id, None)
+        transport = request.transport
+        if transport is None:
+            return web.Response()
+        transport.write(data[: len(data) // 2])
+        await asyncio.sleep(EVENT_INTERVAL_S * draw.randint(0, len(events) - first))
+        transport.write(data[len(data) // 2 :])
+        if end is End.SILENCE:
+            await asyncio.sleep(SILENCE_S)
+        elif end is not End.CLOSE:
+            behind_data = end is End.RESET_BEHIND_DATA
+            port = transport.get_extra_info("peername")[1]
+            self.link.reset_after_end(port, behind_data=behind_data)
+        transport.close()
+        return web.Response()
+
     def _draw_fault(self, share: float) -> bool:
         return self._random.random() < share
 
@@ -145,3 +188,8 @@
         if request.transport is not None:
             request.transport.abort()
         return web.Response(status=500)
+
+
+def _encode_events(events: list[str], first: int, stop: int) -> bytes:
+    numbers = range(first, stop)
+    return b"".join(f"id: {n}\ndata: {events[n]}\n\n".encode() for n in numbers)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -71,6 +71,7 @@
             ("link to the store", self._store_link_fault),
             ("link to an engine", self._engine_link_fault),
             ("engine errs", self._engine_faulty),
+            ("engine ends answers early", self._engine_ends_answers_early),
             ("engine crashed", self._engine_crashes),
             ("engine drained", self._engine_drains),
             ("request crashes engines", self._request_crashes_engines),
@@ -224,6 +225,12 @@
         await asyncio.sleep(self._draw_duration_s())
         engine.faults = EngineFaults()
 
+    async def _engine_ends_answers_early(self) -> None:
+        engine = self._random.choice(self._run.engines)
+        engine.faults = EngineFaults(draw_end=0.6)
+        await asyncio.sleep(self._draw_duration_s())
+        engine.faults = EngineFaults()
+
     async def _engine_crashes(self) -> None:
         """Reset an engine's connections for good, and start another engine."""
         engine = self._random.choice(self._run.engines)
--- a/tests/soak/_links.py
+++ b/tests/soak/_links.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from enum import Enum
 from typing import Self
 
+from tests.support.engine_scripts import LINGER_ON_ZERO_S
+
+LAST_BYTES_S = 0.05  # in which the last bytes arrive before a connection ends
 CHUNK_BYTES = 65536  # the most bytes that are forwarded at a time
 # The delay of each chunk; shorter than the time limits of most calls.
 SLOW_DELAY_S = 0.3
@@ -30,8 +34,17 @@
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._serving: set[asyncio.Task[None]] = set()
+        self._resets: dict[int, bool] = {}  # by port of the link towards the server
         self.state = LinkState.OPEN
 
+    def reset_after_end(self, port: int, *, behind_data: bool) -> None:
+        """
+        Reset the client when the server ends the connection from this port.
+
+        :param behind_data: whether the reset follows the last data at once.
+        """
+        self._resets[port] = behind_data
+
     @property
     def address(self) -> str:
         """The IP address and port that clients connect to."""
@@ -57,7 +70,7 @@
 
     def _abort(self) -> None:
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -68,6 +81,7 @@
         self._serving.add(task)
         try:
             if self.state is LinkState.RESET:
+                _reset(writer)
                 return
             server_reader, server_writer = await asyncio.open_connection(*self._server)
             self._writers.add(server_writer)
@@ -91,8 +105,10 @@
         server_writer: asyncio.StreamWriter,
     ) -> None:
         directions = [
-            asyncio.create_task(self._forward(reader, server_writer, responses=False)),
-            asyncio.create_task(self._forward(server_reader, writer, responses=True)),
+            asyncio.create_task(self._forward_requests(reader, server_writer)),
+            asyncio.create_task(
+                self._forward_responses(server_reader, writer, server_writer)
+            ),
         ]
         try:
             await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
@@ -101,20 +117,49 @@
                 direction.cancel()
             await asyncio.gather(*directions, return_exceptions=True)
 
-    async def _forward(
+    async def _forward_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._forward(reader, writer, (LinkState.DROP_ALL,))
+        await asyncio.sleep(LAST_BYTES_S)
+
+    async def _forward_responses(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        *,
-        responses: bool,
+        server_writer: asyncio.StreamWriter,
     ) -> None:
+        lossy = LinkState.DROP_ALL, LinkState.DROP_RESPONSES
+        lost = await self._forward(reader, writer, lossy)
+        port = server_writer.get_extra_info("sockname")[1]
+        behind_data = self._resets.pop(port, None)
+        if not behind_data:
+            await asyncio.sleep(LAST_BYTES_S)
+        # A network that loses data does not end the connection in order.
+        if lost or behind_data is not None:
+            _reset(writer)
+
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        lossy_states: tuple[LinkState, ...],
+    ) -> bool:
+        """Forward until the end; return whether data was lost."""
+        lost = False
         while data := await reader.read(CHUNK_BYTES):
             if self.state is LinkState.SLOW:
                 await asyncio.sleep(SLOW_DELAY_S)
-            lost = self.state is LinkState.DROP_ALL
-            if lost or (responses and self.state is LinkState.DROP_RESPONSES):
+            if self.state in lossy_states:
+                lost = True
                 continue
             writer.write(data)
             await writer.drain()
-        # Lets the last bytes arrive before the connection is aborted.
-        await asyncio.sleep(0.05)
+        return lost
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
+    writer.transport.abort()
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -14,11 +14,13 @@
 import attrs
 from returns.result import Failure
 
+from aspenbridge import client_connections
 from aspenbridge.entry import _copies
 from aspenbridge.fleet import EngineDirectory
 from aspenbridge.jobs import _repository
 from aspenbridge.platform import _engine_calls
 from aspenbridge.platform.__main__ import run
+from aspenbridge.ports import AnswerHead
 from aspenbridge.quarantine._ledger import CrashLedger
 from aspenbridge.relay import _request
 from aspenbridge.store import Changes, Stored
@@ -91,6 +93,14 @@
     CrashLedger.record = record  # type: ignore[assignment,method-assign]
 
 
+def _without_reset_check() -> None:
+    client_connections.pending_error = lambda transport: None  # type: ignore[assignment]
+
+
+def _without_empty_answer_check() -> None:
+    AnswerHead.needs_body = property(lambda head: False)  # type: ignore[assignment]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "write condition": _without_write_condition,
     "claim check": _without_claim_check,
@@ -99,6 +109,8 @@
     "drain": _without_drain,
     "at most once": _without_at_most_once,
     "crash memory": _without_crash_memory,
+    "reset check": _without_reset_check,
+    "empty answers": _without_empty_answer_check,
 }
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,3 +24,12 @@
     assert oracle.violations == []
     assert oracle.fault_counts[kind] > 0
     assert any(len(crashed_s) >= 3 for crashed_s in oracle.crashed_s.values())
+
+
+def test_short_run_passes_no_answer_on_that_ended_early():
+    kind = "engine ends answers early"
+    options = Options(9, SECONDS, hosts=3, first_fault=kind, subnet=SUBNET)
+    oracle = run_seed(options)
+    assert oracle.violations == []
+    assert oracle.fault_counts[kind] > 0
+    assert oracle.response_counts["whole"] > 0
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -70,7 +70,7 @@
         self.unreachable_for: set[str] = set()
         self.calls_time_out = False
         self.unreadable_tables: set[str] = set()  # reads of them fail
-        # The most rows that one read of a table returns, if not ``MAX_PAGE_ROWS``.
+        # The most rows that one read returns, by table.
         self.page_rows: dict[str, int] = {}
         self.cuts_objects = False  # reads of objects return their first half
         # How many of the next writes get no reply. Only writes to the table
