Soak: more broken-off answers, resets that arrive with the data before them

Links now hold the last data back and send both at once; all engines end half of their answers in drawn ways.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,7 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--without", choices=sorted(GUARDS), default="")
+    parser.add_argument("--first", default="", help="the kind of the first fault")
     parser.add_argument("--slot", type=int, default=1)
     parser.add_argument("--logs", type=Path, help="keep the hosts' logs here")
     options = parser.parse_args()
@@ -43,6 +44,7 @@
             options.seconds,
             options.hosts,
             options.without,
+            options.first,
             subnet=options.slot,
         )
         oracle = run_seed(run, options.logs)
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -152,7 +152,8 @@
     ) -> web.StreamResponse:
         """Send all or a part of a response and end the connection."""
         draw = self._random
-        framing, end = draw.choice(list(Framing)), draw.choice(list(End))
+        framing = draw.choice((*Framing, Framing.NONE, Framing.NONE))
+        end = draw.choice((*End, End.CLOSE, End.RESET_BEHIND_DATA))
         stop = draw.randint(first, len(events))
         body, sent = (_encode_events(events, first, n) for n in (len(events), stop))
         parts: list[dict[str, int]] = [
@@ -171,13 +172,13 @@
             return web.Response()
         transport.write(data[: len(data) // 2])
         await asyncio.sleep(EVENT_INTERVAL_S * draw.randint(0, len(events) - first))
-        transport.write(data[len(data) // 2 :])
-        if end is End.SILENCE:
-            await asyncio.sleep(SILENCE_S)
-        elif end is not End.CLOSE:
+        if end in (End.RESET, End.RESET_BEHIND_DATA):
             behind_data = end is End.RESET_BEHIND_DATA
             port = transport.get_extra_info("peername")[1]
             self.link.reset_after_end(port, behind_data=behind_data)
+        transport.write(data[len(data) // 2 :])
+        if end is End.SILENCE:
+            await asyncio.sleep(SILENCE_S)
         transport.close()
         return web.Response()
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -226,10 +226,13 @@
         engine.faults = EngineFaults()
 
     async def _engine_ends_answers_early(self) -> None:
-        engine = self._random.choice(self._run.engines)
-        engine.faults = EngineFaults(draw_end=0.6)
+        """Have all engines end half of their answers in drawn ways."""
+        engines = list(self._run.engines)
+        for engine in engines:
+            engine.faults = EngineFaults(draw_end=0.5)
         await asyncio.sleep(self._draw_duration_s())
-        engine.faults = EngineFaults()
+        for engine in engines:
+            engine.faults = EngineFaults()
 
     async def _engine_crashes(self) -> None:
         """Reset an engine's connections for good, and start another engine."""
--- a/tests/soak/_links.py
+++ b/tests/soak/_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from enum import Enum
 from typing import Self
@@ -41,7 +42,8 @@
         """
         Reset the client when the server ends the connection from this port.
 
-        :param behind_data: whether the reset follows the last data at once.
+        :param behind_data: whether what the server sends from now on is held
+            back until then, so that the reset arrives together with it.
         """
         self._resets[port] = behind_data
 
@@ -130,13 +132,15 @@
         server_writer: asyncio.StreamWriter,
     ) -> None:
         lossy = LinkState.DROP_ALL, LinkState.DROP_RESPONSES
-        lost = await self._forward(reader, writer, lossy)
         port = server_writer.get_extra_info("sockname")[1]
-        behind_data = self._resets.pop(port, None)
-        if not behind_data:
+        lost, held = await self._forward(reader, writer, lossy, port)
+        if held:
+            # The transport would send it later than the reset.
+            os.write(writer.get_extra_info("socket").fileno(), held)
+        else:
             await asyncio.sleep(LAST_BYTES_S)
         # A network that loses data does not end the connection in order.
-        if lost or behind_data is not None:
+        if lost or self._resets.pop(port, None) is not None:
             _reset(writer)
 
     async def _forward(
@@ -144,18 +148,21 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         lossy_states: tuple[LinkState, ...],
-    ) -> bool:
-        """Forward until the end; return whether data was lost."""
-        lost = False
+        port: int | None = None,
+    ) -> tuple[bool, bytes]:
+        """Forward all data; return whether some was lost, and what is held."""
+        lost, held = False, b""
         while data := await reader.read(CHUNK_BYTES):
             if self.state is LinkState.SLOW:
                 await asyncio.sleep(SLOW_DELAY_S)
             if self.state in lossy_states:
                 lost = True
-                continue
-            writer.write(data)
-            await writer.drain()
-        return lost
+            elif port is not None and self._resets.get(port):
+                held += data
+            else:
+                writer.write(data)
+                await writer.drain()
+        return lost, held
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
