--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from aspenbridge.loop import listening_socket
-from aspenbridge.observability import metrics_text
+from aspenbridge.observability import log_decision, metrics_text
 from aspenbridge.relay import CallerRequest
 from aspenbridge.resources import StackOwner
 from aspenbridge.result_codes import Problem, ResultCode
@@ -147,6 +147,16 @@
             if self._host.leaving and not response.prepared:
                 response.force_close()
             return response
+        except asyncio.CancelledError:
+            log_decision(
+                "call cancelled",
+                request=request.headers.get(names.REQUEST_ID, ""),
+                method=request.method,
+                path=request.raw_path,
+                body_read=request.content.at_eof(),
+                host_leaving=self._host.leaving,
+            )
+            raise
         finally:
             self._busy_connections.discard(connection)
             self._last_request_ended_s = self._host.ports.clock.now_s()
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -199,6 +199,7 @@
             outcome=error.outcome.value,
             reason=error.reason,
             connection_lost=error.connection_lost,
+            remaining_ms=round((progress.call.deadline_s - self._clock.now_s()) * 1000),
             body_end=progress.answer and progress.answer.body_end.value,
             events=progress.events_sent,
             fingerprint=progress.fingerprint,
