Read the body of an engine's answer by calls that may be cancelled

No change of behaviour. A wait for the next part that was given up ended the whole answer, because it cancelled the generator of the body.

--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -15,8 +15,6 @@
 from . import _names as names
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from aspenbridge.ports import Clock, Headers, RelayedCall
 
 # Headers that apply to a single connection. They are not forwarded; aiohttp
@@ -64,15 +62,14 @@
     head: AnswerHead
     _response: aiohttp.ClientResponse
 
-    async def body(self) -> AsyncIterator[bytes]:
+    async def read(self) -> bytes:
         """
-        Yield parts of the body as they arrive.
+        Return the next part of the body; empty when the answer is complete.
 
         :raises AttemptError: when the body breaks off.
         """
         try:
-            async for chunk in self._response.content.iter_any():
-                yield chunk
+            return await self._response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(
                 CallOutcome.BROKEN, repr(error), connection_lost=True
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -8,8 +8,6 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from ._backends import CallOutcome
 
 FIRST_NOT_SUCCESS = 300  # the lowest status of a redirect or a failure
@@ -72,9 +70,11 @@
 
     head: AnswerHead
 
-    def body(self) -> AsyncIterator[bytes]:
+    async def read(self) -> bytes:
         """
-        Yield the body as it arrives, until the answer is complete.
+        Return the next part of the body; empty when the answer is complete.
+
+        A call that is cancelled loses no data: the next one returns them.
 
         :raises AttemptError: if the answer ends before it is complete.
         """
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -26,17 +26,16 @@
     :param gap_limit_s: returns how long the next chunk may take.
     :raises AttemptError: when the answer breaks off, or a chunk takes longer.
     """
-    chunks = answer.body()
     while True:
         try:
             async with asyncio.timeout(gap_limit_s()):
-                chunk = await anext(chunks)
-        except StopAsyncIteration:
-            return
+                chunk = await answer.read()
         except TimeoutError as error:
             raise AttemptError(
                 CallOutcome.BROKEN, "engine sent no data in time"
             ) from error
+        if not chunk:
+            return
         yield chunk
 
 
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -65,6 +65,13 @@
     return RelayedCall(**(fields | changes))
 
 
+async def read_whole(engine_response) -> bytes:
+    parts = []
+    while part := await engine_response.read():
+        parts.append(part)
+    return b"".join(parts)
+
+
 async def call_engine(answer: str, **options):
     async with (
         engine(answer, **options) as (address, requests),
@@ -76,7 +83,7 @@
             "i-1", address, make_call(), clock.now_s() + 5
         )
         try:
-            body = b"".join([chunk async for chunk in engine_response.body()])
+            body = await read_whole(engine_response)
         finally:
             engine_response.close()
         return engine_response.head, body, requests
@@ -218,7 +225,7 @@
             engine_response = await caller.open(
                 "i-1", address, make_call(), clock.now_s() + 5
             )
-            return b"".join([chunk async for chunk in engine_response.body()])
+            return await read_whole(engine_response)
 
     assert run_on_loop(check()) == b"ok"
 
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -387,6 +387,10 @@
         self._engines, self._run, self._fault = engines, run, fault
         self._slot = slot
         self._crash_count = crash_count  # of the engine when the run was sent
+        self._first_event = 0 if run.resume_after is None else run.resume_after + 1
+        self._next_event = self._first_event
+        self._broken = False  # whether a part of an event was sent
+        self._failed_body = b"failed"
         status = fault.status or 200
         self.head = AnswerHead(
             status,
@@ -395,19 +399,23 @@
             BodyEnd.CHUNKS,
         )
 
-    async def body(self):
+    async def read(self):
         if self._fault.status:
-            yield b"failed"
-            return
-        first = 0 if self._run.resume_after is None else self._run.resume_after + 1
-        for number in range(first, self._engines.events):
-            await asyncio.sleep(self._engines.event_s)
-            self.raise_if_crashed()
-            if self._fault.break_after == number - first:
-                yield f"id: {number}\nda".encode()
-                raise AttemptError(CallOutcome.BROKEN, "reset")
-            self._run.events.append(number)
-            yield f"id: {number}\ndata: {self._engines.text}{number}\n\n".encode()
+            rest, self._failed_body = self._failed_body, b""
+            return rest
+        if self._broken:
+            raise AttemptError(CallOutcome.BROKEN, "reset")
+        number = self._next_event
+        if number >= self._engines.events:
+            return b""
+        await asyncio.sleep(self._engines.event_s)
+        self.raise_if_crashed()
+        if self._fault.break_after == number - self._first_event:
+            self._broken = True
+            return f"id: {number}\nda".encode()
+        self._run.events.append(number)
+        self._next_event += 1
+        return f"id: {number}\ndata: {self._engines.text}{number}\n\n".encode()
 
     def raise_if_crashed(self) -> None:
         if self._engines.crash_count(self._run.engine) != self._crash_count:
