--- /dev/null
+++ b/tests/relay/test_silent_engines.py
@@ -0,0 +1,176 @@
+"""Engines that fall silent for a while and go on."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from aspenbridge.ports import CallOutcome
+from tests.relay.test_relay import stream_of, with_fleet
+from tests.support.entry_fleet import Fault, make_configuration, make_request
+
+ONLINE = make_configuration().routes[0]
+# A resumed run and the silent one before it may both run for this long.
+BOTH_RUN_LIMIT_S = 0.4
+SILENCES = [
+    pytest.param({"head_pause_s": pause_s}, id=f"head-{pause_s}")
+    for pause_s in (0.5, 0.9, 1.5)
+] + [
+    pytest.param({"pause_at": 4, "pause_s": pause_s}, id=f"events-{pause_s}")
+    for pause_s in (0.5, 0.9, 1.5)
+]
+
+
+def fill(fleet, *engine_ids, host="h0") -> None:
+    """Have a host run as many requests on engines as these have slots."""
+    for engine_id in engine_ids:
+        fleet.hosts[host].load_view.add(engine_id, online=8)
+
+
+async def fill_others(fleet) -> None:
+    """Fill the engines that don't run the request that has begun."""
+    while not fleet.engines.runs:
+        await asyncio.sleep(0.01)
+    fill(fleet, *(e for e in fleet.entries if e != fleet.engines.runs[0].engine))
+
+
+def assert_one_run_at_a_time(fleet) -> None:
+    runs = fleet.engines.runs
+    for number, run in enumerate(runs):
+        for later in runs[number + 1 :]:
+            assert run.ended_s <= later.started_s + BOTH_RUN_LIMIT_S
+
+
+@pytest.mark.parametrize("path", ["/online/x", "/once/x"])
+@pytest.mark.parametrize("silence", SILENCES)
+def test_stream_is_whole_when_its_engine_falls_silent_and_all_others_are_full(
+    silence, path
+):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(**silence)]
+        filling = asyncio.create_task(fill_others(fleet))
+        reply = await fleet.relay("h0", make_request(path=path))
+        await filling
+        assert (reply.status, reply.body) == (200, stream_of(10))
+        assert reply.finished
+        assert len(fleet.engines.runs) == 1
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("silence", SILENCES)
+def test_stream_is_whole_when_the_only_engine_falls_silent(silence):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(**silence)]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+
+    with_fleet(check, engines=1)
+
+
+@pytest.mark.parametrize("second", SILENCES)
+@pytest.mark.parametrize("first", SILENCES)
+def test_stream_is_whole_when_each_engine_that_gets_it_falls_silent(first, second):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(**first), Fault(**second)]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+        assert_one_run_at_a_time(fleet)
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("outcome", [CallOutcome.REFUSED, CallOutcome.NOT_SENT])
+@pytest.mark.parametrize("attempts", [2, 3])
+@pytest.mark.parametrize("silence", SILENCES)
+def test_stream_is_whole_when_all_other_engines_turn_it_away(
+    silence, attempts, outcome
+):
+    async def check(fleet):
+        route = attrs.evolve(ONLINE, max_attempts=attempts)
+        fleet.configurations[b"2"] = make_configuration(2, [route])
+        fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.5)
+        turned_away = [Fault(outcome=outcome, delay_s=0.06) for _ in range(40)]
+        fleet.engines.faults["r1"] = [Fault(**silence), *turned_away]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+        if outcome is CallOutcome.REFUSED:
+            used = 41 - len(fleet.engines.faults["r1"])
+            assert used <= attempts
+
+    with_fleet(check, engines=4)
+
+
+def test_stream_is_whole_when_its_engine_speaks_again_while_another_is_asked():
+    """The other engine does not begin; its queue is longer than known."""
+
+    async def check(fleet):
+        silent = Fault(pause_at=4, pause_s=0.65)
+        fleet.engines.faults["r1"] = [silent, Fault(head_pause_s=9.0)]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+        assert_one_run_at_a_time(fleet)
+
+    with_fleet(check)
+
+
+def test_stream_moves_to_an_engine_that_becomes_free_during_a_long_silence():
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(pause_at=4, pause_s=60.0)]
+        await asyncio.gather(free_later(fleet), relay_whole(fleet))
+        assert len(fleet.engines.runs) == 2
+        assert_one_run_at_a_time(fleet)
+
+    async def free_later(fleet):
+        await fill_others(fleet)
+        await asyncio.sleep(1.0)
+        for engine_id in fleet.entries:
+            if engine_id != fleet.engines.runs[0].engine:
+                fleet.hosts["h0"].load_view.add(engine_id, online=-8)
+
+    async def relay_whole(fleet):
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+
+    with_fleet(check)
+
+
+def test_silence_without_end_ends_the_answer_at_the_routes_limit():
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(pause_at=4, pause_s=60.0)]
+        started_s = fleet.clock.now_s()
+        reply = await fleet.relay("h0", make_request())
+        assert reply.aborted
+        assert 5.0 <= fleet.clock.now_s() - started_s < 5.4
+
+    with_fleet(check, engines=1)
+
+
+def test_both_engines_are_left_when_the_caller_leaves_during_a_handover():
+    async def check(fleet):
+        silent = Fault(pause_at=4, pause_s=60.0)
+        fleet.engines.faults["r1"] = [silent, Fault(head_pause_s=9.0)]
+        request = asyncio.create_task(fleet.relay("h0", make_request()))
+        while len(fleet.engines.runs) < 2:
+            await asyncio.sleep(0.01)
+        request.cancel()
+        await asyncio.gather(request, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        assert all(run.ended_s is not None for run in fleet.engines.runs)
+        view = fleet.hosts["h0"].load_view
+        assert all(view.load(engine_id).total == 0 for engine_id in fleet.entries)
+
+    with_fleet(check)
+
+
+def test_failure_of_an_engine_is_passed_on_when_no_other_engine_is_to_be_had():
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(status=500)]
+        fill(fleet, "e1")
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.status, reply.body, reply.finished) == (500, b"failed", True)
+
+    with_fleet(check)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -259,6 +259,9 @@
     break_after: int | None = None  # breaks the connection after so many events
     outcome: CallOutcome | None = None  # fails with it before the request runs
     delay_s: float = 0.0  # before it fails with ``outcome``
+    head_pause_s: float = 0.0  # silence before the head, after the run began
+    pause_at: int | None = None  # the event before which the engine is silent
+    pause_s: float = 0.0  # for how long
 
 
 @attrs.define
@@ -352,6 +355,15 @@
         except TimeoutError as error:
             raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
         answer = MemoryAnswer(self, run, fault, slot, crash_count)
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.sleep(fault.head_pause_s)
+        except TimeoutError as error:
+            answer.close()
+            raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
+        except asyncio.CancelledError:
+            answer.close()
+            raise
         if call.body in self.crashing_bodies:
             try:
                 await self._run_crashing(engine_id, call.body, crash_count, limit_s)
@@ -389,6 +401,7 @@
         self._crash_count = crash_count  # of the engine when the run was sent
         self._first_event = 0 if run.resume_after is None else run.resume_after + 1
         self._next_event = self._first_event
+        self._due_s: float | None = None  # when the next event is due
         self._broken = False  # whether a part of an event was sent
         self._failed_body = b"failed"
         status = fault.status or 200
@@ -408,7 +421,15 @@
         number = self._next_event
         if number >= self._engines.events:
             return b""
-        await asyncio.sleep(self._engines.event_s)
+        # The time of the event stands, so that a call that was cancelled and
+        # made again gets it when it is due.
+        loop = asyncio.get_running_loop()
+        if self._due_s is None:
+            paused = number == self._fault.pause_at
+            pause_s = self._fault.pause_s if paused else 0.0
+            self._due_s = loop.time() + self._engines.event_s + pause_s
+        await asyncio.sleep(self._due_s - loop.time())
+        self._due_s = None
         self.raise_if_crashed()
         if self._fault.break_after == number - self._first_event:
             self._broken = True
