Keep a silent engine's answer until another engine has answered

Callers saw: a stream cut, or 502, although its engine was sound and only silent for a second. Cause: a request that may run again was taken from an engine after 0.6 s of silence, and only then was another one looked for. If all others were full, paused, tried or refused it, nothing was left.

Now another engine is asked while the silent one is kept: only one that has a free slot and was not tried, looked for again each 0.1 s. The request moves once that engine has answered; if it refuses or can't be reached, the silent one goes on. For at most 0.3 s both have the request, since a run that is resumed elsewhere must not go on beside the new one.

--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -50,3 +50,10 @@
             spread = self._random.uniform(1.0, RETRY_SPREAD)
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
+
+    def place_elsewhere(
+        self, service: str, tried: Collection[str]
+    ) -> EngineEntry | None:
+        """Return an engine with a free slot that was not tried, if any."""
+        placed = place_online(self._view.candidates(service, exclude=tried), 0.0)
+        return None if isinstance(placed, Refused) else placed
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
@@ -14,12 +13,14 @@
 from aspenbridge.quarantine import QUARANTINE_CRASHES, request_fingerprint
 from aspenbridge.result_codes import Problem, ResultCode
 
+from ._attempt import Attempt, HandedOverError
 from ._events import EventSplitter
-from ._reading import read_chunks, read_events, read_whole
+from ._handover import EngineState, Verdict, judge_handover
+from ._reading import read_events, read_whole
 from ._request import Progress
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator
 
     from aspenbridge.fleet import (
         Configuration,
@@ -28,23 +29,23 @@
         LoadView,
         Route,
     )
-    from aspenbridge.ports import (
-        Clock,
-        EngineCaller,
-        RelayedAnswer,
-    )
+    from aspenbridge.ports import AnswerHead, Clock, EngineCaller
     from aspenbridge.quarantine import Quarantine
 
     from ._placement import OnlinePlacement
     from ._request import CallerRequest, ResponseWriter
 
-# A request that may run more than once (``Route.repeatable``) and has attempts
-# left is sent to another engine when the head of the answer takes longer than
-# the first limit, or the next chunk of the body longer than the second. They
-# are twice the time to the first event on a full engine, or twenty usual gaps
-# between events.
-ANSWER_HEAD_LIMIT_S = 0.6
-EVENT_GAP_LIMIT_S = 0.6
+Part = TypeVar("Part")
+# For a request that may run more than once (``Route.repeatable``) and has
+# attempts left, another engine is looked for when the next part of the answer
+# takes longer. That is twice the time to the first event on a full engine, or
+# twenty usual gaps between events.
+SILENCE_LIMIT_S = 0.6
+# How often to look again while the engine stays silent and no other is free.
+PLACEMENT_INTERVAL_S = 0.1
+# How long a silent engine and its successor may both have the request. A free
+# engine answers within half of it from another region.
+HANDOVER_LIMIT_S = 0.3
 MIN_ATTEMPT_S = 0.05  # less time than a first event takes
 # The retry delay of a request whose attempts have failed; the engines that
 # refused it have a free slot by then.
@@ -96,6 +97,7 @@
         progress = Progress(
             call=self._call(request, route),
             route=route,
+            service=self._placement.service(route),
             writer=writer,
             events=EventSplitter(request.resume_after),
             received_s=request.received_s,
@@ -124,43 +126,75 @@
 
     async def _serve(self, progress: Progress) -> str:
         """Try engines until one answers; return the outcome for the log."""
-        service = self._placement.service(progress.route)
         while True:
-            placed = self._placement.place(
-                service,
-                progress.route,
-                progress.tried,
-                self._clock.now_s() - progress.received_s,
-            )
-            if isinstance(placed, Refused):
-                return await self._fail(progress, placed)
-            if not await self._quarantine.begin_run(progress.fingerprint):
-                return await self._fail_quarantined(progress)
-            load = self._load_view.load(placed.id)
-            progress.engine, progress.found_load = placed.id, (load.online, load.batch)
+            attempt = await self._begin_attempt(progress)
+            if not isinstance(attempt, Attempt):
+                return attempt
+            if await self._answer(progress, attempt):
+                return "answered"
+            if not self._may_retry(progress):
+                return await self._fail(progress, Refused(RETRY_AFTER_S))
+
+    async def _answer(self, progress: Progress, attempt: Attempt) -> bool:
+        """
+        Relay the answer of an attempt, or of one that takes over from it.
+
+        :return: whether the answer is complete.
+        """
+        while True:
+            current = attempt
+            progress.engine = current.engine.id
+            progress.found_load = current.found_load
             try:
-                with self._counted_in_load(placed):
-                    await self._attempt(progress, placed)
+                await self._relay_answer(progress, current)
                 self._quarantine.record_completed(progress.fingerprint)
-                return "answered"
+                return True
+            except HandedOverError as error:
+                self._record_failure(progress, current.engine, error.reason)
+                attempt = error.successor
             except AttemptError as error:
-                self._record_failure(progress, placed, error)
+                self._record_failure(progress, current.engine, error)
+                return False
             except asyncio.CancelledError:
                 # The caller has left; the engine may still crash.
-                self._quarantine.record_broken_run(
-                    progress.fingerprint, placed, connection_lost=False
-                )
+                self._record_abandoned(progress, current)
                 raise
-            if not self._may_retry(progress):
-                return await self._fail(progress, Refused(RETRY_AFTER_S))
+            finally:
+                current.close()
 
-    @contextmanager
-    def _counted_in_load(self, engine: EngineEntry) -> Iterator[None]:
-        self._load_view.add(engine.id, online=1)
-        try:
-            yield
-        finally:
-            self._load_view.add(engine.id, online=-1)
+    async def _begin_attempt(self, progress: Progress) -> Attempt | str:
+        """Send the request to an engine, or fail it and return the outcome."""
+        placed = self._placement.place(
+            progress.service,
+            progress.route,
+            progress.tried,
+            self._clock.now_s() - progress.received_s,
+        )
+        if isinstance(placed, Refused):
+            return await self._fail(progress, placed)
+        if not await self._quarantine.begin_run(progress.fingerprint):
+            return await self._fail_quarantined(progress)
+        return self._start_attempt(progress, placed)
+
+    def _start_attempt(self, progress: Progress, engine: EngineEntry) -> Attempt:
+        call = progress.call
+        if progress.begun:
+            call = attrs.evolve(call, resume_after=progress.events.last_id)
+        load = self._load_view.load(engine.id)
+        opening = self._engine_caller.open(
+            engine.id, engine.address, call, call.deadline_s
+        )
+        return Attempt(
+            engine,
+            asyncio.ensure_future(opening),
+            (load.online, load.batch),
+            self._load_view,
+        )
+
+    def _record_abandoned(self, progress: Progress, attempt: Attempt) -> None:
+        self._quarantine.record_broken_run(
+            progress.fingerprint, attempt.engine, connection_lost=False
+        )
 
     def _may_retry(self, progress: Progress) -> bool:
         """
@@ -242,79 +276,156 @@
         await progress.writer.refuse(problem or overloaded)
         return "refused"
 
-    async def _attempt(self, progress: Progress, engine: EngineEntry) -> None:
+    async def _relay_answer(self, progress: Progress, attempt: Attempt) -> None:
         """
-        Send the request to one engine and relay its answer.
+        Relay an engine's answer to the caller.
 
         :raises AttemptError: when the attempt fails: no complete answer comes,
             a resumed stream gets an answer that is not a stream, or a server
             error comes while another engine may still be tried.
+        :raises HandedOverError: when another engine has taken it over.
         """
-        call = progress.call
-        if progress.begun:
-            call = attrs.evolve(call, resume_after=progress.events.last_id)
         progress.answer = None
-        answer = await self._engine_caller.open(
-            engine.id, engine.address, call, self._answer_deadline_s(progress)
-        )
+        answer = await self._part(progress, attempt, attempt.opening, SILENCE_LIMIT_S)
         progress.answer = answer.head
-        try:
-            self._health.record_answer(engine.id)
-            if answer.head.streams and answer.head.status < SERVER_ERROR:
-                await self._relay_events(progress, answer)
-            else:
-                await self._relay_whole(progress, answer)
-        finally:
-            answer.close()
-
-    def _answer_deadline_s(self, progress: Progress) -> float:
-        """Return until when to wait for the head of an engine's answer."""
-        if progress.may_switch_engine:
-            limit_s = self._clock.now_s() + ANSWER_HEAD_LIMIT_S
-            return min(limit_s, progress.call.deadline_s)
-        return progress.call.deadline_s
+        self._health.record_answer(attempt.engine.id)
+        chunks = self._chunks(progress, attempt)
+        if answer.head.streams and answer.head.status < SERVER_ERROR:
+            await self._relay_events(progress, answer.head, chunks)
+        else:
+            await self._relay_whole(progress, answer.head, chunks)
 
-    async def _relay_events(self, progress: Progress, answer: RelayedAnswer) -> None:
+    async def _relay_events(
+        self, progress: Progress, head: AnswerHead, chunks: AsyncIterator[bytes]
+    ) -> None:
         progress.events.restart()
-        chunks = self._chunks(progress, answer)
-        async for events in read_events(answer.head, chunks, progress.events):
+        async for events in read_events(head, chunks, progress.events):
             if progress.first_event_s is None:
                 progress.first_event_s = self._clock.now_s()
             if not progress.begun:
-                await progress.begin(answer.head)
+                await progress.begin(head)
             data = b"".join(event.raw for event in events)
             await progress.send(data, len(events))
         if not progress.begun:
-            await progress.begin(answer.head)
+            await progress.begin(head)
         await progress.writer.finish()
 
-    async def _relay_whole(self, progress: Progress, answer: RelayedAnswer) -> None:
+    async def _relay_whole(
+        self, progress: Progress, head: AnswerHead, chunks: AsyncIterator[bytes]
+    ) -> None:
         """Relay an answer that is not a stream, once it is complete."""
-        body = await read_whole(answer.head, self._chunks(progress, answer))
-        failed = answer.head.status >= SERVER_ERROR
+        body = await read_whole(head, chunks)
+        failed = head.status >= SERVER_ERROR
         # If a stream has begun, a whole answer can't continue it, whatever its
         # status.
         if progress.begun or (failed and progress.may_switch_engine):
-            reason = f"engine answered with status {answer.head.status}"
-            raise AttemptError(CallOutcome.BROKEN, reason)
-        await progress.begin(answer.head, len(body))
+            raise _failed_with(head)
+        await progress.begin(head, len(body))
         await progress.send(body)
         await progress.writer.finish()
 
-    def _chunks(
-        self, progress: Progress, answer: RelayedAnswer
+    async def _chunks(
+        self, progress: Progress, attempt: Attempt
     ) -> AsyncIterator[bytes]:
-        """Return the body's chunks; too long a gap fails the attempt."""
-
-        def gap_limit_s() -> float:
-            remaining_s = progress.call.deadline_s - self._clock.now_s()
-            return (
-                min(remaining_s, EVENT_GAP_LIMIT_S)
-                if progress.may_switch_engine
-                else remaining_s
+        """Yield the parts of the body as they arrive."""
+        while chunk := await self._next_chunk(progress, attempt):
+            yield chunk
+
+    async def _next_chunk(self, progress: Progress, attempt: Attempt) -> bytes:
+        try:
+            async with asyncio.timeout(
+                min(SILENCE_LIMIT_S, self._remaining_s(progress))
+            ):
+                return await attempt.answer.read()
+        except TimeoutError:
+            reading = asyncio.ensure_future(attempt.answer.read())
+            return await self._part(progress, attempt, reading, 0.0)
+
+    async def _part(
+        self,
+        progress: Progress,
+        attempt: Attempt,
+        part: asyncio.Future[Part],
+        silence_limit_s: float,
+    ) -> Part:
+        """
+        Return the next part of an answer, however long its engine is silent.
+
+        :param silence_limit_s: how long to wait before another engine that is
+            free is asked for the answer as well.
+        :raises AttemptError: when the answer breaks off, or the deadline of
+            the request comes first.
+        :raises HandedOverError: when another engine has taken it over.
+        """
+        try:
+            await asyncio.wait(
+                {part}, timeout=min(silence_limit_s, self._remaining_s(progress))
             )
+            while not part.done():
+                if self._remaining_s(progress) <= 0:
+                    raise _silent()
+                successor = self._start_successor(progress, attempt)
+                if successor is not None:
+                    await self._settle(progress, part, successor)
+                    continue
+                wait_s = self._remaining_s(progress)
+                if progress.may_switch_engine:
+                    wait_s = min(wait_s, PLACEMENT_INTERVAL_S)
+                await asyncio.wait({part}, timeout=wait_s)
+            return part.result()
+        finally:
+            part.cancel()
+
+    def _remaining_s(self, progress: Progress) -> float:
+        return progress.call.deadline_s - self._clock.now_s()
+
+    def _start_successor(self, progress: Progress, attempt: Attempt) -> Attempt | None:
+        """Send the request to a free engine that has not had it, if it may."""
+        if not progress.may_switch_engine:
+            return None
+        if self._quarantine.is_quarantined(progress.fingerprint):
+            return None
+        placed = self._placement.place_elsewhere(
+            progress.service, {*progress.tried, attempt.engine.id}
+        )
+        return None if placed is None else self._start_attempt(progress, placed)
+
+    async def _settle(
+        self, progress: Progress, part: asyncio.Future[Part], successor: Attempt
+    ) -> None:
+        """
+        Wait until it is clear which engine serves the request.
 
-        return read_chunks(answer, gap_limit_s)
+        :param part: what the engine that fell silent has not sent yet.
+        :raises HandedOverError: when it is the successor.
+        """
+        deadline_s = min(
+            self._clock.now_s() + HANDOVER_LIMIT_S, progress.call.deadline_s
+        )
+        try:
+            while True:
+                overdue = self._clock.now_s() >= deadline_s
+                state = _successor_state(progress, successor)
+                verdict = judge_handover(_part_state(part), state, overdue=overdue)
+                if verdict is not Verdict.WAIT:
+                    break
+                await asyncio.wait(
+                    {task for task in (part, successor.opening) if not task.done()},
+                    timeout=max(0.0, deadline_s - self._clock.now_s()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        except asyncio.CancelledError:
+            successor.close()
+            self._record_abandoned(progress, successor)
+            raise
+        if verdict is Verdict.MOVE:
+            raise HandedOverError(successor, _failure(part) or _silent())
+        error = _failure(successor.opening)
+        if error is None:
+            answered = state is EngineState.FAILED
+            error = _failed_with(successor.answer.head) if answered else _silent()
+        successor.close()
+        self._record_failure(progress, successor.engine, error)
 
     def _log_request(
         self, request: CallerRequest, progress: Progress, version: int, outcome: str
@@ -348,3 +459,41 @@
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
         )
+
+
+def _silent() -> AttemptError:
+    return AttemptError(CallOutcome.BROKEN, "engine sent no data in time")
+
+
+def _failed_with(head: AnswerHead) -> AttemptError:
+    reason = f"engine answered with status {head.status}"
+    return AttemptError(CallOutcome.BROKEN, reason)
+
+
+def _failure(part: asyncio.Future[Part]) -> AttemptError | None:
+    """
+    Return the error with which a part of an answer ended, if it did.
+
+    :raises Exception: when it ended with any other error.
+    """
+    error = part.exception() if part.done() else None
+    if error is None or isinstance(error, AttemptError):
+        return error
+    raise error
+
+
+def _part_state(part: asyncio.Future[Part]) -> EngineState:
+    if not part.done():
+        return EngineState.SILENT
+    if _failure(part) is not None:
+        return EngineState.FAILED
+    return EngineState.COMPLETED if part.result() == b"" else EngineState.SPOKE
+
+
+def _successor_state(progress: Progress, successor: Attempt) -> EngineState:
+    state = _part_state(successor.opening)
+    if state is not EngineState.SPOKE:
+        return state
+    head = successor.answer.head
+    unusable = head.status >= SERVER_ERROR or (progress.begun and not head.streams)
+    return EngineState.FAILED if unusable else EngineState.SPOKE
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -59,6 +59,7 @@
 
     call: RelayedCall
     route: Route
+    service: str  # whose engines may run the request
     writer: ResponseWriter
     events: EventSplitter
     received_s: float
