Pass on an engine's server error when no other engine is to be had

Callers saw 502 "outcome unknown" where an engine had answered 500. Cause: the answer was dropped so that another engine could be tried, and there was none (all full, or the attempts used up by refusals).

--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -264,6 +264,9 @@
         if progress.begun:
             progress.writer.abort()
             return "broken off"
+        if progress.failed_answer is not None:
+            await self._send_whole(progress, *progress.failed_answer)
+            return "answered"
         if progress.may_have_run:
             detail = "the engine may have run the request"
             await progress.writer.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
@@ -319,7 +322,13 @@
         # If a stream has begun, a whole answer can't continue it, whatever its
         # status.
         if progress.begun or (failed and progress.may_switch_engine):
+            progress.failed_answer = head, body
             raise _failed_with(head)
+        await self._send_whole(progress, head, body)
+
+    async def _send_whole(
+        self, progress: Progress, head: AnswerHead, body: bytes
+    ) -> None:
         await progress.begin(head, len(body))
         await progress.send(body)
         await progress.writer.finish()
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -72,6 +72,9 @@
     # Online requests and batch items on this engine just before the attempt.
     found_load: tuple[int, int] = (0, 0)
     answer: AnswerHead | None = None  # of the last attempt, if it came
+    # A server error that an engine gave, with its body; it is passed on if no
+    # other engine answers.
+    failed_answer: tuple[AnswerHead, bytes] | None = None
     events_sent: int = 0  # of all attempts
     bytes_sent: int = 0
     first_event_s: float | None = None
