Log what became of a silent engine and of the one asked in its place

The failure of the engine that was asked logged the body end of the other one's answer, and nothing told how long both had the request and who won.

--- a/src/aspenbridge/relay/_attempt.py
+++ b/src/aspenbridge/relay/_attempt.py
@@ -10,7 +10,7 @@
     import asyncio
 
     from aspenbridge.fleet import EngineEntry, LoadView
-    from aspenbridge.ports import AttemptError, RelayedAnswer
+    from aspenbridge.ports import AnswerHead, AttemptError, RelayedAnswer
 
 
 @attrs.define(eq=False)
@@ -37,6 +37,13 @@
         """The answer whose head has arrived."""
         return self.opening.result()
 
+    @property
+    def head(self) -> AnswerHead | None:
+        """The head of the answer, if it has arrived."""
+        opening = self.opening
+        arrived = opening.done() and not opening.cancelled() and not opening.exception()
+        return self.answer.head if arrived else None
+
     def close(self) -> None:
         """Close the connection; the engine stops what it still runs."""
         if self._closed:
@@ -45,7 +52,7 @@
         self._load_view.add(self.engine.id, online=-1)
         if not self.opening.done():
             self.opening.cancel()
-        elif not self.opening.cancelled() and self.opening.exception() is None:
+        elif self.head is not None:
             self.answer.close()
 
 
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -150,10 +150,10 @@
                 self._quarantine.record_completed(progress.fingerprint)
                 return True
             except HandedOverError as error:
-                self._record_failure(progress, current.engine, error.reason)
+                self._record_failure(progress, current, error.reason)
                 attempt = error.successor
             except AttemptError as error:
-                self._record_failure(progress, current.engine, error)
+                self._record_failure(progress, current, error)
                 return False
             except asyncio.CancelledError:
                 # The caller has left; the engine may still crash.
@@ -208,9 +208,10 @@
         return progress.may_send_again and remaining_s > MIN_ATTEMPT_S
 
     def _record_failure(
-        self, progress: Progress, engine: EngineEntry, error: AttemptError
+        self, progress: Progress, attempt: Attempt, error: AttemptError
     ) -> None:
         """Update the request and the engine's health after a failure."""
+        engine, head = attempt.engine, attempt.head
         progress.tried.add(engine.id)
         if error.outcome is CallOutcome.NOT_SENT:
             self._health.record_unreachable(engine.id)
@@ -233,8 +234,8 @@
             outcome=error.outcome.value,
             reason=error.reason,
             connection_lost=error.connection_lost,
-            remaining_ms=round((progress.call.deadline_s - self._clock.now_s()) * 1000),
-            body_end=progress.answer and progress.answer.body_end.value,
+            remaining_ms=round(self._remaining_s(progress) * 1000),
+            body_end=head and head.body_end.value,
             events=progress.events_sent,
             fingerprint=progress.fingerprint,
             sends=progress.failed_sends,
@@ -427,14 +428,25 @@
             successor.close()
             self._record_abandoned(progress, successor)
             raise
+        log_decision(
+            "engine silent",
+            request=progress.call.request_id,
+            engine=progress.engine,
+            successor=successor.engine.id,
+            events=progress.events_sent,
+            engine_state=_part_state(part).value,
+            successor_state=state.value,
+            verdict=verdict.value,
+        )
         if verdict is Verdict.MOVE:
             raise HandedOverError(successor, _failure(part) or _silent())
         error = _failure(successor.opening)
+        if error is None and state is EngineState.FAILED:
+            error = _failed_with(successor.answer.head)
         if error is None:
-            answered = state is EngineState.FAILED
-            error = _failed_with(successor.answer.head) if answered else _silent()
+            error = AttemptError(CallOutcome.BROKEN, "the silent engine went on")
         successor.close()
-        self._record_failure(progress, successor.engine, error)
+        self._record_failure(progress, successor, error)
 
     def _log_request(
         self, request: CallerRequest, progress: Progress, version: int, outcome: str
