Stop using an engine once an answer says that it leaves

Cause: an engine that is shut down says so in the headers of its answers before the engine list does, or while the store is away, and nothing read that header. Hosts went on choosing it, so callers met engines that were about to end.

Change: the head of an answer, and a refusal, tell that the engine leaves; not an answer with 421 or one to another request. The engine callers of online requests and items are wrapped in one place (entry/_leaving.py), which marks the engine in the directory as soon as the head is there. A marked engine counts as draining until it has started again, also if its entry lapses and comes back unchanged. So it gets no request, retry, resumed stream or item, what runs there goes on, and its end is no crash for the quarantine.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -35,6 +35,7 @@
 from aspenbridge.store import Store
 
 from ._copies import ConfigurationCopy, EngineCopy
+from ._leaving import LeavingEngines
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterable
@@ -128,11 +129,12 @@
         self.quarantine.on_news = self.exchange.schedule_send
         self.exchange.notices = self.quarantine.notices
         self.exchange.on_notices = self.quarantine.apply_notices
+        engine_caller = LeavingEngines(ports.engine_caller, engine_directory)
         self.relay = Relay(
             OnlinePlacement(self.view, random),
             self.load_view,
             health,
-            ports.engine_caller,
+            engine_caller,
             self.quarantine,
             clock,
         )
@@ -168,7 +170,7 @@
             self.view,
             self.load_view,
             health,
-            ports.engine_caller,
+            engine_caller,
             clock,
             random,
             lambda: self.configuration.current,
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -15,6 +15,7 @@
 # within two seconds of the store's recovery; its new entry takes up to half a
 # second to arrive here.
 EXPIRY_GRACE_S = 2.5
+MAX_LEAVING_MARKS = 512
 
 
 @attrs.frozen
@@ -38,13 +39,21 @@
 
 
 class EngineDirectory:
-    """The registered engines, kept up to date from the store."""
+    """
+    The registered engines, kept up to date from the store.
+
+    An engine that said that it leaves counts as draining, whatever its entry
+    says, until it has started again.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, EngineEntry] = {}
         self._expires_s: dict[str, float] = {}  # when to drop each engine, by id
         self._grace_until_s = 0.0
+        # The starts, by engine id, of those that said that they leave. They
+        # outlive the entries, which may lapse in an outage and come back.
+        self._leaving_ms: dict[str, int] = {}
 
     def store_recovered(self) -> None:
         """Keep missing engines until they have had time to register again."""
@@ -52,9 +61,43 @@
 
     def put(self, entry: EngineEntry) -> None:
         """Add or replace an entry."""
+        leaving_ms = self._leaving_ms.get(entry.id)
+        if leaving_ms is not None and entry.started_ms > leaving_ms:
+            del self._leaving_ms[entry.id]
+        elif leaving_ms is not None:
+            entry = attrs.evolve(entry, draining=True)
         self._entries[entry.id] = entry
         self._expires_s.pop(entry.id, None)
 
+    def mark_leaving(self, engine_id: str, started_ms: int) -> bool:
+        """
+        Note that an engine said that it leaves.
+
+        :param started_ms: the start of the engine that said so, in
+            milliseconds of Unix time. An engine that started later stays in
+            use.
+        :return: whether this host did not know it.
+        """
+        entry = self._entries.get(engine_id)
+        if entry is not None and entry.started_ms > started_ms:
+            return False
+        if started_ms <= self._leaving_ms.get(engine_id, -1):
+            return False
+        self._leaving_ms[engine_id] = started_ms
+        if entry is not None:
+            self._entries[engine_id] = attrs.evolve(entry, draining=True)
+        if len(self._leaving_ms) > MAX_LEAVING_MARKS:
+            self._drop_oldest_mark()
+        return True
+
+    def leaving(self) -> list[tuple[str, int]]:
+        """
+        Return ids and starts of the listed engines that said that they leave.
+
+        The ones that were marked last come last.
+        """
+        return [mark for mark in self._leaving_ms.items() if mark[0] in self._entries]
+
     def remove(self, engine_id: str) -> None:
         """Drop an engine: at once, or when a running grace period ends."""
         if engine_id not in self._entries:
@@ -90,6 +133,12 @@
         """Return the ids of all registered engines."""
         return frozenset(self._entries)
 
+    def _drop_oldest_mark(self) -> None:
+        """Drop a mark, of an engine without an entry if there is any."""
+        unlisted = (name for name in self._leaving_ms if name not in self._entries)
+        oldest = next(unlisted, next(iter(self._leaving_ms)))
+        del self._leaving_ms[oldest]
+
     def _drop_expired(self) -> None:
         now_s = self._clock.now_s()
         for engine_id in [e for e, end_s in self._expires_s.items() if end_s <= now_s]:
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -36,6 +36,7 @@
 )
 HTTP_MISDIRECTED_REQUEST = 421
 STATUSES_WITHOUT_BODY = (204, 304)
+LEAVING = "1"
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -144,10 +145,11 @@
         request, or has a content encoding.
     """
     headers = response.headers
+    leaves = _engine_leaves(response, request_id)
     try:
         if names.NOT_EXECUTED in headers or response.status == HTTP_MISDIRECTED_REQUEST:
             reason = f"refused with status {response.status}"
-            raise AttemptError(CallOutcome.REFUSED, reason)
+            raise AttemptError(CallOutcome.REFUSED, reason, engine_leaves=leaves)
         if headers.get(names.REQUEST_ID) != request_id:
             raise AttemptError(
                 CallOutcome.BROKEN,
@@ -164,10 +166,27 @@
         headers=end_to_end_headers(tuple(headers.items())),
         streams=content_type.startswith("text/event-stream"),
         body_end=_body_end(response),
+        engine_leaves=leaves,
     )
     return EngineResponse(head, response)
 
 
+def _engine_leaves(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """
+    Whether the engine that was asked says in its response that it leaves.
+
+    A misdirected request was answered by another engine. A refusal need not
+    contain the request's id.
+    """
+    headers = response.headers
+    if response.status == HTTP_MISDIRECTED_REQUEST:
+        return False
+    if headers.get(names.REQUEST_ID, request_id) != request_id:
+        return False
+    header_names = (names.SERVER_LEAVING, names.SERVER_LEAVING_WITHOUT_PREFIX)
+    return any(headers.get(name) == LEAVING for name in header_names)
+
+
 def _body_end(response: aiohttp.ClientResponse) -> BodyEnd:
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
         return BodyEnd.CHUNKS
--- a/src/aspenbridge/platform/_names.py
+++ b/src/aspenbridge/platform/_names.py
@@ -10,6 +10,8 @@
 SERVER_STAMP = "X-Aspenbridge-Server-Stamp"
 EXPECTED_ENGINE = "X-Aspenbridge-Expect-Instance"
 NOT_EXECUTED = "X-Aspenbridge-Not-Executed"
+SERVER_LEAVING = "X-Aspenbridge-Server-Leaving"
+SERVER_LEAVING_WITHOUT_PREFIX = "Server-Leaving"
 WAIT_MS = "X-Aspenbridge-Wait-Ms"
 RETRY_AFTER = "Retry-After"
 
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -47,12 +47,17 @@
 
 @attrs.frozen
 class AnswerHead:
-    """The status and headers of an engine's answer."""
+    """
+    The status and headers of an engine's answer.
+
+    ``engine_leaves`` tells that the engine will be shut down.
+    """
 
     status: int
     headers: Headers
     streams: bool  # whether the body is a stream of events
     body_end: BodyEnd
+    engine_leaves: bool = False
 
     @property
     def needs_body(self) -> bool:
@@ -88,16 +93,23 @@
     An engine did not send a complete answer.
 
     ``connection_lost`` tells that the connection ended in the middle of the
-    request, as it does when the engine crashes.
+    request, as it does when the engine crashes. ``engine_leaves`` tells that
+    the engine refused the request and will be shut down.
     """
 
     def __init__(
-        self, outcome: CallOutcome, reason: str, *, connection_lost: bool = False
+        self,
+        outcome: CallOutcome,
+        reason: str,
+        *,
+        connection_lost: bool = False,
+        engine_leaves: bool = False,
     ) -> None:
         super().__init__(reason)
         self.outcome = outcome
         self.reason = reason
         self.connection_lost = connection_lost
+        self.engine_leaves = engine_leaves
 
 
 class EngineCaller(Protocol):
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -177,6 +177,58 @@
     assert (head.body_end, received) == (body_end, b"ok")
 
 
+LEAVING_HEADERS = ("Server-Leaving: 1\r\n", "X-Aspenbridge-Server-Leaving: 1\r\n")
+NOT_EXECUTED = "X-Aspenbridge-Not-Executed: 1\r\n"
+EMPTY = "Content-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("leaving", LEAVING_HEADERS)
+@pytest.mark.parametrize("status", [200, 422, 500])
+def test_answer_tells_that_its_engine_leaves(status, leaving):
+    answer = f"HTTP/1.1 {status} Status\r\n{OWN_HEADERS}{leaving}{EMPTY}"
+    assert run_on_loop(call_engine(answer))[0].engine_leaves
+
+
+@pytest.mark.parametrize("leaving", ["", "Server-Leaving: 0\r\n"])
+def test_answer_of_an_engine_that_stays_does_not_tell_that_it_leaves(leaving):
+    answer = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}{leaving}{EMPTY}"
+    assert not run_on_loop(call_engine(answer))[0].engine_leaves
+
+
+@pytest.mark.parametrize("leaving", LEAVING_HEADERS)
+@pytest.mark.parametrize(
+    "head",
+    [
+        f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}",
+        f"HTTP/1.1 429 Slow\r\n{NOT_EXECUTED}X-Aspenbridge-Attempt-Id: r1\r\n",
+    ],
+)
+def test_refusal_tells_that_its_engine_leaves(head, leaving):
+    with pytest.raises(AttemptError) as caught:
+        run_on_loop(call_engine(f"{head}{leaving}{EMPTY}"))
+    assert caught.value.engine_leaves
+
+
+@pytest.mark.parametrize("leaving", LEAVING_HEADERS)
+@pytest.mark.parametrize(
+    "head",
+    [
+        f"HTTP/1.1 421 Misdirected\r\n{NOT_EXECUTED}{OWN_HEADERS}",
+        f"HTTP/1.1 421 Misdirected\r\n{OWN_HEADERS}",
+        f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}X-Aspenbridge-Attempt-Id: r2\r\n",
+        f"HTTP/1.1 200 OK\r\nX-Aspenbridge-Attempt-Id: r2\r\n{STAMP_HEADER}",
+        "HTTP/1.1 200 OK\r\nX-Aspenbridge-Attempt-Id: r1\r\n",
+        "HTTP/1.1 500 Failed\r\n",
+    ],
+)
+def test_answer_of_another_engine_or_request_does_not_tell_that_one_leaves(
+    head, leaving
+):
+    with pytest.raises(AttemptError) as caught:
+        run_on_loop(call_engine(f"{head}{leaving}{EMPTY}"))
+    assert not caught.value.engine_leaves
+
+
 def test_bytes_after_the_response_are_ignored():
     first = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}Content-Length: 2\r\n\r\nok"
     _, body, _ = run_on_loop(call_engine(first + "HTTP/1.1 200 OK\r\n\r\nextra"))
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -28,6 +28,7 @@
     "non_idempotent",
     "portRange",
     "nodeName",
+    "Server-Leaving",
 )
 STANDARD_HTTP_HEADERS = {"Retry-After", "Last-Event-Id"}
 
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -307,6 +307,7 @@
         self.abandoned_runs_go_on = False  # when a crashing request is cancelled
         self.crashes: list[Crash] = []
         self.down: set[str] = set()  # engines that accept no connection
+        self.leaving: set[str] = set()  # engines that say so in their answers
         self.on_crash = lambda engine_id: None
         self._slots: dict[str, asyncio.Semaphore] = {}
         self.most_running: dict[str, int] = {}
@@ -335,7 +336,8 @@
         if fault.outcome is not None:
             if fault.delay_s:
                 await asyncio.sleep(fault.delay_s)
-            raise AttemptError(fault.outcome, "injected fault")
+            leaves = fault.outcome is CallOutcome.REFUSED and engine_id in self.leaving
+            raise AttemptError(fault.outcome, "injected fault", engine_leaves=leaves)
         run = Run(
             engine_id,
             call.request_id,
@@ -410,6 +412,7 @@
             (("Content-Type", "text/event-stream"),),
             status == 200,
             BodyEnd.CHUNKS,
+            engine_leaves=run.engine in engines.leaving,
         )
 
     async def read(self):
