Tell other hosts which engines say that they leave

Cause: only the host that had the answer knew of it, so callers of other hosts met an engine that was about to end until the engine list said so, and while the store is away they did so until its end. A host that had restarted knew it no more.

Change: a load report ends with the listed engines that leave and their starts, 64 at most (1.3 kB with ids of 10 letters). It is sent at once for a new mark and repeated with each report. Builds without the field read these reports, and theirs are read. A mark for an earlier start does not come back from an old report, since it applies to that start only.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -130,6 +130,9 @@
         self.exchange.notices = self.quarantine.notices
         self.exchange.on_notices = self.quarantine.apply_notices
         engine_caller = LeavingEngines(ports.engine_caller, engine_directory)
+        engine_caller.on_news = self.exchange.schedule_send
+        self.exchange.leaving = engine_directory.leaving
+        self.exchange.on_leaving = engine_caller.apply_report
         self.relay = Relay(
             OnlinePlacement(self.view, random),
             self.load_view,
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -14,7 +14,7 @@
 from ._slot_assignment import Backlog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from aspenbridge.ports import Clock
 
@@ -27,6 +27,7 @@
 # A host gets reports for this long after it sent one, even when the store does
 # not list it: it may be new, or unable to renew its row in an outage.
 SENDER_LIFETIME_S = 3.0
+MAX_LEAVING_ENGINES = 64  # in one report; together 1.3 kB with ids of 10 letters
 
 
 class CrashNotices(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +51,9 @@
     ``host`` is an incarnation. ``engines`` holds engine ids, each with the
     numbers of online requests and batch items that the host runs there.
     ``waiting_items`` and ``due_wall_s`` are the host's ``Backlog``.
-    ``beat_age_s`` is the time since the host last renewed its row.
+    ``beat_age_s`` is the time since the host last renewed its row. ``leaving``
+    holds the ids of engines that said that they leave, and their starts in
+    milliseconds of Unix time.
     """
 
     host: str
@@ -60,6 +63,7 @@
     due_wall_s: float
     beat_age_s: float
     notices: CrashNotices = CrashNotices()
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 class LoadExchange(StackOwner):
@@ -93,6 +97,11 @@
         self.on_heartbeat: Callable[[str, float], None] = lambda host, age_s: None
         self.notices: Callable[[], CrashNotices] = CrashNotices
         self.on_notices: Callable[[CrashNotices], None] = lambda notices: None
+        # Engines that leave, with their starts; the newest come last.
+        self.leaving: Callable[[], Sequence[tuple[str, int]]] = tuple
+        self.on_leaving: Callable[[Sequence[tuple[str, int]]], None] = lambda engines: (
+            None
+        )
 
     async def __aenter__(self) -> Self:
         self._send_to = await self._stack.enter_async_context(
@@ -126,6 +135,7 @@
         self._load_view.apply_report(report.host, loads, backlog)
         self.on_heartbeat(report.host, report.beat_age_s)
         self.on_notices(report.notices)
+        self.on_leaving(report.leaving)
         self._senders[sender] = self._clock.now_s() + SENDER_LIFETIME_S
         self.on_report()
 
@@ -159,6 +169,7 @@
                 backlog.due_wall_s,
                 self.heartbeat_age_s(),
                 self.notices(),
+                tuple(self.leaving()[-MAX_LEAVING_ENGINES:]),
             )
         )
         for peer in self._recipients():
--- a/tests/entry/test_leaving_engines.py
+++ b/tests/entry/test_leaving_engines.py
@@ -241,3 +241,74 @@
         assert len(fleet.hosts["h0"].quarantine._ledger) == 0
 
     with_fleet(check, hosts=1, events=30)
+
+
+@pytest.mark.parametrize("store_is_away", [False, True])
+def test_other_hosts_stop_using_an_engine_that_leaves(store_is_away):
+    async def check(fleet):
+        if store_is_away:
+            fleet.store.unreachable_for = {"*"}
+        fleet.engines.leaving.add(LEAVING)
+        probes = asyncio.create_task(send(fleet, "h0", "probe", 8))
+        await asyncio.sleep(HEAD_S + REPORT_S)
+        fleet.engines.runs.clear()
+        for host in ("h1", "h2"):
+            await send(fleet, host, f"later-{host}", 6)
+        await submit(fleet, 10, "h1")
+        await asyncio.sleep(3.0)
+        assert engines_used(fleet) == {"e1"}
+        await probes
+
+    with_fleet(check)
+
+
+def test_host_that_missed_a_report_hears_of_a_leaving_engine_from_the_next():
+    async def check(fleet):
+        fleet.datagrams.lost.add(fleet.address("h1"))
+        await hear_that_it_leaves(fleet)
+        fleet.datagrams.lost.clear()
+        await asyncio.sleep(REPEAT_S)
+        await send(fleet, "h1", "later", 6)
+        assert engines_used(fleet) == {"e1"}
+
+    with_fleet(check)
+
+
+def test_host_passes_on_what_it_has_heard_of_a_leaving_engine():
+    async def check(fleet):
+        fleet.hosts["h1"]._engine_directory.mark_leaving(LEAVING, 1)
+        await asyncio.sleep(REPEAT_S)
+        await send(fleet, "h2", "later", 6)
+        assert engines_used(fleet) == {"e1"}
+
+    with_fleet(check)
+
+
+def test_host_that_starts_later_hears_of_a_leaving_engine():
+    async def check(fleet):
+        await hear_that_it_leaves(fleet)
+        await fleet.kill("h0")
+        for name in ("h0", "late"):
+            await fleet.start(name)
+        await asyncio.sleep(REPEAT_S)
+        for name in ("h0", "late"):
+            await send(fleet, name, f"later-{name}", 6)
+        assert engines_used(fleet) == {"e1"}
+
+    with_fleet(check)
+
+
+def test_mark_of_an_earlier_start_does_not_come_back_from_another_host():
+    async def check(fleet):
+        await hear_that_it_leaves(fleet)
+        fleet.engines.leaving.clear()
+        fleet.entries["again"] = make_engine(LEAVING, started_ms=2)
+        fleet.store.unreachable_for = {"h2"}
+        fleet.store.write("servers", LEAVING, b"again")
+        await asyncio.sleep(3 * REPEAT_S)
+        for host in ("h0", "h1"):
+            fleet.engines.runs.clear()
+            await send(fleet, host, f"later-{host}", 6)
+            assert engines_used(fleet) == {LEAVING, "e1"}
+
+    with_fleet(check)
--- /dev/null
+++ b/tests/fleet/test_exchange.py
@@ -0,0 +1,85 @@
+"""Load reports between hosts of different builds and in different orders."""
+
+from __future__ import annotations
+
+import msgspec
+
+from aspenbridge.fleet import CrashNotices, LoadExchange, LoadView
+from aspenbridge.fleet._exchange import MAX_LEAVING_ENGINES, LoadReport
+from tests.support.entry_fleet import MemoryDatagrams
+from tests.support.virtual_loop import run_virtual
+
+ADDRESS = ("10.0.1.1", 7000)
+PEER = ("10.0.1.2", 7000)
+FIELDS = ("h", 1, [("e0", 2, 3)], 4, 5.0, 0.5)
+NOTICES = CrashNotices(crashes=(("f", ("e0", 1, 0), 0.5, False, True),))
+LEAVING = (("e0", 1764844800000),)
+
+
+class OlderReport(msgspec.Struct, frozen=True, array_like=True):
+    """The report of a build that does not know of leaving engines."""
+
+    host: str
+    sequence: int
+    engines: list[tuple[str, int, int]]
+    waiting_items: int
+    due_wall_s: float
+    beat_age_s: float
+    notices: CrashNotices = CrashNotices()
+
+
+def make_exchange(clock, datagrams):
+    return LoadExchange(
+        "h0", ADDRESS, LoadView(clock), lambda: [PEER], datagrams, clock
+    )
+
+
+def test_hosts_of_builds_with_and_without_leaving_engines_read_each_others_reports():
+    older = msgspec.msgpack.encode(OlderReport(*FIELDS, NOTICES))
+    newer = msgspec.msgpack.encode(LoadReport(*FIELDS, NOTICES, LEAVING))
+    read = msgspec.msgpack.decode(older, type=LoadReport)
+    assert read == LoadReport(*FIELDS, NOTICES)
+    assert read.leaving == ()
+    assert msgspec.msgpack.decode(newer, type=OlderReport) == OlderReport(
+        *FIELDS, NOTICES
+    )
+    assert msgspec.msgpack.decode(newer, type=LoadReport).leaving == LEAVING
+
+
+def test_exchange_applies_reports_of_older_builds():
+    async def check(clock):
+        exchange = make_exchange(clock, MemoryDatagrams())
+        heard = []
+        exchange.on_leaving = heard.append
+        exchange.receive(msgspec.msgpack.encode(OlderReport(*FIELDS)), PEER)
+        newer = LoadReport("h", 2, [], 0, 0.0, 0.5, leaving=LEAVING)
+        exchange.receive(msgspec.msgpack.encode(newer), PEER)
+        older_sequence = LoadReport(*FIELDS, leaving=(("e1", 1),))
+        exchange.receive(msgspec.msgpack.encode(older_sequence), PEER)
+        return heard
+
+    assert run_virtual(check) == [(), LEAVING]
+
+
+def test_report_holds_a_bounded_number_of_leaving_engines_the_newest():
+    sent = []
+
+    async def check(clock):
+        datagrams = MemoryDatagrams()
+        started_ms = LEAVING[0][1]
+        engines = [
+            (f"i-{n:08x}", started_ms + n) for n in range(2 * MAX_LEAVING_ENGINES)
+        ]
+        async with (
+            datagrams.open(PEER, lambda data, _: sent.append(data)),
+            make_exchange(clock, datagrams) as exchange,
+        ):
+            exchange.leaving = lambda: engines
+            exchange.schedule_send()
+            await clock.sleep_until(clock.now_s() + 1.0)
+        return engines
+
+    engines = run_virtual(check)
+    [report] = [msgspec.msgpack.decode(data, type=LoadReport) for data in sent]
+    assert list(report.leaving) == engines[-MAX_LEAVING_ENGINES:]
+    assert len(sent[0]) < 1500
