--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from enum import Enum
 from typing import Self
 
@@ -14,6 +14,7 @@
 from aspenbridge.loop import listening_socket
 
 LINGER_ON_ZERO_S = struct.pack("ii", 1, 0)  # closing the socket resets the connection
+HEAD_PART_BYTES = 20  # of a head in which the engine falls silent
 LAST_BYTES = 40  # of an answer; the engine sends them in one piece
 READ_DELAY_S = 0.05  # in which the host reads what was sent
 
@@ -45,6 +46,9 @@
         a stream of ``events`` events.
     :ivar sent_bytes: how much of the body is sent; None for all of it.
     :ivar head_bytes: how much of the head is sent; None for all of it.
+    :ivar head_silence_s: how long nothing comes inside the head, in seconds.
+    :ivar body_silence_s: how long nothing comes inside the body, in seconds;
+        in a stream after its first event.
     """
 
     body: bytes | None = None
@@ -55,6 +59,8 @@
     content_type: str = "text/event-stream"
     status: int = 200
     events: int = 0
+    head_silence_s: float = 0.0
+    body_silence_s: float = 0.0
 
     def encode(self, request_id: str, after: int | None) -> bytes:
         first = 0 if after is None else after + 1
@@ -78,6 +84,23 @@
         chunk = b"%x\r\n%b\r\n" % (len(sent), sent) if sent else b""
         return head + chunk + (b"0\r\n\r\n" if self.sent_bytes is None else b"")
 
+    def parts(self, request_id: str, after: int | None) -> list[tuple[float, bytes]]:
+        """Return the parts that are sent, each with the silence before it."""
+        data = self.encode(request_id, after)
+        body_at = data.find(b"\r\n\r\n") + 4
+        event_end = data.find(b"\n\n", body_at) + 2
+        middle = event_end if event_end > 1 else (body_at + len(data)) // 2
+        cuts = [(0.0, 0)]
+        if self.head_silence_s:
+            cuts.append((self.head_silence_s, min(HEAD_PART_BYTES, len(data))))
+        if self.body_silence_s:
+            cuts.append((self.body_silence_s, middle))
+        ends = [*(at for _, at in cuts[1:]), len(data)]
+        return [
+            (silence_s, data[at:end])
+            for (silence_s, at), end in zip(cuts, ends, strict=True)
+        ]
+
 
 class ScriptedEngine:
     """
@@ -111,15 +134,20 @@
                 serving.create_task(self._serve(sock))
 
     async def _serve(self, sock: socket.socket) -> None:
-        with sock:
+        # A host that has left resets its connection.
+        with sock, suppress(ConnectionError):
             fields = await _read_request(sock)
             request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
             answer = self.scripts[request_id].pop(0)
-            data = answer.encode(request_id, after)
+            *parts, (silence_s, data) = answer.parts(request_id, after)
             loop = asyncio.get_running_loop()
+            for pause_s, part in parts:
+                await asyncio.sleep(pause_s)
+                await loop.sock_sendall(sock, part)
+            await asyncio.sleep(silence_s)
             await loop.sock_sendall(sock, data[:-LAST_BYTES])
             # Nothing else runs between this and a reset behind the data.
             sock.send(data[-LAST_BYTES:])
