Tell a caller that expects it to send its body

Cause: the low-level HTTP server sends no interim response, so a caller with "Expect: 100-continue" waited for it until it gave up or sent the body unasked.

What callers saw: no answer and no refusal before their own time limit.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -15,7 +15,7 @@
 
 from . import _names as names
 from ._job_endpoints import JobEndpoints
-from ._replies import HttpResponseWriter, refuse_call
+from ._replies import HttpResponseWriter, refuse_call, send_continue
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
@@ -166,6 +166,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = self._host.ports.clock.now_s()
         configuration = self._host.configuration.current
+        send_continue(request)
         body = await request.read()
         if configuration is None:
             detail = "this host has not read a configuration yet"
--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -26,6 +26,7 @@
 Value = TypeVar("Value")
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
@@ -105,6 +106,15 @@
         self.response = problem_response(problem)
 
 
+def send_continue(request: web.BaseRequest) -> None:
+    """Have a caller send its body if it waits to be told so."""
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    if not expects or request.version < HttpVersion11 or request.transport is None:
+        return
+    if not request.content.is_eof():
+        request.transport.write(CONTINUE)
+
+
 def problem_response(problem: Problem) -> web.Response:
     """Return the JSON response that describes a problem."""
     response = web.json_response(
