Judge a request by the configuration at the end of its body

Cause: the configuration was read with the head. A body that comes in pieces may outlast it, and the request was then routed and limited by an older version than others that arrived before it.

What callers saw: 404 on a route that had been added, and a run on one that had been dropped.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -165,9 +165,10 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = self._host.ports.clock.now_s()
-        configuration = self._host.configuration.current
         send_continue(request)
         body = await request.read()
+        # Read after the body, since a slow body may outlast a configuration.
+        configuration = self._host.configuration.current
         if configuration is None:
             detail = "this host has not read a configuration yet"
             return refuse_call(
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -9,8 +9,13 @@
 
 from aspenbridge.loop import NumericAddressLoop
 from tests.support.engine_scripts import Answer, stream_of
+from tests.support.entry_fleet import make_configuration, make_route
 from tests.support.raw_callers import (
+    BODY,
     call_when_told_to_continue,
+    connection,
+    read_response,
+    request_head,
 )
 from tests.support.scripted_host import HostUnderTest
 
@@ -68,3 +73,26 @@
         assert is_whole(reply)
 
     with_host(check)
+
+
+@pytest.mark.parametrize(("kept", "status"), [(True, 200), (False, 404)])
+def test_request_that_comes_in_pieces_is_judged_by_the_configuration_at_its_end(
+    kept, status
+):
+    """A route that is added while the body arrives serves it."""
+
+    async def check(host):
+        request_id = host.add_script([sound()])
+        path = "added" if kept else "once"
+        async with connection(host.callers) as (reader, writer):
+            head = request_head(path, request_id, f"Content-Length: {len(BODY)}")
+            writer.write(head + BODY[:3])
+            await asyncio.sleep(0.1)
+            routes = [make_route(), make_route("added", resumable=False)]
+            host.fleet.configurations[b"2"] = make_configuration(2, routes)
+            host.fleet.store.write("op", "config", b"2")
+            await asyncio.sleep(0.3)
+            writer.write(BODY[3:])
+            assert (await read_response(reader)).status == status
+
+    with_host(check)
