Answer a request that was read behind a response that closes

Cause: the HTTP server drops the requests that are queued on a connection when a response closes it. A host that stops closes with each response.

What callers saw: of two requests in a row on one connection the second was read whole, and the connection ended without a word on it.

Change: a close is announced with the response behind which no request waits. One that crosses an announced close is refused as not run, then the connection closes.

--- /dev/null
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -0,0 +1,70 @@
+"""Connections of callers that answer each request they have read."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+
+CONNECTION = "Connection"
+CLOSE = "close"
+
+
+class CallerConnection(web.RequestHandler):
+    """
+    A connection that closes only when it has answered what it has read.
+
+    aiohttp's own one drops the requests behind a response after which it
+    closes.
+    """
+
+    __slots__ = ("close_announced",)
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # Whether the caller was told that no other response follows.
+        self.close_announced = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether each request that was read has been answered."""
+        waiting = self._waiter is not None and not self._waiter.done()
+        return waiting and not self._messages
+
+    def announce_close(self, response: web.StreamResponse) -> None:
+        """
+        Have the caller send its next request on another connection.
+
+        Has no effect if the next request has already been read here.
+        """
+        if not self._messages:
+            response.headers[CONNECTION] = CLOSE
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Complete a response, and close after the last one."""
+        finished = await super().finish_response(request, resp, start_time)
+        if resp.headers.get(CONNECTION) == CLOSE:
+            self.close_announced = True
+            if not self._messages:
+                self.close()
+        return finished
+
+
+class CallerServer(web.Server):
+    """Accepts the connections of callers."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+def connection_of(request: web.BaseRequest) -> CallerConnection:
+    """Return the connection on which a caller's request came."""
+    connection = request.protocol
+    assert isinstance(connection, CallerConnection)
+    return connection
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -14,6 +14,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
+from ._caller_connections import CallerServer, connection_of
 from ._job_endpoints import JobEndpoints
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
@@ -39,6 +40,7 @@
 # A caller that received "Connection: close" sends its next request to another
 # host, so a host without requests for this long need not wait for more.
 QUIET_PERIOD_S = 0.3
+RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no valid time budget
 
 
@@ -59,7 +61,7 @@
         self._last_request_ended_s = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
-        self._caller_server = web.Server(
+        self._caller_server = CallerServer(
             self._handle,
             handler_cancellation=True,
             request_factory=_make_request,
@@ -145,7 +147,7 @@
             # Without "Connection: close" the caller may send its next request
             # on this connection.
             if self._host.leaving and not response.prepared:
-                response.force_close()
+                connection_of(request).announce_close(response)
             return response
         except asyncio.CancelledError:
             log_decision(
@@ -167,6 +169,8 @@
         received_s = self._host.ports.clock.now_s()
         send_continue(request)
         body = await request.read()
+        if connection_of(request).close_announced:
+            return _refuse_stopping(request)
         # Read after the body, since a slow body may outlast a configuration.
         configuration = self._host.configuration.current
         if configuration is None:
@@ -190,6 +194,15 @@
         return writer.response
 
 
+def _refuse_stopping(request: web.BaseRequest) -> web.Response:
+    problem = Problem(
+        ResultCode.SHUTTING_DOWN,
+        "this host is stopping",
+        retry_after_s=RETRY_ELSEWHERE_S,
+    )
+    return refuse_call(request, problem)
+
+
 async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=metrics_text(), content_type="text/plain")
 
--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -13,6 +13,7 @@
 from aspenbridge.observability import log_decision
 
 from . import _names as names
+from ._caller_connections import connection_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,7 +57,7 @@
             self._ends_with_connection = True
             self._expect_reset()
         if self._host.leaving:
-            response.force_close()
+            connection_of(self._request).announce_close(response)
         self.response = response
         await response.prepare(self._request)
 
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -12,10 +12,12 @@
 from tests.support.entry_fleet import make_configuration, make_route
 from tests.support.raw_callers import (
     BODY,
+    call_twice,
     call_when_told_to_continue,
     connection,
     read_response,
     request_head,
+    whole_request,
 )
 from tests.support.scripted_host import HostUnderTest
 
@@ -75,6 +77,41 @@
     with_host(check)
 
 
+def test_second_of_two_requests_in_a_row_is_answered_when_the_host_stops():
+    """Guards against a close of the connection behind the first response."""
+
+    async def check(host):
+        ids = [host.add_script([sound(head_silence_s=SILENCE_S)]) for _ in range(2)]
+        calling = asyncio.create_task(call_twice(host.callers, "once", *ids))
+        await wait_sent(host, ids[0])
+        host.host.leaving = True
+        first, second = await calling
+        assert is_whole(first)
+        assert is_whole(second)
+        assert second.headers["Connection"] == "close"
+
+    with_host(check)
+
+
+def test_request_that_crosses_an_announced_close_is_refused_before_the_close():
+    async def check(host):
+        host.host.leaving = True
+        first, second = (host.add_script([sound(body_silence_s=0.5)]) for _ in range(2))
+        async with connection(host.callers) as (reader, writer):
+            writer.write(whole_request("once", first))
+            await wait_sent(host, first)
+            await asyncio.sleep(0.1)
+            writer.write(whole_request("once", second))
+            reply = await read_response(reader)
+            assert is_whole(reply)
+            assert reply.headers["Connection"] == "close"
+            assert is_refusal(await read_response(reader))
+            assert await reader.read() == b""
+        assert sends(host, second) == 0
+
+    with_host(check)
+
+
 @pytest.mark.parametrize(("kept", "status"), [(True, 200), (False, 404)])
 def test_request_that_comes_in_pieces_is_judged_by_the_configuration_at_its_end(
     kept, status
