Refuse requests that a stopping host reads too late to answer them

Cause: a host that stops accepted requests on kept and new connections until 2.5 s before its limit. An engine that is silent for 1.5 s, or a queue, makes such a request miss the limit. What still ran then was cancelled.

What callers saw: the connection closed without an answer, also when nothing of the response had been sent; a body that was still arriving ended the same way.

Change: once the load balancer has had its notice, the listener and idle connections close, and a request that is read later is refused at once with 503 (not run) and a short Retry-After. So each accepted request has most of the shutdown's time. What runs 0.2 s before the end of the drain is given up: callers get 502 if their response has not begun, 503 if their body has not come.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
@@ -14,7 +15,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
-from ._caller_connections import CallerServer, connection_of
+from ._caller_connections import CallerConnection, CallerServer, connection_of
 from ._job_endpoints import JobEndpoints
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
@@ -26,6 +27,7 @@
 
     from aspenbridge.entry import Address, EntryHost
 
+logger = logging.getLogger(__name__)
 # The server's own limits lie above any limit that an operator configures:
 # bodies by a factor of four, headers by a factor of two.
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -33,13 +35,10 @@
 # Longer than callers reuse an idle connection: they do so for four fifths of
 # the idle limit of 15 s.
 KEEPALIVE_TIMEOUT_S = 60.0
-# The last phase of a drain, in which new connections are refused, takes at
-# most this long: twice the duration of the longest streams on a fully loaded
-# engine.
-FINAL_PHASE_S = 2.5
-# A caller that received "Connection: close" sends its next request to another
-# host, so a host without requests for this long need not wait for more.
-QUIET_PERIOD_S = 0.3
+# How long before the end of a drain the requests that still run are given up,
+# so that their callers get an error instead of a closed connection.
+LAST_RESPONSES_S = 0.2
+CLOSE_INTERVAL_S = 0.05  # how often a drain looks for idle connections
 RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no valid time budget
 
@@ -57,10 +56,8 @@
         self._readiness_address = readiness
         self._metrics_address = metrics
         self._caller_listeners: list[asyncio.Server] = []
-        self._busy_connections: set[RequestHandler] = set()
-        self._last_request_ended_s = 0.0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._running_requests: set[asyncio.Timeout] = set()
+        self._draining = False
         self._caller_server = CallerServer(
             self._handle,
             handler_cancellation=True,
@@ -91,61 +88,57 @@
 
     async def drain(self, timeout_s: float) -> bool:
         """
-        Serve requests until none has run or arrived for ``QUIET_PERIOD_S``.
+        Wait until the accepted requests have ended and refuse all others.
 
-        New connections are accepted at first, because the load balancer still
-        sends some while few other hosts are ready. After that, and at the
-        latest ``FINAL_PHASE_S`` before the timeout, new connections are
-        refused and idle ones closed, so that accepted requests can complete.
+        Each connection is closed once its requests are answered. Requests that
+        still run ``LAST_RESPONSES_S`` before the timeout are given up; their
+        callers get an error if their response has not begun.
 
         :param timeout_s: how long to wait for requests to end, in seconds.
         :return: whether all requests ended in time.
         """
-        await self._wait_until_quiet(timeout_s - FINAL_PHASE_S)
+        deadline_s = self._host.ports.clock.now_s() + timeout_s
+        self._draining = True
         for listener in self._caller_listeners:
             listener.close()
-        self._close_after_requests()
-        await self._wait_until_quiet(min(timeout_s, FINAL_PHASE_S))
-        return not self._busy_connections
-
-    def _close_after_requests(self) -> None:
-        """Close idle connections now, and busy ones after their request."""
-        for connection in self._caller_server.connections:
-            if connection in self._busy_connections:
-                connection.close()
-            else:
-                connection.force_close()
-
-    async def _wait_until_quiet(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                while (
-                    self._busy_connections or self._quiet_duration_s() < QUIET_PERIOD_S
-                ):
-                    await self._idle.wait()
-                    await asyncio.sleep(QUIET_PERIOD_S / 4)
-        except TimeoutError:
-            return
+        complete = await self._close_connections(deadline_s - LAST_RESPONSES_S)
+        if not complete:
+            logger.warning("giving up %d running requests", self.running_requests)
+            now_s = asyncio.get_running_loop().time()
+            for limit in self._running_requests:
+                limit.reschedule(now_s)
+            await self._close_connections(deadline_s)
+        return complete
+
+    async def _close_connections(self, deadline_s: float) -> bool:
+        """
+        Close connections as they become idle; return whether none is left.
 
-    def _quiet_duration_s(self) -> float:
-        return self._host.ports.clock.now_s() - self._last_request_ended_s
+        One whose caller has not received all of its last response is left.
+        """
+        while connections := self._caller_server.connections:
+            for connection in connections:
+                if isinstance(connection, CallerConnection) and connection.idle:
+                    connection.force_close()
+            remaining_s = deadline_s - self._host.ports.clock.now_s()
+            if remaining_s <= 0:
+                return False
+            await asyncio.sleep(min(remaining_s, CLOSE_INTERVAL_S))
+        return True
 
     @property
     def running_requests(self) -> int:
         """The number of requests that are being served now."""
-        return len(self._busy_connections)
+        return len(self._running_requests)
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._host.ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        connection = request.protocol
-        self._busy_connections.add(connection)
-        self._idle.clear()
+        limit = asyncio.timeout(None)
+        self._running_requests.add(limit)
         try:
-            response = await self._serve(request)
-            # Without "Connection: close" the caller may send its next request
-            # on this connection.
+            response = await self._serve_until(limit, request)
             if self._host.leaving and not response.prepared:
                 connection_of(request).announce_close(response)
             return response
@@ -160,17 +153,40 @@
             )
             raise
         finally:
-            self._busy_connections.discard(connection)
-            self._last_request_ended_s = self._host.ports.clock.now_s()
-            if not self._busy_connections:
-                self._idle.set()
+            self._running_requests.discard(limit)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve_until(
+        self, limit: asyncio.Timeout, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Serve a request unless a drain gives it up before it has ended."""
         received_s = self._host.ports.clock.now_s()
-        send_continue(request)
-        body = await request.read()
-        if connection_of(request).close_announced:
-            return _refuse_stopping(request)
+        writer = HttpResponseWriter(request, self._host)
+        body = None
+        try:
+            async with limit:
+                send_continue(request)
+                body = await request.read()
+                return await self._serve(request, body, received_s, writer)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+        if body is None:
+            return self._refuse_stopping(request)
+        if writer.response is not None:
+            writer.abort()
+            return writer.response
+        detail = "the host stopped before an answer came"
+        return refuse_call(request, Problem(ResultCode.OUTCOME_UNKNOWN, detail))
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+        received_s: float,
+        writer: HttpResponseWriter,
+    ) -> web.StreamResponse:
+        if self._draining or connection_of(request).close_announced:
+            return self._refuse_stopping(request)
         # Read after the body, since a slow body may outlast a configuration.
         configuration = self._host.configuration.current
         if configuration is None:
@@ -187,20 +203,17 @@
         job_call = self._job_endpoints.dispatch(request, configuration, body)
         if job_call is not None:
             return await job_call
-        writer = HttpResponseWriter(request, self._host)
         caller_request = _caller_request(request, body, received_s)
         await self._host.relay.serve(caller_request, configuration, writer)
         assert writer.response is not None
         return writer.response
 
-
-def _refuse_stopping(request: web.BaseRequest) -> web.Response:
-    problem = Problem(
-        ResultCode.SHUTTING_DOWN,
-        "this host is stopping",
-        retry_after_s=RETRY_ELSEWHERE_S,
-    )
-    return refuse_call(request, problem)
+    def _refuse_stopping(self, request: web.BaseRequest) -> web.Response:
+        detail = "this host is stopping"
+        return refuse_call(
+            request,
+            Problem(ResultCode.SHUTTING_DOWN, detail, retry_after_s=RETRY_ELSEWHERE_S),
+        )
 
 
 async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -125,8 +125,9 @@
     """
     Shut down after the running requests have ended, if they do so in time.
 
-    First the host reports that it is not ready and releases its jobs. Then it
-    serves the requests that still arrive, until none does.
+    First the host reports that it is not ready, releases its jobs and serves
+    what still arrives. Then it refuses requests, so that each one that it has
+    accepted has most of the shutdown's time limit.
     """
     clock = host.ports.clock
     shutdown_deadline_s = clock.now_s() + settings.bounds.shutdown_s - EXIT_MARGIN_S
@@ -136,7 +137,4 @@
     )
     await host.release_jobs()
     await notice_elapsed
-    if not await ingress.drain(shutdown_deadline_s - clock.now_s()):
-        logger.warning(
-            "cancelling %d requests that still run", ingress.running_requests
-        )
+    await ingress.drain(shutdown_deadline_s - clock.now_s())
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -12,6 +12,7 @@
 from tests.support.entry_fleet import make_configuration, make_route
 from tests.support.raw_callers import (
     BODY,
+    call_plainly,
     call_twice,
     call_when_told_to_continue,
     connection,
@@ -112,6 +113,97 @@
     with_host(check)
 
 
+def test_requests_behind_the_one_that_runs_when_a_drain_begins_are_refused():
+    async def check(host):
+        first = host.add_script([sound(body_silence_s=SILENCE_S)])
+        others = [host.add_script([sound()]) for _ in range(3)]
+        async with connection(host.callers) as (reader, writer):
+            for request_id in (first, *others):
+                writer.write(whole_request("once", request_id))
+            await wait_sent(host, first)
+            host.host.leaving = True
+            assert await host.ingress.drain(4.0)
+            replies = [await read_response(reader) for _ in range(4)]
+            assert await reader.read() == b""
+        assert is_whole(replies[0])
+        assert all(is_refusal(reply) for reply in replies[1:])
+        assert not any(sends(host, request_id) for request_id in others)
+
+    with_host(check)
+
+
+def test_request_that_is_read_late_in_a_shutdown_is_refused_at_once():
+    """Guards against one that is accepted with too little time left."""
+
+    async def check(host):
+        running = host.add_script([sound(body_silence_s=1.5)])
+        late = host.add_script([sound(head_silence_s=1.5, body_silence_s=1.5)])
+        calling = asyncio.create_task(call_plainly(host.callers, "once", running))
+        async with connection(host.callers) as (reader, writer):
+            head = request_head("once", late, f"Content-Length: {len(BODY)}")
+            writer.write(head + BODY[:3])
+            await wait_sent(host, running)
+            host.host.leaving = True
+            draining = asyncio.create_task(host.ingress.drain(2.5))
+            await asyncio.sleep(0.3)
+            writer.write(BODY[3:])
+            assert is_refusal(await read_response(reader))
+        assert await draining
+        assert is_whole(await calling)
+        assert sends(host, late) == 0
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("path", ["online", "once"])
+def test_answer_that_has_not_begun_when_the_host_exits_is_not_cut(path):
+    async def check(host):
+        request_id = host.add_script([sound(head_silence_s=9.0)] * 2)
+        calling = asyncio.create_task(call_plainly(host.callers, path, request_id))
+        await wait_sent(host, request_id)
+        host.host.leaving = True
+        assert not await host.ingress.drain(0.8)
+        await host.ingress.__aexit__(None, None, None)
+        reply = await calling
+        assert (reply.status, reply.complete) == (502, True)
+        assert json.loads(reply.body)["execution"] == "outcome unknown"
+
+    with_host(check)
+
+
+def test_request_whose_body_is_incomplete_when_the_host_exits_is_refused():
+    async def check(host):
+        request_id = host.add_script([])
+        async with connection(host.callers) as (reader, writer):
+            head = request_head("once", request_id, f"Content-Length: {len(BODY)}")
+            writer.write(head + BODY[:3])
+            await asyncio.sleep(0.1)
+            host.host.leaving = True
+            assert not await host.ingress.drain(0.5)
+            assert is_refusal(await read_response(reader))
+
+    with_host(check)
+
+
+def test_response_that_its_caller_has_not_read_outlasts_a_drain():
+    """Guards against an exit that drops what is still to be sent."""
+
+    async def check(host):
+        body = stream_of(300_000)
+        request_id = host.add_script([Answer(body)])
+        async with connection(host.callers, limit=4096) as (reader, writer):
+            writer.write(whole_request("once", request_id))
+            await wait_sent(host, request_id)
+            host.host.leaving = True
+            draining = asyncio.create_task(host.ingress.drain(4.0))
+            await asyncio.sleep(1.0)
+            reply = await read_response(reader)
+            assert reply[:3] == (200, body, True)
+        assert await draining
+
+    with_host(check)
+
+
 @pytest.mark.parametrize(("kept", "status"), [(True, 200), (False, 404)])
 def test_request_that_comes_in_pieces_is_judged_by_the_configuration_at_its_end(
     kept, status
