Bound what a server sends besides the payload of an answer

Cause: aiohttp limits each line of a head or trailer and their number, but not line ends before the head, spaces before a value, interim answers, nor the digits and extensions of chunk sizes. It stops reading only while payload waits. Framing that can't be parsed in the middle of a body left its reader without an error. Callers saw: requests behind such an engine waited until their deadline while the host parsed as fast as the engine sent. Change: ClientConnection counts received bytes against payload, closes the connection beyond 64 KiB and twice the payload, and when more follows an answer on a kept connection. Bytes that arrive together are parsed in pieces of 16 KiB, and buffers of an engine's body are 16 KiB. A body that can't be parsed fails at once. Tests seen failing without the change: 8 of the kinds of endless answers (line ends, spaces, interim answers, chunk sizes, extensions, tiny chunks, trailer line), the kept connection, and the body that can't be parsed (it ended with "engine sent no data in time").

--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -1,15 +1,34 @@
-"""Connections of HTTP clients that tell a reset from an orderly end."""
+"""Connections of HTTP clients that bound what their servers may send."""
 
 from __future__ import annotations
 
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 from .loop import pending_error
 
+if TYPE_CHECKING:
+    from aiohttp.http_parser import RawResponseMessage
+
+# What an answer may send besides its payload: its heads, interim ones too, and
+# the framing of its chunks. Framing may take twice the payload, since a chunk
+# may hold a few bytes only.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_SHARE = 2
+# Of the bytes that arrive together, so many are parsed before the limits are
+# checked again.
+PARSED_BYTES = 16 * 1024
+READ_BYTES = 64 * 1024
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+
+
+class InvalidAnswerError(aiohttp.ClientPayloadError):
+    """A server sent bytes that are no answer, so its connection was closed."""
+
 
 class ClientConnection(ResponseHandler):
     """
@@ -18,9 +37,79 @@
     A body with neither a length nor chunks ends when the server closes the
     connection in an orderly way. aiohttp takes any end of the connection for
     the end of such a body.
+
+    A server that sends bytes without end that are neither a head nor payload
+    gets its connection closed, and so does one that sends more after its
+    answer. aiohttp itself limits each line of a head or trailer to 8190 bytes
+    and their number to 128, and stops reading while payload waits to be read.
     """
 
     _pending_error: OSError | None = None
+    _invalid_error: InvalidAnswerError | None = None
+    _body: aiohttp.StreamReader | None = None
+    _received_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self._body = None
+        self._received_bytes = 0
+        super().set_response_params(**options)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
+    ) -> None:
+        """Add a parsed head and its body to the queue of this connection."""
+        status = data[0].code
+        final = status >= FIRST_FINAL_STATUS or status == SWITCHING_PROTOCOLS
+        if final and self._body is None:
+            self._body = data[1]
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; without any, go on with those held back."""
+        if len(data) <= PARSED_BYTES:
+            self._parse(data)
+            return
+        start = 0
+        while start < len(data) and self.is_connected():
+            # What comes while reading is paused is held back in one piece.
+            end = len(data) if self._reading_paused else start + PARSED_BYTES
+            self._parse(data[start:end])
+            start = end
+
+    def _parse(self, data: bytes) -> None:
+        body = self._body
+        if data and body is not None and body.is_eof():
+            self.close()  # bytes after the answer belong to no request
+            return
+        self._received_bytes += len(data)
+        super().data_received(data)
+        if self._exception is not None:
+            reason = f"body can't be parsed: {self._exception}"
+            self._fail_body(InvalidAnswerError(reason))
+        elif not self._reading_paused:  # else some bytes are not parsed yet
+            self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        body = self._body
+        if body is not None and body.is_eof():
+            return
+        payload_bytes = 0 if body is None else body.total_raw_bytes
+        overhead_bytes = self._received_bytes - payload_bytes
+        limit_bytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * payload_bytes
+        if overhead_bytes > limit_bytes:
+            part = "no head" if body is None else f"{payload_bytes} bytes of payload"
+            self._invalid_error = InvalidAnswerError(
+                f"{part} in {self._received_bytes} received bytes"
+            )
+            self.close()
+            self.set_exception(self._invalid_error)
+            self._fail_body(self._invalid_error)
+
+    def _fail_body(self, error: Exception) -> None:
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(error)
 
     def eof_received(self) -> None:
         """Note the error that the event loop may report as an orderly end."""
@@ -30,7 +119,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection had an error."""
-        error = exc or self._pending_error
+        error = self._invalid_error or exc or self._pending_error
         body = self._payload
         if error is not None and body is not None and not body.is_eof():
             body.set_exception(aiohttp.ClientPayloadError(f"connection reset: {error}"))
@@ -47,4 +136,21 @@
         self._factory: Any = partial(self.connection_class, loop=self._loop)
 
 
-__all__ = ["ClientConnection", "ClientConnector"]
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """
+    Return the whole body of an answer that is not a stream.
+
+    :raises InvalidAnswerError: when it has more than ``max_bytes`` bytes; the
+        connection is closed.
+    :raises aiohttp.ClientError: when it breaks off.
+    """
+    body = bytearray()
+    while part := await response.content.read(READ_BYTES):
+        body += part
+        if len(body) > max_bytes:
+            response.close()
+            raise InvalidAnswerError(f"body has more than {max_bytes} bytes")
+    return bytes(body)
+
+
+__all__ = ["ClientConnection", "ClientConnector", "InvalidAnswerError", "read_body"]
--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -21,6 +21,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 KEEPALIVE_PROBE_INTERVAL_S = 1  # the socket option's minimum
 MAX_UNANSWERED_KEEPALIVE_PROBES = 2
+# While more of a body than this waits to be read, or more than a sixteenth of
+# it in chunks, its connection is not read.
+ENGINE_BUFFER_BYTES = 16 * 1024
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -105,6 +108,7 @@
     return aiohttp.ClientSession(
         connector=EngineConnector(limit=0, force_close=True),
         auto_decompress=False,
+        read_bufsize=ENGINE_BUFFER_BYTES,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,135 @@
+"""Servers that send bytes without end, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from aspenbridge.backends import open_session
+from aspenbridge.client_connections import InvalidAnswerError, read_body
+from aspenbridge.clock import SystemClock
+from aspenbridge.loop import NumericAddressLoop
+from aspenbridge.platform._connections import open_engine_session, open_store_session
+from aspenbridge.platform._engine_calls import HttpEngineCaller
+from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.relay import EventSplitter, read_chunks, read_events
+from aspenbridge.relay._reading import read_whole
+from tests.support.endless_answers import (
+    FRAMINGS,
+    HEADS,
+    WHOLE,
+    Endless,
+    EndlessServer,
+    head,
+)
+
+# What the kernel may hold of a connection that the host does not read.
+KERNEL_BYTES = 7 * 1024 * 1024
+MAX_WHOLE_BYTES = 2 * 1024 * 1024
+FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
+CALL_LIMIT_S = 5.0
+
+
+def run(coroutine):
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        return runner.run(coroutine)
+
+
+async def call_engine(caller, port, clock):
+    """Read an answer as the host does; return why it failed."""
+    call = RelayedCall(
+        request_id="r1",
+        method="POST",
+        target="/a",
+        host="a.example",
+        headers=(),
+        body=b"q",
+        deadline_s=clock.now_s() + CALL_LIMIT_S,
+    )
+    try:
+        answer = await caller.open("e1", f"127.0.0.1:{port}", call, call.deadline_s)
+        try:
+            chunks = read_chunks(answer, lambda: call.deadline_s - clock.now_s())
+            if answer.head.streams:
+                async for _ in read_events(answer.head, chunks, EventSplitter()):
+                    pass
+            else:
+                await read_whole(answer.head, chunks)
+        finally:
+            answer.close()
+    except AttemptError as error:
+        return error
+    return None
+
+
+@pytest.mark.parametrize("endless", [*HEADS, *FRAMINGS], ids=str)
+def test_endless_answer_of_an_engine_is_refused_after_bounded_bytes(endless):
+    async def check():
+        clock = SystemClock()
+        async with EndlessServer(endless) as server, open_engine_session() as session:
+            caller = HttpEngineCaller(session, clock)
+            started_s = time.monotonic()
+            error = await call_engine(caller, server.port, clock)
+            return error, time.monotonic() - started_s, server.sent_bytes
+
+    error, duration_s, sent_bytes = run(check())
+    assert error is not None
+    assert error.outcome is CallOutcome.BROKEN
+    assert not error.connection_lost, error.reason
+    assert len(error.reason) <= 300
+    assert duration_s < FAST_LIMIT_S, error.reason
+    assert sent_bytes < MAX_WHOLE_BYTES + KERNEL_BYTES
+
+
+def test_body_whose_framing_can_not_be_parsed_fails_without_a_wait():
+    async def check():
+        clock = SystemClock()
+        answer = Endless("", head(), b"z")
+        async with (
+            EndlessServer(answer, slow=True) as server,
+            open_engine_session() as session,
+        ):
+            started_s = time.monotonic()
+            caller = HttpEngineCaller(session, clock)
+            error = await call_engine(caller, server.port, clock)
+            return error, time.monotonic() - started_s
+
+    error, duration_s = run(check())
+    assert "body can't be parsed" in error.reason
+    assert not error.connection_lost
+    assert duration_s < FAST_LIMIT_S
+
+
+@pytest.mark.parametrize("open_client_session", [open_store_session, open_session])
+def test_kept_connection_is_closed_when_more_bytes_follow_an_answer(
+    open_client_session,
+):
+    async def check():
+        answer = Endless("", head(WHOLE, "Content-Length: 2\r\n") + b"ok", b"\r\n")
+        async with EndlessServer(answer) as server, open_client_session() as session:
+            async with session.get(f"http://127.0.0.1:{server.port}/") as response:
+                body = await read_body(response, 2)
+            await asyncio.sleep(0.3)
+            return body, server.open_connections
+
+    assert run(check()) == (b"ok", 0)
+
+
+@pytest.mark.parametrize("open_client_session", [open_store_session, open_session])
+def test_body_beyond_its_bound_is_an_error_and_closes_its_connection(
+    open_client_session,
+):
+    async def check():
+        answer = Endless("", head(WHOLE, ""), b"x")
+        async with EndlessServer(answer) as server, open_client_session() as session:
+            async with session.get(f"http://127.0.0.1:{server.port}/") as response:
+                with pytest.raises(InvalidAnswerError):
+                    await read_body(response, MAX_WHOLE_BYTES)
+            await asyncio.sleep(0.1)
+            return server.open_connections, server.sent_bytes
+
+    connections, sent_bytes = run(check())
+    assert connections == 0
+    assert sent_bytes < MAX_WHOLE_BYTES + KERNEL_BYTES
