Bound an event and a whole body, and split events at a linear cost

Cause: the splitter joined and searched all received bytes of an event anew for each part, and kept them without a limit, as did the reader of a body that is not a stream. Change: an event may have 64 KiB and a whole body 2 MiB, beyond that the attempt is broken; what was searched for the end of an event is not searched again.

--- a/src/aspenbridge/relay/_events.py
+++ b/src/aspenbridge/relay/_events.py
@@ -5,6 +5,7 @@
 import attrs
 
 EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 64 * 1024  # an event holds some tokens
 
 
 class EventError(ValueError):
@@ -30,7 +31,7 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def pending(self) -> bool:
@@ -39,23 +40,31 @@
 
     def restart(self) -> None:
         """Drop an unfinished event; another engine resumes the stream."""
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """
         Add received bytes and return the events that they complete.
 
-        :raises EventError: when an event can't be parsed, or its id does not
-            follow the last one.
+        :raises EventError: when an event can't be parsed, its id does not
+            follow the last one, or it exceeds ``MAX_EVENT_BYTES``.
         """
-        *blocks, self._partial = (self._partial + chunk).split(EVENT_END)
+        # What was received before has been searched already.
+        searched_bytes = max(0, len(self._partial) - len(EVENT_END) + 1)
+        self._partial += chunk
+        begin, end = 0, self._partial.find(EVENT_END, searched_bytes)
         events = []
-        for block in blocks:
-            event = _parse_event(block)
+        while end >= 0:
+            event = _parse_event(bytes(self._partial[begin:end]))
             if self.last_id is not None and event.id != self.last_id + 1:
                 raise EventError(f"event {event.id} came after {self.last_id}")
             self.last_id = event.id
             events.append(event)
+            begin = end + len(EVENT_END)
+            end = self._partial.find(EVENT_END, begin)
+        del self._partial[:begin]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventError(f"no event in {len(self._partial)} bytes")
         return events
 
 
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -16,6 +16,9 @@
 
     from ._events import EventSplitter, StreamEvent
 
+# Each request holds the whole body until it is sent to the caller.
+MAX_WHOLE_BODY_BYTES = 2 * 1024 * 1024
+
 
 async def read_chunks(
     answer: RelayedAnswer, gap_limit_s: Callable[[], float]
@@ -84,11 +87,17 @@
     """
     Return the body of an answer that is not a stream.
 
-    :raises AttemptError: when the answer breaks off.
+    :raises AttemptError: when the answer breaks off, or has more than
+        ``MAX_WHOLE_BODY_BYTES``.
     :raises EmptyAnswerError: when the body is empty, and nothing but the end
         of the connection tells so.
     """
-    body = b"".join([chunk async for chunk in chunks])
+    body = bytearray()
+    async for chunk in chunks:
+        body += chunk
+        if len(body) > MAX_WHOLE_BODY_BYTES:
+            reason = f"body has more than {MAX_WHOLE_BODY_BYTES} bytes"
+            raise AttemptError(CallOutcome.BROKEN, reason)
     if not body and head.needs_body:
         raise EmptyAnswerError
-    return body
+    return bytes(body)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -15,8 +15,10 @@
 from aspenbridge.platform._engine_calls import HttpEngineCaller
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.relay import EventSplitter, read_chunks, read_events
-from aspenbridge.relay._reading import read_whole
+from aspenbridge.relay._events import MAX_EVENT_BYTES, EventError
+from aspenbridge.relay._reading import MAX_WHOLE_BODY_BYTES, read_whole
 from tests.support.endless_answers import (
+    BODIES,
     FRAMINGS,
     HEADS,
     WHOLE,
@@ -27,7 +29,6 @@
 
 # What the kernel may hold of a connection that the host does not read.
 KERNEL_BYTES = 7 * 1024 * 1024
-MAX_WHOLE_BYTES = 2 * 1024 * 1024
 FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
 CALL_LIMIT_S = 5.0
 
@@ -64,7 +65,7 @@
     return None
 
 
-@pytest.mark.parametrize("endless", [*HEADS, *FRAMINGS], ids=str)
+@pytest.mark.parametrize("endless", [*HEADS, *FRAMINGS, *BODIES], ids=str)
 def test_endless_answer_of_an_engine_is_refused_after_bounded_bytes(endless):
     async def check():
         clock = SystemClock()
@@ -80,7 +81,36 @@
     assert not error.connection_lost, error.reason
     assert len(error.reason) <= 300
     assert duration_s < FAST_LIMIT_S, error.reason
-    assert sent_bytes < MAX_WHOLE_BYTES + KERNEL_BYTES
+    assert sent_bytes < MAX_WHOLE_BODY_BYTES + KERNEL_BYTES
+
+
+def split_bytes(count: int) -> float:
+    """Return the processor time for an event that comes byte by byte."""
+    splitter = EventSplitter()
+    pieces = [b"x"] * count
+    started_s = time.process_time()
+    for piece in pieces:
+        splitter.feed(piece)
+    return time.process_time() - started_s
+
+
+def test_cost_of_an_event_that_comes_byte_by_byte_grows_with_its_bytes():
+    short_s = min(split_bytes(7_500) for _ in range(3))
+    long_s = min(split_bytes(60_000) for _ in range(3))
+    # Eight times the bytes; a cost by the square would be 64 times as high.
+    assert long_s < 20 * short_s
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_event_is_read_up_to_its_bound_also_when_it_comes_at_once(whole):
+    event = b"id: 0\ndata: " + b"x" * (MAX_EVENT_BYTES - 12)
+    splitter = EventSplitter()
+    assert splitter.feed(event) == []
+    if whole:
+        assert len(splitter.feed(b"\n\n")) == 1
+    else:
+        with pytest.raises(EventError, match="no event in"):
+            splitter.feed(b"x")
 
 
 def test_body_whose_framing_can_not_be_parsed_fails_without_a_wait():
@@ -126,10 +156,10 @@
         async with EndlessServer(answer) as server, open_client_session() as session:
             async with session.get(f"http://127.0.0.1:{server.port}/") as response:
                 with pytest.raises(InvalidAnswerError):
-                    await read_body(response, MAX_WHOLE_BYTES)
+                    await read_body(response, MAX_WHOLE_BODY_BYTES)
             await asyncio.sleep(0.1)
             return server.open_connections, server.sent_bytes
 
     connections, sent_bytes = run(check())
     assert connections == 0
-    assert sent_bytes < MAX_WHOLE_BYTES + KERNEL_BYTES
+    assert sent_bytes < MAX_WHOLE_BODY_BYTES + KERNEL_BYTES
