Resume a stream before events that were dropped with invalid bytes

Cause: the splitter took an event as received although it then refused the bytes behind it, so that none of them was sent on; another engine was asked to go on after that event. Callers saw: nothing was reported; a resumed stream would lack these events. Evidence: read in the code; the new test failed before (last id 4, not 3). Change: the last id moves only when the events are returned.

--- a/src/aspenbridge/relay/_events.py
+++ b/src/aspenbridge/relay/_events.py
@@ -47,24 +47,27 @@
         Add received bytes and return the events that they complete.
 
         :raises EventError: when an event can't be parsed, its id does not
-            follow the last one, or it exceeds ``MAX_EVENT_BYTES``.
+            follow the last one, or it exceeds ``MAX_EVENT_BYTES``. Events
+            that the same call completed don't count as received.
         """
         # What was received before has been searched already.
         searched_bytes = max(0, len(self._partial) - len(EVENT_END) + 1)
         self._partial += chunk
         begin, end = 0, self._partial.find(EVENT_END, searched_bytes)
-        events = []
+        events: list[StreamEvent] = []
+        last_id = self.last_id
         while end >= 0:
             event = _parse_event(bytes(self._partial[begin:end]))
-            if self.last_id is not None and event.id != self.last_id + 1:
-                raise EventError(f"event {event.id} came after {self.last_id}")
-            self.last_id = event.id
+            if last_id is not None and event.id != last_id + 1:
+                raise EventError(f"event {event.id} came after {last_id}")
+            last_id = event.id
             events.append(event)
             begin = end + len(EVENT_END)
             end = self._partial.find(EVENT_END, begin)
         del self._partial[:begin]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventError(f"no event in {len(self._partial)} bytes")
+        self.last_id = last_id
         return events
 
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -163,3 +163,11 @@
     connections, sent_bytes = run(check())
     assert connections == 0
     assert sent_bytes < MAX_WHOLE_BODY_BYTES + KERNEL_BYTES
+
+
+@pytest.mark.parametrize("rest", [b": c\n\n", b"x" * (MAX_EVENT_BYTES + 1)])
+def test_event_that_comes_with_invalid_bytes_is_not_skipped_by_a_resume(rest):
+    splitter = EventSplitter(3)
+    with pytest.raises(EventError):
+        splitter.feed(b"id: 4\ndata: t\n\n" + rest)
+    assert splitter.last_id == 3
