Bound replies of the store, and take one of another form for no answer

Cause: the store client kept a whole reply of any size, and read the fields of a decoded reply without a check. Callers saw: memory grew until the call's time-out; a reply of another form ended the task that had made the call with an exception. Change: a reply may have 8 MiB, an object what the settings say; a reply of another form is ``Unavailable`` and the write may have been applied.

--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -22,6 +22,7 @@
 # checked again.
 PARSED_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
+MAX_REASON_CHARS = 200  # a reason may quote what a server has sent
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
@@ -153,4 +154,20 @@
     return bytes(body)
 
 
-__all__ = ["ClientConnection", "ClientConnector", "InvalidAnswerError", "read_body"]
+def describe_error(error: Exception) -> str:
+    """Return why a call failed, in at most ``MAX_REASON_CHARS`` characters."""
+    reason = repr(error)
+    if isinstance(error, aiohttp.ClientResponseError):
+        reason = f"head can't be parsed: {error.message}"
+    if isinstance(error, InvalidAnswerError):
+        reason = str(error)
+    return reason[:MAX_REASON_CHARS]
+
+
+__all__ = [
+    "ClientConnection",
+    "ClientConnector",
+    "InvalidAnswerError",
+    "describe_error",
+    "read_body",
+]
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from aspenbridge.client_connections import InvalidAnswerError
+from aspenbridge.client_connections import InvalidAnswerError, describe_error
 from aspenbridge.ports import AnswerHead, AttemptError, BodyEnd, CallOutcome
 
 from . import _names as names
@@ -38,7 +38,6 @@
 HTTP_MISDIRECTED_REQUEST = 421
 STATUSES_WITHOUT_BODY = (204, 304)
 READ_BYTES = 8 * 1024  # other requests are served between two such parts
-MAX_REASON_CHARS = 200  # a reason may quote what an engine has sent
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -78,10 +77,10 @@
         try:
             part = await self._response.content.read(READ_BYTES)
         except InvalidAnswerError as error:
-            raise AttemptError(CallOutcome.BROKEN, _reason(error)) from error
+            raise AttemptError(CallOutcome.BROKEN, describe_error(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(
-                CallOutcome.BROKEN, _reason(error), connection_lost=True
+                CallOutcome.BROKEN, describe_error(error), connection_lost=True
             ) from error
         self._more_waits = len(part) == READ_BYTES
         return part
@@ -126,10 +125,10 @@
             raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
         except (aiohttp.ClientConnectionError, OSError) as error:
             raise AttemptError(
-                CallOutcome.BROKEN, _reason(error), connection_lost=True
+                CallOutcome.BROKEN, describe_error(error), connection_lost=True
             ) from error
         except (aiohttp.ClientError, ValueError) as error:
-            raise AttemptError(CallOutcome.BROKEN, _reason(error)) from error
+            raise AttemptError(CallOutcome.BROKEN, describe_error(error)) from error
         return _check_response(response, call.request_id)
 
     def _headers(self, engine_id: str, call: RelayedCall) -> CIMultiDict[str]:
@@ -179,14 +178,6 @@
     return EngineResponse(head, response)
 
 
-def _reason(error: Exception) -> str:
-    if isinstance(error, aiohttp.ClientResponseError):
-        return f"head can't be parsed: {error.message}"[:MAX_REASON_CHARS]
-    if isinstance(error, InvalidAnswerError):
-        return str(error)[:MAX_REASON_CHARS]
-    return repr(error)[:MAX_REASON_CHARS]
-
-
 def _body_end(response: aiohttp.ClientResponse) -> BodyEnd:
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
         return BodyEnd.CHUNKS
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -85,7 +85,9 @@
     clock = SystemClock()
     store_session = await stack.enter_async_context(open_store_session())
     engine_session = await stack.enter_async_context(open_engine_session())
-    store = StoreClient(store_session, str(settings.store))
+    store = StoreClient(
+        store_session, str(settings.store), settings.store_limits.object_bytes
+    )
     ports = EntryPorts(
         clock=clock,
         random=random.SystemRandom(),
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -4,13 +4,14 @@
 
 import base64
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
+from aspenbridge.client_connections import describe_error, read_body
 from aspenbridge.observability import metrics
 from aspenbridge.ports import (
     ChangePage,
@@ -28,10 +29,11 @@
 from . import _names as names
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from aspenbridge.ports import Transaction
 
+Decoded = TypeVar("Decoded")
 # The store answers in 4 ms, and in a tenth of a second under load.
 CALL_TIMEOUT_S = 1.0
 # Added to the requested wait of a call on the change feed.
@@ -40,6 +42,10 @@
 NOT_APPLIED_STATUSES = (502, 503, 429)
 HISTORY_LOST_STATUS = 410
 MAX_ROWS_PER_CALL = 500  # the maximum number of rows in one response
+# Of a reply that holds no object: eight times the megabyte of rows that the
+# store puts into one.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+DEFAULT_OBJECT_BYTES = 8 * 1024 * 1024
 LAST_CHARACTER = "\U0010ffff"
 
 
@@ -50,11 +56,19 @@
     Satisfies the protocols ``TableService``, ``ChangeFeed`` and
     ``ObjectStore``. A failed call is returned as ``Unavailable``, which tells
     whether the store may have applied it.
+
+    :param object_bytes: the size of the largest object that the store keeps.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        object_bytes: int = DEFAULT_OBJECT_BYTES,
+    ) -> None:
         self._session = session
         self._base_url = f"http://{address}"
+        self._object_bytes = object_bytes
 
     def set_address(self, address: str) -> None:
         """Send all further calls to this address, given as ``IP:PORT``."""
@@ -85,13 +99,16 @@
             return result
         status, fields = result.unwrap()
         if status == 412:
-            rows = {row.key: row for row in map(_decode_row, fields.get("rows", ()))}
-            return Failure(
-                Conflict(
-                    {check.key: rows.get(check.key) for check in transaction.checks}
-                )
-            )
-        return Success(Committed({put.key: fields["ver"] for put in transaction.puts}))
+            rows = _decode(fields, _decode_conflict)
+            if isinstance(rows, Failure):
+                return rows
+            found = rows.unwrap()
+            checked = [check.key for check in transaction.checks]
+            return Failure(Conflict({key: found.get(key) for key in checked}))
+        version = _decode(fields, lambda fields: int(fields["ver"]))
+        return version.map(
+            lambda number: Committed({put.key: number for put in transaction.puts})
+        )
 
     async def read(
         self, keys: Sequence[RowKey]
@@ -137,16 +154,7 @@
         query |= {"from": start} if start else {}
         query |= {"to": end} if end else {}
         result = await self._call_json("GET", names.ROWS_PATH, query=query)
-        if isinstance(result, Failure):
-            return result
-        _, fields = result.unwrap()
-        return Success(
-            RowRange(
-                rows=tuple(map(_decode_row, fields["rows"])),
-                version=fields["ver"],
-                complete=not fields.get("hasMore", False),
-            )
-        )
+        return result.bind(lambda reply: _decode(reply[1], _decode_range))
 
     async def parts(self, table: str) -> Result[tuple[str, ...], Unavailable]:
         """Return the names of all parts of a table."""
@@ -154,11 +162,12 @@
         while True:
             query = {"table": table} | ({"after": parts[-1]} if parts else {})
             result = await self._call_json("GET", names.PARTS_PATH, query=query)
-            if isinstance(result, Failure):
-                return result
-            _, fields = result.unwrap()
-            parts.extend(fields["parts"])
-            if not fields.get("hasMore") or not fields["parts"]:
+            page = result.bind(lambda reply: _decode(reply[1], _decode_parts))
+            if isinstance(page, Failure):
+                return page
+            found, has_more = page.unwrap()
+            parts.extend(found)
+            if not has_more or not found:
                 return Success(tuple(parts))
 
     async def changes(
@@ -186,9 +195,7 @@
         status, fields = result.unwrap()
         if status == HISTORY_LOST_STATUS:
             return Failure(HistoryLost())
-        return Success(
-            ChangePage(tuple(map(_decode_change, fields["rows"])), fields["ver"])
-        )
+        return _decode(fields, _decode_page)
 
     async def put(self, name: str, body: bytes) -> Result[None, Unavailable]:
         """Write an object unless one of this name exists already."""
@@ -209,6 +216,7 @@
             names.OBJECT_GET_PATH + quote(name, safe=""),
             expected_statuses=(200, 404),
             timeout_s=CALL_TIMEOUT_S * 2,
+            max_reply_bytes=self._object_bytes,
         )
         return result.map(lambda reply: reply[1] if reply[0] == 200 else None)
 
@@ -238,6 +246,7 @@
         headers: dict[str, str] | None = None,
         expected_statuses: tuple[int, ...] = (200,),
         timeout_s: float = CALL_TIMEOUT_S,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> Result[tuple[int, bytes], Unavailable]:
         started_s = time.perf_counter()
         sent_headers = {"Content-Type": "application/json"} | (headers or {})
@@ -250,14 +259,13 @@
                 headers=sent_headers if body is not None else headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                reply = await response.read()
+                reply = await read_body(response, max_reply_bytes)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             _observe_duration(path, "not sent", started_s)
-            return Failure(Unavailable(str(error), maybe_applied=False))
+            return Failure(Unavailable(describe_error(error), maybe_applied=False))
         except (aiohttp.ClientError, TimeoutError) as error:
             _observe_duration(path, "no answer", started_s)
-            reason = str(error) or type(error).__name__
-            return Failure(Unavailable(reason, maybe_applied=True))
+            return Failure(Unavailable(describe_error(error), maybe_applied=True))
         _observe_duration(path, str(response.status), started_s)
         if response.status in expected_statuses:
             return Success((response.status, reply))
@@ -282,8 +290,8 @@
         return Success((status, {}))
     try:
         return Success((status, msgspec.json.decode(body)))
-    except msgspec.DecodeError as error:
-        reason = f"reply can't be decoded: {error}"
+    except (msgspec.DecodeError, RecursionError) as error:
+        reason = f"reply can't be decoded: {describe_error(error)}"
         return Failure(Unavailable(reason, maybe_applied=True))
 
 
@@ -295,6 +303,17 @@
     metrics.STORE_CALL_S.labels(call, outcome).observe(duration_s)
 
 
+def _decode(
+    fields: Any, decode: Callable[[dict[str, Any]], Decoded]
+) -> Result[Decoded, Unavailable]:
+    """Return what a reply holds, unless it has another form."""
+    try:
+        return Success(decode(fields))
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        reason = f"reply has another form: {describe_error(error)}"
+        return Failure(Unavailable(reason, maybe_applied=True))
+
+
 def _encode_key(key: RowKey) -> dict[str, Any]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
@@ -312,3 +331,23 @@
     removed = fields.get("tombstone", False)
     value = None if removed else base64.b64decode(fields["value"])
     return RowChange(_decode_key(fields), value, fields["ver"])
+
+
+def _decode_range(fields: dict[str, Any]) -> RowRange:
+    return RowRange(
+        rows=tuple(map(_decode_row, fields["rows"])),
+        version=fields["ver"],
+        complete=not fields.get("hasMore", False),
+    )
+
+
+def _decode_parts(fields: dict[str, Any]) -> tuple[list[str], bool]:
+    return fields["parts"], bool(fields.get("hasMore"))
+
+
+def _decode_page(fields: dict[str, Any]) -> ChangePage:
+    return ChangePage(tuple(map(_decode_change, fields["rows"])), fields["ver"])
+
+
+def _decode_conflict(fields: dict[str, Any]) -> dict[RowKey, Row]:
+    return {row.key: row for row in map(_decode_row, fields.get("rows", ()))}
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+from returns.result import Failure, Success
 
 from aspenbridge.backends import open_session
 from aspenbridge.client_connections import InvalidAnswerError, read_body
@@ -13,7 +14,15 @@
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform._connections import open_engine_session, open_store_session
 from aspenbridge.platform._engine_calls import HttpEngineCaller
-from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.platform._store import MAX_REPLY_BYTES, StoreClient
+from aspenbridge.ports import (
+    AttemptError,
+    CallOutcome,
+    Put,
+    RelayedCall,
+    RowKey,
+    Transaction,
+)
 from aspenbridge.relay import EventSplitter, read_chunks, read_events
 from aspenbridge.relay._events import MAX_EVENT_BYTES, EventError
 from aspenbridge.relay._reading import MAX_WHOLE_BODY_BYTES, read_whole
@@ -132,6 +141,60 @@
     assert duration_s < FAST_LIMIT_S
 
 
+STORE_CALLS = {
+    "rows": lambda store: store.rows("0"),
+    "changes": lambda store: store.changes("t", 0, 0.1),
+    "parts": lambda store: store.parts("t"),
+    "write": lambda store: store.transact(
+        Transaction(puts=(Put(RowKey("t", "k"), b""),))
+    ),
+    "object": lambda store: store.get("0"),
+}
+
+
+def call_store(name, answer, *, slow=False):
+    """Return the result of a call, its duration and what the store sent."""
+
+    async def check():
+        async with (
+            EndlessServer(answer, slow=slow) as server,
+            open_store_session() as session,
+        ):
+            store = StoreClient(session, f"127.0.0.1:{server.port}")
+            started_s = time.monotonic()
+            result = await STORE_CALLS[name](store)
+            return result, time.monotonic() - started_s, server.sent_bytes
+
+    return run(check())
+
+
+@pytest.mark.parametrize("name", STORE_CALLS)
+@pytest.mark.parametrize(
+    "endless", [*HEADS, *FRAMINGS, Endless("body", head(WHOLE, ""), b"x")], ids=str
+)
+def test_endless_reply_of_the_store_is_a_failed_call(endless, name):
+    result, duration_s, sent_bytes = call_store(name, endless)
+    assert isinstance(result, Failure)
+    assert result.failure().maybe_applied
+    assert 0 < len(result.failure().reason) <= 300
+    assert duration_s < FAST_LIMIT_S
+    assert sent_bytes < MAX_REPLY_BYTES + KERNEL_BYTES
+
+
+@pytest.mark.parametrize("name", ["rows", "changes", "parts", "write"])
+@pytest.mark.parametrize(
+    "body", [b"[]", b"null", b'{"rows":5}', b'{"rows":[{}],"ver":1}', b"[" * 100_000]
+)
+def test_reply_of_another_form_is_a_failed_call(body, name):
+    length = f"Content-Length: {len(body)}\r\n"
+    result, _, _ = call_store(name, Endless("", head(WHOLE, length) + body, b"\r\n"))
+    if name == "write" and b"ver" in body:
+        assert isinstance(result, Success)
+    else:
+        assert isinstance(result, Failure)
+        assert 0 < len(result.failure().reason) <= 300
+
+
 @pytest.mark.parametrize("open_client_session", [open_store_session, open_session])
 def test_kept_connection_is_closed_when_more_bytes_follow_an_answer(
     open_client_session,
