--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -45,6 +45,7 @@
         a stream of ``events`` events.
     :ivar sent_bytes: how much of the body is sent; None for all of it.
     :ivar head_bytes: how much of the head is sent; None for all of it.
+    :ivar headers: lines of the head beside the usual ones.
     """
 
     body: bytes | None = None
@@ -55,6 +56,7 @@
     content_type: str = "text/event-stream"
     status: int = 200
     events: int = 0
+    headers: tuple[str, ...] = ()
 
     def encode(self, request_id: str, after: int | None) -> bytes:
         first = 0 if after is None else after + 1
@@ -64,6 +66,7 @@
             f"X-Aspenbridge-Attempt-Id: {request_id}",
             "X-Aspenbridge-Server-Stamp: stamp",
             f"Content-Type: {self.content_type}",
+            *self.headers,
         ]
         if self.framing is Framing.LENGTH:
             lines.append(f"Content-Length: {len(body)}")
