--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -49,6 +49,7 @@
     :ivar head_silence_s: how long nothing comes inside the head, in seconds.
     :ivar body_silence_s: how long nothing comes inside the body, in seconds;
         in a stream after its first event.
+    :ivar headers: lines of the head beside the usual ones.
     """
 
     body: bytes | None = None
@@ -61,6 +62,7 @@
     events: int = 0
     head_silence_s: float = 0.0
     body_silence_s: float = 0.0
+    headers: tuple[str, ...] = ()
 
     def encode(self, request_id: str, after: int | None) -> bytes:
         first = 0 if after is None else after + 1
@@ -70,6 +72,7 @@
             f"X-Aspenbridge-Attempt-Id: {request_id}",
             "X-Aspenbridge-Server-Stamp: stamp",
             f"Content-Type: {self.content_type}",
+            *self.headers,
         ]
         if self.framing is Framing.LENGTH:
             lines.append(f"Content-Length: {len(body)}")
