Let a batch item's sound engine be silent for 1.5 s without a second run

Cause: a run ended after 1.5 s without data and 3.0 s without a head, which a sound engine may need. Besides, each part of an event began the limit anew, so that an engine that sends parts without end held an item until it expired.

What callers saw: results late by the work done again; with bytes without end no result before the job's expiry.

Change: 2.5 s between whole events, 4.5 s up to the head; a limit that has passed also ends reads that need not wait.

--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -23,8 +23,11 @@
     from ._messages import SubmittedItem
     from ._owned import ItemState
 
-ANSWER_LIMIT_S = 3.0  # an engine may queue a request behind others for this long
-EVENT_GAP_LIMIT_S = 1.5  # about 100 times the usual gap between two events
+# A sound engine sends nothing for up to 1.5 s, and a run that is left for that
+# is work done in vain; a run is left a second later.
+EVENT_GAP_LIMIT_S = 2.5
+# An engine may besides queue a request behind others for two seconds.
+ANSWER_LIMIT_S = 4.5
 ITEM_METHOD = "POST"
 UNPROCESSABLE = 422
 OK = 200
@@ -96,7 +99,7 @@
         )
         body_end = answer.head.body_end
         try:
-            run = await _read_answer(answer, state)
+            run = await _read_answer(answer, state, clock)
         finally:
             answer.close()
     except AttemptError as error:
@@ -113,16 +116,20 @@
     return attrs.evolve(run, body_end=body_end)
 
 
-async def _read_answer(answer: RelayedAnswer, state: ItemState) -> ItemRunResult:
+async def _read_answer(
+    answer: RelayedAnswer, state: ItemState, clock: Clock
+) -> ItemRunResult:
     status = answer.head.status
     if status == UNPROCESSABLE:
         return ItemRunResult(ItemOutcome.IMPOSSIBLE, f"status {status}")
     if status != OK:
         return ItemRunResult(ItemOutcome.FAILED, f"status {status}")
     splitter = EventSplitter(state.last_event_id)
-    chunks = read_chunks(answer, lambda: EVENT_GAP_LIMIT_S)
+    event_due_s = clock.now_s() + EVENT_GAP_LIMIT_S
+    chunks = read_chunks(answer, lambda: event_due_s - clock.now_s())
     async for events in read_events(answer.head, chunks, splitter):
         for event in events:
             state.events.append(event.data)
             state.last_event_id = event.id
+        event_due_s = clock.now_s() + EVENT_GAP_LIMIT_S
     return ItemRunResult(ItemOutcome.COMPLETE)
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -26,13 +26,13 @@
     """
     Yield the chunks of an answer's body as they arrive.
 
-    :param gap_limit_s: returns how long the next chunk may take.
+    :param gap_limit_s: returns how long the next chunk may take, in seconds;
+        none may come any more if that is not positive.
     :raises AttemptError: when the answer breaks off, or a chunk takes longer.
     """
     while True:
         try:
-            async with asyncio.timeout(gap_limit_s()):
-                chunk = await answer.read()
+            chunk = await _read_within(answer, gap_limit_s())
         except TimeoutError as error:
             raise AttemptError(
                 CallOutcome.BROKEN, "engine sent no data in time"
@@ -42,6 +42,14 @@
         yield chunk
 
 
+async def _read_within(answer: RelayedAnswer, limit_s: float) -> bytes:
+    # A read that need not wait outlasts a limit that has passed.
+    if limit_s <= 0:
+        raise TimeoutError
+    async with asyncio.timeout(limit_s):
+        return await answer.read()
+
+
 class EmptyAnswerError(AttemptError):
     """An answer ended before its body began, and may have broken off."""
 
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -262,6 +262,8 @@
     head_pause_s: float = 0.0  # silence before the head, after the run began
     pause_at: int | None = None  # the event before which the engine is silent
     pause_s: float = 0.0  # for how long
+    # The event that never ends: only small parts of it come.
+    trickle_at: int | None = None
 
 
 @attrs.define
@@ -424,6 +426,9 @@
         number = self._next_event
         if number >= self._engines.events:
             return b""
+        if number == self._fault.trickle_at:
+            await asyncio.sleep(self._engines.event_s)
+            return b"x"
         # The time of the event stands, so that a call that was cancelled and
         # made again gets it when it is due.
         loop = asyncio.get_running_loop()
