End the run of an item that brings no whole event in time, or no end

Cause: each received byte restarted the limit for the next event, so that a trickle held an item until its job expired; events without end were all kept. Callers saw: an item behind such an engine was not done in time; memory grew. Change: the limit of 1.5 s is for a whole event. Beyond 1 MiB of events, each counted with 64 bytes that hold it, a run is interrupted and the item starts anew; it counts as no failure, since the engine said no such thing.

--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -7,14 +7,13 @@
 
 import attrs
 
-from aspenbridge.ports import AttemptError, RelayedCall
+from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
 from aspenbridge.relay import EmptyAnswerError, EventSplitter, read_chunks, read_events
 
 if TYPE_CHECKING:
     from aspenbridge.fleet import EngineEntry
     from aspenbridge.ports import (
         BodyEnd,
-        CallOutcome,
         Clock,
         EngineCaller,
         RelayedAnswer,
@@ -25,6 +24,9 @@
 
 ANSWER_LIMIT_S = 3.0  # an engine may queue a request behind others for this long
 EVENT_GAP_LIMIT_S = 1.5  # about 100 times the usual gap between two events
+# Of the events of one item in memory, each counted with what holds it.
+MAX_ITEM_BYTES = 1024 * 1024
+EVENT_OVERHEAD_BYTES = 64
 ITEM_METHOD = "POST"
 UNPROCESSABLE = 422
 OK = 200
@@ -96,7 +98,7 @@
         )
         body_end = answer.head.body_end
         try:
-            run = await _read_answer(answer, state)
+            run = await _read_answer(answer, state, clock)
         finally:
             answer.close()
     except AttemptError as error:
@@ -113,16 +115,37 @@
     return attrs.evolve(run, body_end=body_end)
 
 
-async def _read_answer(answer: RelayedAnswer, state: ItemState) -> ItemRunResult:
+async def _read_answer(
+    answer: RelayedAnswer, state: ItemState, clock: Clock
+) -> ItemRunResult:
+    """
+    Read the events of an answer into the state of its item.
+
+    :raises AttemptError: when the answer breaks off, no whole event comes in
+        ``EVENT_GAP_LIMIT_S``, or the events exceed ``MAX_ITEM_BYTES``; the
+        item then starts anew, since one of its runs was not sound.
+    """
     status = answer.head.status
     if status == UNPROCESSABLE:
         return ItemRunResult(ItemOutcome.IMPOSSIBLE, f"status {status}")
     if status != OK:
         return ItemRunResult(ItemOutcome.FAILED, f"status {status}")
     splitter = EventSplitter(state.last_event_id)
-    chunks = read_chunks(answer, lambda: EVENT_GAP_LIMIT_S)
+    gap_deadline_s = clock.now_s() + EVENT_GAP_LIMIT_S
+    item_bytes = sum(map(_event_bytes, state.events))
+    chunks = read_chunks(answer, lambda: gap_deadline_s - clock.now_s())
     async for events in read_events(answer.head, chunks, splitter):
         for event in events:
             state.events.append(event.data)
             state.last_event_id = event.id
+            item_bytes += _event_bytes(event.data)
+        if item_bytes > MAX_ITEM_BYTES:
+            state.drop_events()
+            reason = f"events of the item have more than {MAX_ITEM_BYTES} bytes"
+            raise AttemptError(CallOutcome.BROKEN, reason)
+        gap_deadline_s = clock.now_s() + EVENT_GAP_LIMIT_S
     return ItemRunResult(ItemOutcome.COMPLETE)
+
+
+def _event_bytes(data: str) -> int:
+    return len(data) + EVENT_OVERHEAD_BYTES
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -64,6 +64,11 @@
             self.events.pop()
             self.last_event_id = self.last_event_id - 1 if self.events else None
 
+    def drop_events(self) -> None:
+        """Forget all events, so that the next run starts anew."""
+        self.events.clear()
+        self.last_event_id = None
+
     def delay_retry(self, now_s: float) -> None:
         """
         Put off the next run by an exponential backoff.
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -6,11 +6,21 @@
 import time
 
 import pytest
+from aiohttp import web
 from returns.result import Failure, Success
 
 from aspenbridge.backends import open_session
 from aspenbridge.client_connections import InvalidAnswerError, read_body
 from aspenbridge.clock import SystemClock
+from aspenbridge.jobs._item_run import (
+    ANSWER_LIMIT_S,
+    EVENT_GAP_LIMIT_S,
+    MAX_ITEM_BYTES,
+    ItemOutcome,
+    run_item,
+)
+from aspenbridge.jobs._messages import SubmittedItem
+from aspenbridge.jobs._owned import ItemState
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform._connections import open_engine_session, open_store_session
 from aspenbridge.platform._engine_calls import HttpEngineCaller
@@ -35,16 +45,21 @@
     EndlessServer,
     head,
 )
+from tests.support.entry_fleet import make_engine
 
 # What the kernel may hold of a connection that the host does not read.
 KERNEL_BYTES = 7 * 1024 * 1024
 FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
 CALL_LIMIT_S = 5.0
+# For a run of an item: its limits for a head and for the first event, and one
+# second more.
+ITEM_LIMIT_S = ANSWER_LIMIT_S + EVENT_GAP_LIMIT_S + 1.0
+TEST_LIMIT_S = 20.0
 
 
 def run(coroutine):
     with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
-        return runner.run(coroutine)
+        return runner.run(asyncio.wait_for(coroutine, TEST_LIMIT_S))
 
 
 async def call_engine(caller, port, clock):
@@ -141,6 +156,90 @@
     assert duration_s < FAST_LIMIT_S
 
 
+async def run_item_at(port, clock, state, number=0):
+    """Run an item on an engine; return the result and its duration."""
+    async with open_engine_session() as session:
+        started_s = time.monotonic()
+        item = SubmittedItem("r1", f"/batch/{number}", (), b"q")
+        result = await run_item(
+            HttpEngineCaller(session, clock),
+            clock,
+            make_engine("e1", ip="127.0.0.1", port=port),
+            "a.example",
+            item,
+            state,
+            clock.now_s() + 60.0,
+        )
+        return result, time.monotonic() - started_s
+
+
+def test_trickle_without_an_event_does_not_hold_an_item_until_its_job_expires():
+    kinds = [*HEADS, *FRAMINGS, *BODIES]
+
+    async def check():
+        async with EndlessServer(*kinds, slow=True) as server:
+            clock, states = SystemClock(), [ItemState(n) for n in range(len(kinds))]
+            runs = [
+                run_item_at(server.port, clock, state, number)
+                for number, state in enumerate(states)
+            ]
+            return await asyncio.gather(*runs)
+
+    held = [
+        (kind.name, run.reason, duration_s)
+        for kind, (run, duration_s) in zip(kinds, run(check()), strict=True)
+        if run.outcome is not ItemOutcome.INTERRUPTED or duration_s > ITEM_LIMIT_S
+    ]
+    assert held == []
+
+
+class ValidEvents:
+    """Sends valid events as fast as the host takes them."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.sent_events = 0
+
+    async def answer(self, request):
+        await request.read()
+        response = web.StreamResponse(
+            headers={
+                "X-Aspenbridge-Attempt-Id": request.headers["X-Aspenbridge-Attempt-Id"],
+                "X-Aspenbridge-Server-Stamp": "s",
+                "Content-Type": "text/event-stream",
+            }
+        )
+        await response.prepare(request)
+        number = int(request.headers.get("Last-Event-Id", -1)) + 1
+        while True:
+            numbers = range(number, number + 500)
+            events = [b"id: %d\ndata: %b\n\n" % (n, self._data) for n in numbers]
+            await response.write(b"".join(events))
+            self.sent_events += len(numbers)
+            number = numbers.stop
+
+
+@pytest.mark.parametrize("data", [b"", b"x" * 2000])
+def test_item_with_events_without_end_starts_anew_and_holds_bounded_bytes(data):
+    async def check():
+        loop, engine = asyncio.get_running_loop(), ValidEvents(data)
+        server = web.Server(engine.answer)
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        state = ItemState(0, ["before"] * 3, last_event_id=2)
+        result = await run_item_at(port, SystemClock(), state)
+        listener.close()
+        await server.shutdown(0.1)
+        return result, state, engine.sent_events
+
+    (result, duration_s), state, sent_events = run(check())
+    assert result.outcome is ItemOutcome.INTERRUPTED
+    assert "events of the item" in result.reason
+    assert (state.events, state.last_event_id, state.failures) == ([], None, 0)
+    assert duration_s < FAST_LIMIT_S
+    assert sent_events * len(data) < MAX_ITEM_BYTES + KERNEL_BYTES
+
+
 STORE_CALLS = {
     "rows": lambda store: store.rows("0"),
     "changes": lambda store: store.changes("t", 0, 0.1),
