--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,8 +14,11 @@
 from collections import Counter
 from pathlib import Path
 
+import attrs
+
 from aspenbridge.loop import NumericAddressLoop
 
+from ._faults import PLANS
 from ._run import Options, SoakRun
 from .host_main import GUARDS
 
@@ -29,6 +32,7 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--without", choices=sorted(GUARDS), default="")
     parser.add_argument("--first", default="", help="the kind of the first fault")
+    parser.add_argument("--plan", choices=PLANS, default="all", help="kinds of faults")
     parser.add_argument("--slot", type=int, default=1)
     parser.add_argument("--logs", type=Path, help="keep the hosts' logs here")
     options = parser.parse_args()
@@ -37,16 +41,17 @@
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     faults: Counter[str] = Counter()
     responses: Counter[str] = Counter()
-    jobs, violations = 0, {}
+    jobs, counted, violations = 0, 0, {}
+    run = Options(
+        seconds=options.seconds,
+        hosts=options.hosts,
+        removed_guard=options.without,
+        first_fault=options.first,
+        plan=options.plan,
+        subnet=options.slot,
+    )
     for seed in range(options.seed, options.seed + options.runs):
-        run = Options(
-            seed,
-            options.seconds,
-            options.hosts,
-            options.without,
-            options.first,
-            subnet=options.slot,
-        )
+        run = attrs.evolve(run, seed=seed)
         oracle = run_seed(run, options.logs)
         _print(
             f"seed {seed}: {oracle.fault_counts.total()} faults,"
@@ -54,13 +59,15 @@
         )
         faults += oracle.fault_counts
         responses += oracle.response_counts
+        counted += oracle.answers.counted
         jobs += sum(job.accepted for job in oracle.jobs.values())
         if oracle.violations:
             violations[seed] = oracle.violations
     _print(
         f"runs      {options.runs} from seed {options.seed}, {options.seconds} s each",
         f"faults    {faults.total()}: {dict(sorted(faults.items()))}",
-        f"answers   {dict(sorted(responses.items()))}, jobs accepted {jobs}",
+        f"answers   {dict(sorted(responses.items()))}, jobs accepted {jobs},"
+        f" {counted} requests that must be answered",
         f"broken    {len(violations)}: {sorted(violations)}",
         *(
             f"  seed {seed}: {text}"
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -9,7 +9,9 @@
 
 import aiohttp
 
-from ._engines import ATTEMPT_ID_HEADER
+from ._answers import CALM_PREFIX
+from ._connections import CallerConnection, SentRequest, Style
+from ._engines import ATTEMPT_ID_HEADER, LARGE_NAME
 from ._oracle import SentJob
 
 if TYPE_CHECKING:
@@ -20,6 +22,8 @@
 
 DEADLINE_MS = 4000  # of each call, from when it is sent
 SUBMIT_ATTEMPTS = 6
+REQUESTS_PER_CONNECTION = 10  # at most
+CALM_INTERVAL_S = 0.25  # between two calm requests to a host
 READ_WAIT_MS = 500  # how long a host may wait for results before it responds
 HEADERS = {"Host": "a.example", "X-Aspenbridge-Deadline-Ms": str(DEADLINE_MS)}
 CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -46,11 +50,6 @@
         self._number = 0
         self.versions: list[int] = []
 
-    @property
-    def newest_version(self) -> int:
-        """The configuration version that was written last."""
-        return self.versions[-1]
-
     def _new_id(self, kind: str) -> str:
         self._number += 1
         return f"{kind}{self._number:x}-{self._random.randbytes(4).hex()}"
@@ -58,65 +57,79 @@
     def _random_host(self) -> HostProcess:
         return self._random.choice(self._hosts)
 
-    async def send_requests_forever(self) -> None:
-        """Send online requests until cancelled."""
+    async def use_connections_forever(self) -> None:
+        """Send online requests in all styles until cancelled."""
         while True:
-            await self._send_request(
-                self._random.choice(("/free/", "/once/", "/seen/"))
-            )
+            host, style = self._random_host(), self._random.choice(list(Style))
+            limit = self._random.choice((1, REQUESTS_PER_CONNECTION))
+            await self._use_connection(host, style, limit=limit)
             await asyncio.sleep(self._random.uniform(0.0, 0.1))
 
-    async def _send_request(self, prefix: str) -> None:
-        request_id = self._new_id("r")
-        version = self._random.choice(self.versions[-3:])
-        path = f"/v{version}/" if prefix == "/seen/" else prefix
-        path += request_id
-        await self._send(path, request_id, prefix, version)
+    async def send_calm_requests_forever(self, host: HostProcess) -> None:
+        """Send requests to a host for an engine that has no faults."""
+        while True:
+            await self._use_connection(host, Style.PLAIN, CALM_PREFIX)
+            await asyncio.sleep(CALM_INTERVAL_S)
 
     async def send_crashing_request(self, path: str) -> None:
         """Send a request that crashes engines, under a new id."""
-        await self._send(path, self._new_id("c"), "/free/", self.newest_version)
+        await self._use_connection(self._random_host(), Style.PLAIN, "/free/", path)
 
-    async def _send(
-        self, path: str, request_id: str, prefix: str, version: int
+    async def _use_connection(
+        self,
+        host: HostProcess,
+        style: Style,
+        prefix: str = "",
+        path: str = "",
+        *,
+        limit: int = 1,
     ) -> None:
+        """Send requests; empty prefixes and paths are drawn for each one."""
+        connection = CallerConnection(
+            host, style, DEADLINE_MS, self._random, self._oracle.record_head
+        )
+        count = 2 if style is Style.PAIR else 1
+        try:
+            async with connection:
+                for _ in range(limit):
+                    requests = [
+                        self._new_request(host, style, prefix, path)
+                        for _ in range(count)
+                    ]
+                    await self._exchange(connection, host, requests)
+                    if not connection.usable:
+                        return
+                    await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        except OSError:
+            return  # the host is down or paused
+
+    def _new_request(
+        self, host: HostProcess, style: Style, prefix: str, path: str
+    ) -> SentRequest:
+        seen = f"/v{self._random.choice(self.versions[-2:])}/"
+        prefix = prefix or self._random.choice(("/free/", "/once/", seen))
+        request_id = self._new_id("r")
         if prefix == "/once/":
             self._oracle.run_once_ids.add(request_id)
-        host = self._random_host()
-        incarnation = f"{host.name}.{host.incarnation}"
-        self._oracle.host_by_request[request_id] = host.name
+        self._oracle.record_sent(request_id, host.name)
+        path = path or prefix + LARGE_NAME * (style is Style.SLOW) + request_id
+        return SentRequest(request_id, path, prefix, host.name, style)
+
+    async def _exchange(
+        self,
+        connection: CallerConnection,
+        host: HostProcess,
+        requests: list[SentRequest],
+    ) -> None:
+        incarnation = host.incarnation_name
         newest_served = self._oracle.newest_served.get(incarnation, 0)
-        body = path.encode()
-        try:
-            status, events = await self._post(host, path, request_id, body)
-        except CONNECTION_ERRORS:
-            self._oracle.response_counts["no whole answer"] += 1
-            return
-        if prefix == "/seen/" and host.incarnation == int(incarnation.split(".")[1]):
-            self._oracle.check_version(
-                incarnation, version, status, newest_served, self.newest_version
-            )
-        if status == 200:
-            self._oracle.check_response(path, body, events)
-        elif status in (429, 503):
-            self._oracle.response_counts["refused"] += 1
-            self._oracle.refused_ids.add(request_id)
-
-    async def _post(
-        self, host: HostProcess, path: str, request_id: str, body: bytes
-    ) -> tuple[int, list[str]]:
-        timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000)
-        async with self._session.post(
-            host.url + path,
-            data=body,
-            headers=HEADERS | {ATTEMPT_ID_HEADER: request_id},
-            timeout=timeout,
-        ) as response:
-            text = (await response.read()).decode()
-        lines = text.splitlines()
-        return response.status, [
-            line.removeprefix("data: ") for line in lines if line.startswith("data: ")
-        ]
+        await connection.exchange(*requests)
+        for request in requests:
+            self._oracle.record_answer(request)
+            if host.incarnation_name == incarnation:
+                self._oracle.check_version(
+                    incarnation, request, newest_served, self.versions[-1]
+                )
 
     async def submit_jobs_forever(self, interval_s: float) -> None:
         """Submit batch jobs until cancelled."""
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -13,6 +13,7 @@
 
 from tests.support.engine_scripts import Answer, End, Framing
 
+from ._endless import Endless, send_without_end
 from ._links import Link
 
 if TYPE_CHECKING:
@@ -22,11 +23,16 @@
 SLOTS = 8  # requests that an engine runs at a time
 QUEUE_LIMIT = 24  # requests that may wait for a slot; more are refused
 EVENT_INTERVAL_S = 0.02
+PAUSE_S = (0.5, 1.5)  # how long a sound engine may be silent within an answer
+PAUSE_SHARE = 0.02  # of all requests, also without a fault
 ONLINE_EVENTS = 12
 ITEM_EVENTS = 100
+LARGE_NAME = "large-"  # in the path of a request with large events
+LARGE_EVENT_BYTES = 16384
 CRASHING_PREFIX = "/free/crash-"  # of requests that crash engines
 ATTEMPT_ID_HEADER = "X-Aspenbridge-Attempt-Id"
 SERVER_STAMP_HEADER = "X-Aspenbridge-Server-Stamp"
+LEAVING_HEADER = "Server-Leaving"
 SILENCE_S = 2.0  # longer than a host waits for the next event
 NOT_EXECUTED_HEADERS = {"X-Aspenbridge-Not-Executed": "1"}
 
@@ -35,22 +41,33 @@
     """Return the events that every engine generates for a request."""
     seed = hashlib.sha256(path.encode() + b"\0" + body).hexdigest()[:12]
     count = ITEM_EVENTS if path.startswith("/batch/") else ONLINE_EVENTS
-    return [f"{seed}-{number}" for number in range(count)]
+    text = "." * LARGE_EVENT_BYTES if LARGE_NAME in path else ""
+    return [f"{seed}-{number}{text}" for number in range(count)]
 
 
 @attrs.define
 class EngineRun:
-    """A request that an engine began to run."""
+    """
+    A request that an engine began to run.
+
+    :ivar ended_s: when the engine ended its work on it; None before that.
+    """
 
     request_id: str
     path: str
     engine: str
+    service: str
     started_s: float
+    ended_s: float | None = None
 
 
 @attrs.define
 class EngineFaults:
-    """The probability of each fault for a request, from 0.0 to 1.0."""
+    """
+    The probability of each fault for a request, from 0.0 to 1.0.
+
+    A pause is silence of a sound engine.
+    """
 
     lose_response: float = 0.0  # aborts the connection without a response
     wrong_response: float = 0.0  # responds as if to another request
@@ -59,6 +76,8 @@
     # Ends the response in a drawn way: it may be sound and have no length, or
     # break off at any moment by a close, a reset or silence.
     draw_end: float = 0.0
+    endless: float = 0.0  # sends bytes without end
+    pause: float = PAUSE_SHARE
 
 
 class EngineStandIn:
@@ -66,11 +85,16 @@
     One incarnation of an engine, behind a link that can have faults.
 
     :ivar runs: the requests that were started, shared by all engines.
+    :ivar leaving: whether its answers say that it leaves.
     :ivar on_crash: called with the engine and the path that crashed it.
     """
 
-    def __init__(self, name: str, random: Random, runs: list[EngineRun]) -> None:
+    def __init__(
+        self, name: str, random: Random, runs: list[EngineRun], service: str
+    ) -> None:
         self.name = name
+        self.service = service
+        self.leaving = False
         self.started_ms = 1
         self.on_crash: Callable[[EngineStandIn, str], None] = lambda *_: None
         self.runs = runs
@@ -97,23 +121,38 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get(ATTEMPT_ID_HEADER, "")
+        refusal = NOT_EXECUTED_HEADERS | self._leaving_headers()
         if request.headers.get("X-Aspenbridge-Expect-Instance", self.name) != self.name:
-            return web.Response(status=421, headers=NOT_EXECUTED_HEADERS)
+            return web.Response(status=421, headers=refusal)
         if self._active >= SLOTS + QUEUE_LIMIT:
-            return web.Response(status=503, headers=NOT_EXECUTED_HEADERS)
+            return web.Response(status=503, headers=refusal)
         self._active += 1
         try:
             async with self._slots:
-                return await self._run(request, request_id, body)
+                return await self._record_run(request, request_id, body)
         finally:
             self._active -= 1
 
+    def _leaving_headers(self) -> dict[str, str]:
+        return {LEAVING_HEADER: "1"} if self.leaving else {}
+
+    async def _record_run(
+        self, request: web.BaseRequest, request_id: str, body: bytes
+    ) -> web.StreamResponse:
+        run = EngineRun(
+            request_id, request.path, self.name, self.service, time.monotonic()
+        )
+        self.runs.append(run)
+        try:
+            return await self._run(request, request_id, body)
+        finally:
+            run.ended_s = time.monotonic()
+
     async def _run(
         self, request: web.BaseRequest, request_id: str, body: bytes
     ) -> web.StreamResponse:
-        now_s = time.monotonic()
-        self.runs.append(EngineRun(request_id, request.path, self.name, now_s))
         headers = {ATTEMPT_ID_HEADER: request_id, SERVER_STAMP_HEADER: self.name}
+        headers |= self._leaving_headers()
         if self._draw_fault(self.faults.fail):
             return web.Response(status=500, headers=headers)
         if request.path.startswith(CRASHING_PREFIX):
@@ -131,6 +170,17 @@
             return await self._respond_with_drawn_end(
                 request, request_id, events, first
             )
+        if self._draw_fault(self.faults.endless):
+            return await self._respond_without_end(request, request_id)
+        return await self._stream(request, headers, events, first)
+
+    async def _stream(
+        self,
+        request: web.BaseRequest,
+        headers: dict[str, str],
+        events: list[str],
+        first: int,
+    ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers=headers | {"Content-Type": "text/event-stream"}
         )
@@ -138,9 +188,12 @@
         if self._draw_fault(self.faults.lose_response):
             await asyncio.sleep(EVENT_INTERVAL_S)
             return self._abort_connection(request)
+        pauses = self._draw_pauses(first, len(events))
+        await asyncio.sleep(pauses.get(-1, 0.0))
         await response.prepare(request)
         breaks = self._draw_fault(self.faults.break_stream)
         for number in range(first, len(events)):
+            await asyncio.sleep(pauses.get(number, 0.0))
             await asyncio.sleep(EVENT_INTERVAL_S)
             if breaks and number == len(events) // 2:
                 return self._abort_connection(request)
@@ -182,6 +235,26 @@
         transport.close()
         return web.Response()
 
+    async def _respond_without_end(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        transport = request.transport
+        if transport is None:
+            return web.Response()
+        kind, slow = self._random.choice(list(Endless)), self._draw_fault(0.3)
+        port = transport.get_extra_info("peername")[1]
+        self.link.reset_after_end(port, behind_data=False)
+        await send_without_end(transport, kind, request_id, slow=slow)
+        transport.close()
+        return web.Response()
+
+    def _draw_pauses(self, first: int, stop: int) -> dict[int, float]:
+        """Draw a silence before an event, or before the head (-1)."""
+        if not self._draw_fault(self.faults.pause):
+            return {}
+        place = self._random.choice((-1, self._random.randint(first, stop)))
+        return {place: self._random.uniform(*PAUSE_S)}
+
     def _draw_fault(self, share: float) -> bool:
         return self._random.random() < share
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -8,6 +8,7 @@
 
 from tests.support.platform_standins import STALE_READS_S
 
+from ._answers import Disturbance
 from ._engines import CRASHING_PREFIX, EngineFaults
 from ._hosts import DRAIN_S
 from ._links import LinkState
@@ -33,6 +34,24 @@
 MAX_FAULT_S = 5.0
 CRASHING_S = (8.0, 20.0)  # how long a request that crashes engines is resent
 CRASHED_S = (1.0, 3.0)  # how long a crashed engine is down
+SERIES = (3, 6)  # changes in a series of configurations or signals
+SERIES_INTERVAL_S = (0.02, 0.6)
+ENDLESS = "engine sends without end"
+PLANNED = (
+    "host stopped",
+    "hosts reloaded",
+    "configurations changed",
+    "engine drained",
+    "engine leaves",
+    "engines pause",
+)
+# The kinds of faults of a run; an empty plan has all.
+PLANS: dict[str, tuple[str, ...]] = {
+    "all": (),
+    "planned": PLANNED,
+    "endless": (ENDLESS,),
+    "leaving": ("engine leaves", "engine leaves, store away", "engines pause"),
+}
 
 
 class Faults:
@@ -60,7 +79,7 @@
             ("host killed", self._kill),
             ("host stopped", self._stop),
             ("host paused", self._pause),
-            ("host reloaded", self._reload),
+            ("hosts reloaded", self._reload),
             ("store away", self._store_unavailable),
             ("store slow", self._store_slow),
             ("store loses answers", self._store_loses_responses),
@@ -75,20 +94,33 @@
             ("engine crashed", self._engine_crashes),
             ("engine drained", self._engine_drains),
             ("request crashes engines", self._request_crashes_engines),
-            ("configuration changed", self._change_configuration),
+            ("configurations changed", self._change_configurations),
+            ("engines pause", self._engines_pause),
+            ("engine leaves", self._engine_leaves),
+            ("engine leaves, store away", self._engine_leaves_without_store),
+            (ENDLESS, self._engine_sends_without_end),
         ]
+        plan = PLANS[self._run.options.plan]
+        kinds = [kind for kind in kinds if not plan or kind[0] in plan]
         first = [kind for kind in kinds if kind[0] == self._run.options.first_fault]
         while now_s() < until_s:
             name, fault = first.pop() if first else self._random.choice(kinds)
             self.counts[name] += 1
-            self._start(fault())
+            self._start(fault(), name)
             await asyncio.sleep(self._random.uniform(0.2, 2 * FAULT_INTERVAL_S))
 
-    def _start(self, fault: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(fault)
+    def _start(self, fault: Coroutine[Any, Any, None], name: str) -> None:
+        task = asyncio.create_task(self._record(fault, name))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _record(self, fault: Coroutine[Any, Any, None], name: str) -> None:
+        period = Disturbance(now_s(), delays_calm=name != ENDLESS)
+        if name not in PLANNED:
+            self._run.oracle.answers.disturbances.append(period)
+        await fault
+        period.until_s = now_s()
+
     async def heal(self) -> None:
         """
         Wait until the faults have ended, and restore all parts of the run.
@@ -150,7 +182,9 @@
         host.resume()
 
     async def _reload(self) -> None:
-        self._random.choice(self._run.hosts).reload()
+        for _ in range(self._random.randint(*SERIES)):
+            self._random.choice(self._run.hosts).reload()
+            await asyncio.sleep(self._random.uniform(*SERIES_INTERVAL_S))
 
     async def _store_unavailable(self) -> None:
         duration_s = self._draw_duration_s()
@@ -212,38 +246,29 @@
         link.set(LinkState.OPEN)
 
     async def _engine_link_fault(self) -> None:
-        link = self._random.choice(self._run.engines).link
+        link = self._draw_engine().link
         link.set(self._random.choice(list(LinkState)[1:]))
         await asyncio.sleep(self._draw_duration_s())
         link.set(LinkState.OPEN)
 
     async def _engine_faulty(self) -> None:
-        engine = self._random.choice(self._run.engines)
-        engine.faults = EngineFaults(
+        faults = EngineFaults(
             lose_response=0.1, wrong_response=0.1, break_stream=0.1, fail=0.05
         )
-        await asyncio.sleep(self._draw_duration_s())
-        engine.faults = EngineFaults()
+        await self._set_faults([self._draw_engine()], faults)
 
     async def _engine_ends_answers_early(self) -> None:
         """Have all engines end half of their answers in drawn ways."""
-        engines = list(self._run.engines)
-        for engine in engines:
-            engine.faults = EngineFaults(draw_end=0.5)
-        await asyncio.sleep(self._draw_duration_s())
-        for engine in engines:
-            engine.faults = EngineFaults()
+        await self._set_faults(list(self._run.engines), EngineFaults(draw_end=0.5))
 
     async def _engine_crashes(self) -> None:
         """Reset an engine's connections for good, and start another engine."""
-        engine = self._random.choice(self._run.engines)
-        if len(self._run.engines) < 2:
-            return
+        engine = self._draw_engine()
         self._run.engines.remove(engine)
         engine.link.set(LinkState.RESET)
         await asyncio.sleep(0.5)
         self._run.store.write("servers", engine.name, None)
-        await self._run.add_engine()
+        await self._run.add_engine(engine.service)
 
     async def _request_crashes_engines(self) -> None:
         """Resend a request that crashes engines, at one host or several."""
@@ -262,7 +287,7 @@
         if engine.link.state is not LinkState.RESET:
             self._run.oracle.crashed_s.setdefault(path, []).append(now_s())
             engine.link.set(LinkState.RESET)
-            self._start(self._engine_returns(engine))
+            self._start(self._engine_returns(engine), "engine returns")
 
     async def _engine_returns(self, engine: EngineStandIn) -> None:
         await asyncio.sleep(self._random.uniform(*CRASHED_S))
@@ -271,7 +296,7 @@
         if self._random.random() < 0.5:
             self._run.engines.remove(engine)
             self._run.store.write("servers", engine.name, None)
-            await self._run.add_engine()
+            await self._run.add_engine(engine.service)
             return
         engine.started_ms += 1
         engine.link.set(LinkState.OPEN)
@@ -279,16 +304,54 @@
 
     async def _engine_drains(self) -> None:
         """Drain an engine, and check that it gets no requests after that."""
-        if len(self._run.engines) < 2:
-            return
-        await self._run.add_engine()
-        engine = self._random.choice(self._run.engines[:-1])
-        self._run.engines.remove(engine)
+        engine = await self._replace_engine()
         self._run.register(engine, "draining")
         self._run.oracle.drain_started_s[engine.name] = now_s()
         await asyncio.sleep(DRAIN_S * 2)
         self._run.oracle.check_drain(engine.name)
         self._run.store.write("servers", engine.name, None)
 
-    async def _change_configuration(self) -> None:
-        self._run.change_configuration()
+    async def _engine_leaves(self) -> None:
+        """Have an engine say that it leaves in its answers only."""
+        engine = await self._replace_engine()
+        engine.leaving = True
+        await asyncio.sleep(DRAIN_S * 2)
+        self._run.store.write("servers", engine.name, None)
+
+    async def _engine_leaves_without_store(self) -> None:
+        leaves = asyncio.create_task(self._engine_leaves())
+        await self._store_unavailable()
+        await leaves
+
+    def _draw_engine(self) -> EngineStandIn:
+        return self._random.choice(self._run.engines)
+
+    async def _replace_engine(self) -> EngineStandIn:
+        """Start an engine; return one of its service that is to leave."""
+        engine = self._draw_engine()
+        await self._run.add_engine(engine.service)
+        self._run.engines.remove(engine)
+        return engine
+
+    async def _engines_pause(self) -> None:
+        """Have one engine or all be silent for a while in their answers."""
+        engines = self._random.choice(([self._draw_engine()], list(self._run.engines)))
+        faults = EngineFaults(pause=self._random.uniform(0.3, 1.0))
+        await self._set_faults(engines, faults)
+
+    async def _engine_sends_without_end(self) -> None:
+        await self._set_faults([self._draw_engine()], EngineFaults(endless=0.3))
+
+    async def _set_faults(
+        self, engines: list[EngineStandIn], faults: EngineFaults
+    ) -> None:
+        for engine in engines:
+            engine.faults = faults
+        await asyncio.sleep(self._draw_duration_s())
+        for engine in engines:
+            engine.faults = EngineFaults()
+
+    async def _change_configurations(self) -> None:
+        for _ in range(self._random.randint(1, SERIES[1])):
+            self._run.change_configuration()
+            await asyncio.sleep(self._random.uniform(*SERIES_INTERVAL_S))
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -8,7 +8,8 @@
 import sys
 import time
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING, Self
+from pathlib import Path
+from typing import Self
 
 import aiohttp
 
@@ -16,13 +17,10 @@
 
 from ._links import Link
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 # Settings of the hosts: the time for a drain, the time limit of a shutdown,
 # and how long results are kept, which is longer than any run.
 DRAIN_S = 3.0
-STOP_LIMIT_S = 6.0
+STOP_LIMIT_S = 8.0
 RESULTS_KEPT_S = 600
 START_LIMIT_S = 60.0  # until a host reports itself ready
 READY_CALL_LIMIT_S = 1.0
@@ -38,6 +36,7 @@
     :ivar store_link: the link through which the host calls the store.
     :ivar incarnation: how often the process was started.
     :ivar changed_s: when it was started, paused, resumed, stopped or killed.
+    :ivar stops: when it got SIGTERM, and when the process had ended.
     :ivar kill_count: how often ``kill`` was called; ``stop`` calls it when the
         process does not end in time.
     """
@@ -52,6 +51,7 @@
         self.paused = False
         self.kill_count = 0
         self.changed_s: list[float] = []
+        self.stops: list[tuple[float, float]] = []
         self._directory = directory
         self._removed_guard = removed_guard
         self._starting = asyncio.Lock()  # faults of one host may overlap
@@ -63,11 +63,28 @@
         """Whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def incarnation_name(self) -> str:
+        """The host's name and how often its process was started."""
+        return f"{self.name}.{self.incarnation}"
+
     @property
     def url(self) -> str:
         """The base URL at which callers reach the host."""
         return f"http://{self.ip}:{CALLERS_PORT}"
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """The most memory that the process has had resident; 0 if it ended."""
+        if not self.running or self._process is None:
+            return 0
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0  # it has just ended
+        lines = [x for x in status.splitlines() if x.startswith("VmHWM:")]
+        return int(lines[0].split()[1]) * 1024 if lines else 0
+
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self.store_link)
         self._stack.push_async_callback(self.kill)
@@ -158,12 +175,15 @@
         if not self._signal(signal.SIGTERM):
             return None
         assert self._process is not None
+        signal_s = time.monotonic()
         try:
             async with asyncio.timeout(STOP_LIMIT_S + 2.0):
                 return await self._process.wait()
         except TimeoutError:
             await self.kill()
             return None
+        finally:
+            self.stops.append((signal_s, time.monotonic()))
 
     async def kill(self) -> None:
         """Kill the process with SIGKILL; it gets no time to shut down."""
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -8,15 +8,20 @@
 
 import attrs
 
-from ._engines import expected_events
+from ._answers import AnswerChecks
+from ._engines import LEAVING_HEADER, SERVER_STAMP_HEADER, expected_events
 from ._hosts import DRAIN_S
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ._connections import SentRequest
     from ._engines import EngineRun
     from ._hosts import HostProcess
 
 MAX_CRASHES = 3  # after which a request is stopped
 CONTACT_S = 4.0  # until all hosts know of a crash
+MEMORY_BYTES = 32 * 1024 * 1024  # that a host may need beyond its calm need
 MAX_LATE_SENDS = 3  # later than CONTACT_S after the last crash allowed
 
 
@@ -60,6 +65,10 @@
     :ivar drain_started_s: when the drain of each engine started.
     :ivar crashed_s: when engines crashed, by the path of the request.
     :ivar host_by_request: the name of the host that each request was sent to.
+    :ivar sent_s: when callers began to send their requests, by id.
+    :ivar leaving_marks_s: when answers that said that their engine leaves came
+        from a host, by the names of host and engine.
+    :ivar calm_memory_bytes: what each host needed before the first fault.
     """
 
     runs: list[EngineRun]
@@ -71,6 +80,10 @@
     drain_started_s: dict[str, float] = attrs.field(factory=dict)
     crashed_s: dict[str, list[float]] = attrs.field(factory=dict)
     host_by_request: dict[str, str] = attrs.field(factory=dict)
+    sent_s: dict[str, float] = attrs.field(factory=dict)
+    leaving_marks_s: dict[tuple[str, str], list[float]] = attrs.field(factory=dict)
+    calm_memory_bytes: dict[str, int] = attrs.field(factory=dict)
+    answers: AnswerChecks = attrs.field(factory=AnswerChecks)
     stale_periods: list[StalePeriod] = attrs.field(factory=list)
     response_counts: Counter[str] = attrs.field(factory=Counter)
     fault_counts: Counter[str] = attrs.field(factory=Counter)
@@ -87,30 +100,86 @@
                 "whole answers", f"{path} got {events[:2]}, {len(events)} events"
             )
 
+    def record_sent(self, request_id: str, host: str) -> None:
+        """Record that a caller begins to send a request to a host."""
+        self.host_by_request[request_id] = host
+        self.sent_s[request_id] = now_s()
+
+    def record_head(self, host: str, headers: Mapping[str, str]) -> None:
+        """Record whether a host passed on that an engine leaves."""
+        if LEAVING_HEADER in headers:
+            marks = host, headers.get(SERVER_STAMP_HEADER, "")
+            self.leaving_marks_s.setdefault(marks, []).append(now_s())
+
+    def record_answer(self, request: SentRequest) -> None:
+        """Record and check what the caller of a request received."""
+        self.answers.requests.append(request)
+        if request.whole and request.status == 200:
+            self.check_response(request.path, request.sent_body, request.events)
+        elif request.whole and request.status in (429, 503):
+            self.response_counts["refused"] += 1
+            self.refused_ids.add(request.request_id)
+        elif not request.whole:
+            self.response_counts["no whole answer"] += 1
+
+    def check_all(self, hosts: list[HostProcess]) -> None:
+        """Check what can be judged only when a run has ended."""
+        self.check_runs()
+        self.check_jobs_ended()
+        self.check_crashing_requests(hosts)
+        self.check_leaving(hosts)
+        self.violations += self.answers.violations(self.runs, hosts)
+
+    def check_memory(self, host: HostProcess) -> None:
+        """Check that a host needs little more memory than in calm."""
+        bound_bytes = self.calm_memory_bytes[host.name] + MEMORY_BYTES
+        if (peak_bytes := host.peak_memory_bytes) > bound_bytes:
+            detail = f"{host.incarnation_name} over its bound {bound_bytes}"
+            if not any(detail in violation for violation in self.violations):
+                self.add_violation("memory", f"{detail}: {peak_bytes}")
+
+    def check_leaving(self, hosts: list[HostProcess]) -> None:
+        """
+        Check that a host sends no request to an engine that leaves.
+
+        The request was sent to the host later than ``DRAIN_S`` after the host
+        passed the engine's mark on, and the host was not started, stopped,
+        paused or killed since then.
+        """
+        changed_s = {host.name: host.changed_s for host in hosts}
+        for run in self.runs:
+            host = self.host_by_request.get(run.request_id, "")
+            for mark_s in self.leaving_marks_s.get((host, run.engine), ()):
+                late = self.sent_s[run.request_id] > mark_s + DRAIN_S
+                if late and not any(
+                    mark_s < at_s <= run.started_s for at_s in changed_s[host]
+                ):
+                    self.add_violation(
+                        "leaving", f"{run.engine} got {run.request_id} of {host}"
+                    )
+                    break
+
     def check_version(
-        self,
-        incarnation: str,
-        version: int,
-        status: int,
-        served_before: int,
-        newest: int,
+        self, incarnation: str, request: SentRequest, served_before: int, newest: int
     ) -> None:
         """
         Check that an incarnation does not return to an older configuration.
 
-        :param version: the only version that has the requested route.
-        :param status: the status of the response; 200 and 404 are checked.
+        :param request: checked if its route is in one version only.
         :param served_before: the newest version that the incarnation had
             served before the request was sent.
         :param newest: the newest version written when the response arrived.
         """
-        if status == 200:
+        if not request.prefix.startswith("/v"):
+            return
+        version = int(request.prefix[2:-1])
+        if request.status == 200:
             if version < served_before:
                 detail = f"{incarnation} serves {version} after {served_before}"
                 self.add_violation("versions rise", detail)
             newest_served = self.newest_served.get(incarnation, 0)
             self.newest_served[incarnation] = max(newest_served, version)
-        elif status == 404 and version == served_before == newest:
+        elif request.status == 404 and version == served_before == newest:
             self.add_violation("versions rise", f"{incarnation} lost {version}")
 
     def check_page(self, job: SentJob, first: int, page: dict[str, Any]) -> None:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import attrs
@@ -17,18 +17,23 @@
     engine_row,
 )
 
-from ._callers import Callers
+from ._answers import CALM_PREFIX, Disturbance, WrittenConfiguration
+from ._callers import DEADLINE_MS, Callers
 from ._engines import EngineFaults, EngineStandIn
 from ._faults import Faults
 from ._hosts import HostProcess
-from ._oracle import Oracle
+from ._oracle import Oracle, now_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from pathlib import Path
 
-ENGINES = 3
-ONLINE_CALLERS = 6
+ENGINES = {"llm": 3, "alt": 2}  # by service
+CALM_SERVICE = "calm"  # its engine has no faults
+ONLINE_CALLERS = 14
+WATCH_INTERVAL_S = 0.1
+# The stand-ins count as disturbed when their own loop is late by this time.
+OWN_DELAY_S = 0.3
 RESULT_READERS = 4
 JOB_INTERVAL_S = 1.2  # mean time between two submissions
 # How long the hosts may take to finish all jobs once the faults have ended.
@@ -40,11 +45,12 @@
 class Options:
     """The options of one run, as the command line gives them."""
 
-    seed: int
+    seed: int = 1
     seconds: float = 12.0
     hosts: int = 4
     removed_guard: str = ""  # a key of GUARDS; empty: none is removed
     first_fault: str = ""  # a kind of fault to begin with; empty: any
+    plan: str = "all"  # a key of PLANS: the kinds of faults
     subnet: int = 1  # hosts listen on 127.0.<subnet>.*; differs in parallel runs
 
 
@@ -52,7 +58,8 @@
     """
     The hosts, engines, store and callers of one run.
 
-    :ivar engines: the engines that are registered and not draining.
+    :ivar engines: the engines that are registered and not leaving, without
+        the one of ``CALM_SERVICE``.
     :ivar version: the configuration version that was written last.
     """
 
@@ -91,9 +98,7 @@
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
             await self._settle()
-            self.oracle.check_runs()
-            self.oracle.check_jobs_ended()
-            self.oracle.check_crashing_requests(self.hosts)
+            self.oracle.check_all(self.hosts)
             self.oracle.fault_counts = faults.counts
         return self.oracle
 
@@ -103,8 +108,12 @@
         listener = await loop.create_server(server, "127.0.0.1", 0)
         self._stack.callback(listener.close)
         store_port = listener.sockets[0].getsockname()[1]
-        for _ in range(ENGINES):
-            await self.add_engine()
+        for service, count in ENGINES.items():
+            for _ in range(count):
+                await self.add_engine(service)
+        calm_engine = await self.add_engine(CALM_SERVICE)
+        calm_engine.faults = EngineFaults(pause=0.0)
+        self.engines.remove(calm_engine)
         self.change_configuration()
         for number in range(self.options.hosts):
             host = HostProcess(
@@ -119,6 +128,7 @@
             self.hosts.append(host)
         for host in self.hosts:
             await host.wait_ready()
+            self.oracle.calm_memory_bytes[host.name] = host.peak_memory_bytes
         session = await self._stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
@@ -126,18 +136,31 @@
         self.callers.versions.append(self.version)
 
     def _loops(self) -> list:
-        callers = [self.callers.send_requests_forever() for _ in range(ONLINE_CALLERS)]
+        callers = self.callers
         return [
-            *callers,
-            self.callers.submit_jobs_forever(JOB_INTERVAL_S),
-            *(self.callers.read_results_forever() for _ in range(RESULT_READERS)),
+            *(callers.use_connections_forever() for _ in range(ONLINE_CALLERS)),
+            *(callers.send_calm_requests_forever(host) for host in self.hosts),
+            self._watch_forever(),
+            callers.submit_jobs_forever(JOB_INTERVAL_S),
+            *(callers.read_results_forever() for _ in range(RESULT_READERS)),
         ]
 
-    async def add_engine(self) -> EngineStandIn:
+    async def _watch_forever(self) -> None:
+        """Watch the memory of the hosts and the delays of the run itself."""
+        while True:
+            due_s = now_s() + WATCH_INTERVAL_S
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            if now_s() > due_s + OWN_DELAY_S:
+                self.oracle.response_counts["own delay"] += 1
+                self.oracle.answers.disturbances.append(Disturbance(due_s, now_s()))
+            for host in self.hosts:
+                self.oracle.check_memory(host)
+
+    async def add_engine(self, service: str) -> EngineStandIn:
         """Start an engine and register it in the store."""
         self._engine_number += 1
         name = f"i-{self._engine_number}"
-        engine = EngineStandIn(name, self.random, self.runs)
+        engine = EngineStandIn(name, self.random, self.runs, service)
         engine.on_crash = lambda *crash: self.on_crash(*crash)
         await self._stack.enter_async_context(engine)
         self.engines.append(engine)
@@ -147,42 +170,48 @@
     def register(self, engine: EngineStandIn, state: str) -> None:
         """Write the row that registers an engine in a state."""
         row = engine_row(engine.link.address, state, engine.started_ms)
+        row["service"] = engine.service
         self.store.write("servers", engine.name, row)
 
     def change_configuration(self) -> None:
-        """Write a new configuration version with a route of its own."""
+        """
+        Write a new configuration version.
+
+        It has a route of its own, and may move the other routes of online
+        requests to another service and change their limits.
+        """
         self.version += self.random.randint(1, 3)
-        common = {
-            "host": "a.example",
-            "service": "llm",
-            "timeoutMs": 4000,
-            "latencyGoalMs": 1500,
-            "maxAttempts": 3,
-        }
         routes = [
-            common | {"name": "free", "prefix": "/free/", "routeKind": "idempotent"},
-            common
-            | {"name": "once", "prefix": "/once/", "routeKind": "non_idempotent"},
-            common
-            | {
-                "name": "seen",
-                "prefix": f"/v{self.version}/",
-                "routeKind": "streaming",
-                "resumable": True,
-            },
-            common
-            | {
-                "name": "batch",
-                "prefix": "/batch/",
-                "routeKind": "batch",
-                "completionTargetMs": 18000,
-                "retainS": 600,
-            },
+            self._online_route("free", "/free/", "idempotent"),
+            self._online_route("once", "/once/", "non_idempotent"),
+            self._online_route("seen", f"/v{self.version}/", "streaming"),
+            _route("calm", CALM_PREFIX, "non_idempotent", service=CALM_SERVICE),
+            _route("batch", "/batch/", "batch", completionTargetMs=18000, retainS=600),
         ]
+        by_prefix = {
+            route["prefix"]: (
+                route["service"],
+                min(route["timeoutMs"], DEADLINE_MS) / 1000,
+            )
+            for route in routes
+        }
+        written = WrittenConfiguration(now_s(), by_prefix)
+        self.oracle.answers.configurations.append(written)
         self.store.write("op", "config", configuration(self.version, routes))
         if hasattr(self, "callers"):
             self.callers.versions.append(self.version)
 
+    def _online_route(self, name: str, prefix: str, kind: str) -> dict[str, Any]:
+        return _route(
+            name,
+            prefix,
+            kind,
+            resumable=kind == "streaming",
+            service=self.random.choice(list(ENGINES)),
+            timeoutMs=self.random.choice((3000, 4000, 8000)),
+            maxAttempts=self.random.randint(2, 5),
+        )
+
     def clear_engine_faults(self) -> None:
         """End the faults of all engines."""
         for engine in self.engines:
@@ -213,3 +242,14 @@
 
     def _accepted_jobs(self) -> list:
         return [job for job in list(self.oracle.jobs.values()) if job.accepted]
+
+
+def _route(name: str, prefix: str, kind: str, **fields: object) -> dict[str, Any]:
+    common = {
+        "host": "a.example",
+        "service": "llm",
+        "timeoutMs": 4000,
+        "latencyGoalMs": 1500,
+        "maxAttempts": 3,
+    }
+    return common | {"name": name, "prefix": prefix, "routeKind": kind} | fields
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -18,11 +19,11 @@
 from aspenbridge.entry import _copies
 from aspenbridge.fleet import EngineDirectory
 from aspenbridge.jobs import _repository
-from aspenbridge.platform import _engine_calls
+from aspenbridge.platform import _engine_calls, _ingress
 from aspenbridge.platform.__main__ import run
-from aspenbridge.ports import AnswerHead
+from aspenbridge.ports import AnswerHead, AttemptError, CallOutcome
 from aspenbridge.quarantine._ledger import CrashLedger
-from aspenbridge.relay import _request
+from aspenbridge.relay import Relay, _request
 from aspenbridge.store import Changes, Stored
 
 
@@ -101,6 +102,34 @@
     AnswerHead.needs_body = property(lambda head: False)  # type: ignore[assignment]
 
 
+def _without_patience() -> None:
+    original = Relay._part
+
+    async def part(
+        self: Relay,
+        progress: _request.Progress,
+        attempt: object,
+        part: asyncio.Future[object],
+        silence_limit_s: float,
+    ) -> object:
+        """Give a silent engine's answer up before another one is found."""
+        if progress.may_switch_engine:
+            await asyncio.wait({part}, timeout=silence_limit_s)
+            if not part.done():
+                part.cancel()
+                raise AttemptError(CallOutcome.BROKEN, "engine is silent")
+        return await original(self, progress, attempt, part, silence_limit_s)  # type: ignore[arg-type]
+
+    Relay._part = part  # type: ignore[assignment,method-assign]
+
+
+def _without_callers_drain() -> None:
+    async def drain(self: _ingress.Ingress, timeout_s: float) -> bool:
+        return True
+
+    _ingress.Ingress.drain = drain  # type: ignore[method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "write condition": _without_write_condition,
     "claim check": _without_claim_check,
@@ -111,6 +140,8 @@
     "crash memory": _without_crash_memory,
     "reset check": _without_reset_check,
     "empty answers": _without_empty_answer_check,
+    "patience": _without_patience,
+    "callers' drain": _without_callers_drain,
 }
 
 
