Assign batch items slots of the services that may run them only

Cause: the slots of all engines were assigned, also of services that run no waiting item. A host with two waiting items got the two freest slots, ties by engine id; if both were on engines of another service, no item started, and as nothing changed, none ever did.

Change: the free slots are those of the services of the waiting items. Known to be missing: a host's backlog still counts before another's whose items are for another service, while it is due earlier and its first item can be in time.

The test was seen failing without the change (not done after 30 s); tests/jobs, tests/fleet and tests/entry pass with it.

--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -46,16 +46,19 @@
             if engine.id not in exclude and not self._health.is_paused(engine.id)
         ]
 
-    def free_slots(self, headroom: int) -> dict[str, int]:
+    def free_slots(self, headroom: int, services: Collection[str]) -> dict[str, int]:
         """
         Return the number of free slots for batch items, by engine.
 
         Engines without a free slot are left out.
 
         :param headroom: the slots of each engine reserved for online requests.
+        :param services: the services whose engines count.
         """
         free: dict[str, int] = {}
         for engine in self._directory.all_usable():
+            if engine.service not in services:
+                continue
             count = engine.slots - headroom - self._load_view.load(engine.id).total
             if count > 0:
                 free[engine.id] = count
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -9,7 +9,7 @@
 from ._order import completes_in_time
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
     from aspenbridge.fleet import EngineEntry, EngineView, LoadView, Route
     from aspenbridge.ports import Clock
@@ -94,12 +94,16 @@
         """
         self._report_received_s = self._clock.now_s() + REPORT_DELAY_S
 
-    def assigned_slots(self) -> list[str]:
-        """Return the ids of engines to start items on, one entry per slot."""
+    def assigned_slots(self, services: Collection[str]) -> list[str]:
+        """
+        Return the ids of engines to start items on, one entry per slot.
+
+        :param services: the services that may run the waiting items. A slot
+            of another one would count as assigned without being used.
+        """
         backlogs = self._load_view.backlogs(self._incarnation)
-        return assign_slots(
-            self._incarnation, backlogs, self._view.free_slots(HEADROOM_SLOTS)
-        )
+        free = self._view.free_slots(HEADROOM_SLOTS, services)
+        return assign_slots(self._incarnation, backlogs, free)
 
     def pop_slot(self, slots: list[str], service: str) -> EngineEntry | None:
         """
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -186,7 +186,8 @@
         self._slots.report_backlog(waiting)
         if not waiting or not self._slots.track_backlog(len(waiting)):
             return False
-        slots = self._slots.assigned_slots()
+        services = {t.service for _, _, route in waiting for t in route.targets}
+        slots = self._slots.assigned_slots(services)
         unassigned = []
         for job, state, route in waiting:
             service = route.pick_service(self._random)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -19,6 +19,7 @@
     EntryFleet,
     Fault,
     make_configuration,
+    make_engine,
     make_request,
     make_route,
 )
@@ -72,6 +73,19 @@
     with_fleet(check)
 
 
+def test_items_complete_while_engines_of_another_service_are_as_free():
+    async def check(fleet):
+        for name in ("a0", "a1"):  # their ids come before those of the items' engines
+            fleet.entries[name] = make_engine(name, service="other")
+            fleet.store.write("servers", name, name.encode())
+        await asyncio.sleep(0.5)
+        assert await submit(fleet, "h0", make_job(items=2)) == Success(None)
+        await wait_done(fleet, "h0", "j1", 2)
+        assert {run.engine for run in fleet.engines.runs} <= {"e0", "e1"}
+
+    with_fleet(check)
+
+
 def test_repeated_submission_is_accepted_once():
     async def check(fleet):
         results = await asyncio.gather(
