--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -99,7 +99,7 @@
                     await self._exchange(connection, host, requests)
                     if not connection.usable:
                         return
-                    await asyncio.sleep(self._random.uniform(0.0, 0.5))
+                    await asyncio.sleep(self._random.uniform(0.0, 0.2))
         except OSError:
             return  # the host is down or paused
 
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -20,8 +20,8 @@
     from collections.abc import Callable
     from random import Random
 
-SLOTS = 8  # requests that an engine runs at a time
-QUEUE_LIMIT = 24  # requests that may wait for a slot; more are refused
+SLOTS = 4  # requests that an engine runs at a time
+QUEUE_LIMIT = 12  # requests that may wait for a slot; more are refused
 EVENT_INTERVAL_S = 0.02
 PAUSE_S = (0.5, 1.5)  # how long a sound engine may be silent within an answer
 PAUSE_SHARE = 0.02  # of all requests, also without a fault
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -19,7 +19,7 @@
 
 from ._answers import CALM_PREFIX, Disturbance, WrittenConfiguration
 from ._callers import DEADLINE_MS, Callers
-from ._engines import EngineFaults, EngineStandIn
+from ._engines import SLOTS, EngineFaults, EngineStandIn
 from ._faults import Faults
 from ._hosts import HostProcess
 from ._oracle import Oracle, now_s
@@ -30,7 +30,7 @@
 
 ENGINES = {"llm": 3, "alt": 2}  # by service
 CALM_SERVICE = "calm"  # its engine has no faults
-ONLINE_CALLERS = 14
+ONLINE_CALLERS = 16
 WATCH_INTERVAL_S = 0.1
 # The stand-ins count as disturbed when their own loop is late by this time.
 OWN_DELAY_S = 0.3
@@ -170,7 +170,7 @@
     def register(self, engine: EngineStandIn, state: str) -> None:
         """Write the row that registers an engine in a state."""
         row = engine_row(engine.link.address, state, engine.started_ms)
-        row["service"] = engine.service
+        row |= {"service": engine.service, "slots": SLOTS}
         self.store.write("servers", engine.name, row)
 
     def change_configuration(self) -> None:
