--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -13,6 +13,7 @@
 from aspenbridge.observability import log_decision
 
 from . import _names as names
+from ._caller_connections import connection_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +27,7 @@
 Value = TypeVar("Value")
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
@@ -55,7 +57,7 @@
             self._ends_with_connection = True
             self._expect_reset()
         if self._host.leaving:
-            response.force_close()
+            connection_of(self._request).announce_close(response)
         self.response = response
         await response.prepare(self._request)
 
@@ -105,6 +107,15 @@
         self.response = problem_response(problem)
 
 
+def send_continue(request: web.BaseRequest) -> None:
+    """Have a caller send its body if it waits to be told so."""
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    if not expects or request.version < HttpVersion11 or request.transport is None:
+        return
+    if not request.content.is_eof():
+        request.transport.write(CONTINUE)
+
+
 def problem_response(problem: Problem) -> web.Response:
     """Return the JSON response that describes a problem."""
     response = web.json_response(
