End a request whose body stalls for longer than the operator allows

Cause: the idle limit of the configuration was not applied to bodies. One that stopped half way held its connection and what had come of it without end, and a stopping host waited for it until its own limit.

What callers saw: no answer.

Change: 408 (not run) after the limit, counted anew with each part, then the connection closes.

--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from aiohttp import web
 
 CONNECTION = "Connection"
 CLOSE = "close"
+# The server's own limit lies above any that an operator configures, by a
+# factor of four.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class BodyStalledError(Exception):
+    """A part of a request's body took too long to come."""
 
 
 class CallerConnection(web.RequestHandler):
@@ -68,3 +76,26 @@
     connection = request.protocol
     assert isinstance(connection, CallerConnection)
     return connection
+
+
+async def read_body(request: web.BaseRequest, idle_limit_s: float) -> bytes:
+    """
+    Return the body of a caller's request.
+
+    :param idle_limit_s: how long each part may take to come, in seconds.
+    :raises BodyStalledError: when one takes longer.
+    :raises HTTPRequestEntityTooLarge: over ``MAX_BODY_BYTES``.
+    """
+    body = bytearray()
+    while True:
+        try:
+            async with asyncio.timeout(idle_limit_s):
+                part = await request.content.readany()
+        except TimeoutError as error:
+            detail = f"the body stalled after {len(body)} bytes"
+            raise BodyStalledError(detail) from error
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES)
+        if not part:
+            return bytes(body)
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -15,7 +15,13 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
-from ._caller_connections import CallerConnection, CallerServer, connection_of
+from ._caller_connections import (
+    BodyStalledError,
+    CallerConnection,
+    CallerServer,
+    connection_of,
+    read_body,
+)
 from ._job_endpoints import JobEndpoints
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
@@ -28,9 +34,8 @@
     from aspenbridge.entry import Address, EntryHost
 
 logger = logging.getLogger(__name__)
-# The server's own limits lie above any limit that an operator configures:
-# bodies by a factor of four, headers by a factor of two.
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# The server's own limit lies above any that an operator configures, by a
+# factor of two.
 MAX_HEADER_BYTES = 32 * 1024
 # Longer than callers reuse an idle connection: they do so for four fifths of
 # the idle limit of 15 s.
@@ -165,8 +170,14 @@
         try:
             async with limit:
                 send_continue(request)
-                body = await request.read()
+                body = await read_body(request, self._idle_limit_s())
                 return await self._serve(request, body, received_s, writer)
+        except BodyStalledError as error:
+            response = refuse_call(
+                request, Problem(ResultCode.BODY_TOO_SLOW, str(error))
+            )
+            response.force_close()
+            return response
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -178,6 +189,14 @@
         detail = "the host stopped before an answer came"
         return refuse_call(request, Problem(ResultCode.OUTCOME_UNKNOWN, detail))
 
+    def _idle_limit_s(self) -> float:
+        configuration = self._host.configuration.current
+        return (
+            KEEPALIVE_TIMEOUT_S
+            if configuration is None
+            else configuration.limits.idle_s
+        )
+
     async def _serve(
         self,
         request: web.BaseRequest,
@@ -240,7 +259,6 @@
         writer,
         task,
         asyncio.get_running_loop(),
-        client_max_size=MAX_BODY_BYTES,
     )
 
 
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 
+import attrs
 import pytest
 
+from aspenbridge.fleet import RequestLimits
 from aspenbridge.loop import NumericAddressLoop
 from tests.support.engine_scripts import Answer, stream_of
 from tests.support.entry_fleet import make_configuration, make_route
@@ -27,6 +29,7 @@
 # Longer than a host looks for other engines, shorter than a sound silence.
 SILENCE_S = 0.9
 CHECK_LIMIT_S = 8.0
+IDLE_LIMIT_S = 0.5  # of a body between two parts
 
 
 def with_host(check):
@@ -225,3 +228,28 @@
             assert (await read_response(reader)).status == status
 
     with_host(check)
+
+
+def test_body_that_stalls_is_refused_after_the_configured_limit_and_not_before():
+    async def check(host):
+        limits = RequestLimits(16384, 4_194_304, IDLE_LIMIT_S)
+        changed = attrs.evolve(make_configuration(2), limits=limits)
+        host.fleet.configurations[b"2"] = changed
+        host.fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.3)
+        slow = host.add_script([sound()])
+        head = request_head("once", slow, f"Content-Length: {len(BODY)}")
+        async with connection(host.callers) as (reader, writer):
+            for piece in (head, BODY[:2], BODY[2:4], BODY[4:]):
+                writer.write(piece)
+                await asyncio.sleep(IDLE_LIMIT_S / 2)
+            assert is_whole(await read_response(reader))
+        stalled = host.add_script([])
+        head = request_head("once", stalled, f"Content-Length: {len(BODY)}")
+        async with connection(host.callers) as (reader, writer):
+            writer.write(head + BODY[:2])
+            reply = await read_response(reader)
+            assert (reply.status, reply.complete) == (408, True)
+            assert reply.headers["Connection"] == "close"
+
+    with_host(check)
