Pass a request's body on as it came, also one with a content encoding

Cause: the HTTP server decompressed bodies, while the header that names the encoding was passed on.

What callers saw: their engine got other bytes than they had sent.

Evidence: the test was seen failing without the change (the plain text instead of the gzip bytes). Found while reading how bodies are read; no report of it.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -70,6 +70,7 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
             access_log=None,
         )
 
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import json
 
 import attrs
@@ -253,3 +254,17 @@
             assert reply.headers["Connection"] == "close"
 
     with_host(check)
+
+
+def test_body_that_is_encoded_reaches_its_engine_unchanged():
+    async def check(host):
+        request_id = host.add_script([sound()])
+        body = gzip.compress(BODY)
+        length = f"Content-Length: {len(body)}"
+        head = request_head("once", request_id, length, "Content-Encoding: gzip")
+        async with connection(host.callers) as (reader, writer):
+            writer.write(head + body)
+            assert is_whole(await read_response(reader))
+        assert host.engine.bodies[request_id] == body
+
+    with_host(check)
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -111,11 +111,13 @@
 
     :ivar scripts: the answers by request id; each is used once.
     :ivar resumed_after: the ``Last-Event-Id`` of each send, by request id.
+    :ivar bodies: the body of the last send, by request id.
     """
 
     def __init__(self) -> None:
         self.scripts: dict[str, list[Answer]] = {}
         self.resumed_after: dict[str, list[int | None]] = {}
+        self.bodies: dict[str, bytes] = {}
         self._stack = AsyncExitStack()
         self.port = 0
 
@@ -139,8 +141,9 @@
     async def _serve(self, sock: socket.socket) -> None:
         # A host that has left resets its connection.
         with sock, suppress(ConnectionError):
-            fields = await _read_request(sock)
+            fields, body = await _read_request(sock)
             request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
+            self.bodies[request_id] = body
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
@@ -162,18 +165,17 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
 
 
-async def _read_request(sock: socket.socket) -> dict[str, str]:
-    """Read a request with its body; return its headers."""
+async def _read_request(sock: socket.socket) -> tuple[dict[str, str], bytes]:
+    """Read a request; return its headers and its body."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += await _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
     lines = head.decode().split("\r\n")[1:]
     fields = dict(line.split(": ", 1) for line in lines)
-    missing = int(fields.get("Content-Length", 0)) - len(body)
-    while missing > 0:
-        missing -= len(await _receive(sock))
-    return fields
+    while len(body) < int(fields.get("Content-Length", 0)):
+        body += await _receive(sock)
+    return fields, body
 
 
 async def _receive(sock: socket.socket) -> bytes:
