Count the time that a request waits behind another one to its budget

Cause: a request that was read behind another one on its connection counted as received when the one before was answered.

What callers saw: nothing, but engines were told more time than the caller still waited, and could work in vain.

--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import Any
 
 from aiohttp import web
@@ -26,12 +27,26 @@
     closes.
     """
 
-    __slots__ = ("close_announced",)
+    __slots__ = ("_arrivals_s", "close_announced")
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         # Whether the caller was told that no other response follows.
         self.close_announced = False
+        # When the heads came that are not handled yet, by the loop's clock.
+        self._arrivals_s: deque[float] = deque()
+
+    def data_received(self, data: bytes) -> None:
+        """Read data; note when each head of a request is complete."""
+        known = self._request_count
+        super().data_received(data)
+        arrived = self._request_count - known
+        self._arrivals_s.extend([self._loop.time()] * arrived)
+
+    def take_age_s(self) -> float:
+        """Return for how long the request that is now handled has waited."""
+        now_s = self._loop.time()
+        return now_s - (self._arrivals_s.popleft() if self._arrivals_s else now_s)
 
     @property
     def idle(self) -> bool:
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -165,7 +165,8 @@
         self, limit: asyncio.Timeout, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Serve a request unless a drain gives it up before it has ended."""
-        received_s = self._host.ports.clock.now_s()
+        waited_s = connection_of(request).take_age_s()
+        received_s = self._host.ports.clock.now_s() - waited_s
         writer = HttpResponseWriter(request, self._host)
         body = None
         try:
--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -268,3 +268,17 @@
         assert host.engine.bodies[request_id] == body
 
     with_host(check)
+
+
+def test_time_that_a_request_waits_behind_another_one_counts_to_its_time_budget():
+    async def check(host):
+        ids = [host.add_script([sound(head_silence_s=SILENCE_S)]) for _ in range(2)]
+        replies = await call_twice(host.callers, "once", *ids)
+        assert all(is_whole(reply) for reply in replies)
+        budgets_ms = [
+            int(host.engine.headers[request_id]["X-Aspenbridge-Deadline-Ms"])
+            for request_id in ids
+        ]
+        assert budgets_ms[1] <= budgets_ms[0] - SILENCE_S * 1000
+
+    with_host(check)
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -111,12 +111,14 @@
 
     :ivar scripts: the answers by request id; each is used once.
     :ivar resumed_after: the ``Last-Event-Id`` of each send, by request id.
+    :ivar headers: the headers of the last send, by request id.
     :ivar bodies: the body of the last send, by request id.
     """
 
     def __init__(self) -> None:
         self.scripts: dict[str, list[Answer]] = {}
         self.resumed_after: dict[str, list[int | None]] = {}
+        self.headers: dict[str, dict[str, str]] = {}
         self.bodies: dict[str, bytes] = {}
         self._stack = AsyncExitStack()
         self.port = 0
@@ -143,7 +145,7 @@
         with sock, suppress(ConnectionError):
             fields, body = await _read_request(sock)
             request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
-            self.bodies[request_id] = body
+            self.headers[request_id], self.bodies[request_id] = fields, body
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
