End fast streams at their deadline, and bound what handovers do

- An engine that always has data was read beyond the deadline of the request: the time left was looked at only while nothing was there to read.
- After a successor had begun and failed, the next one was asked at once, so that the silent run went on for 0.45 to 0.84 s beside them.
A successor that may have begun is now the last one while the silent engine goes on.
- An engine that had refused a request once, or was not reached, was never asked again, so that a hung engine kept it until its deadline.
Only engines that may have run it are left out now.
- A server error of a successor was dropped and the caller got 502.
- A successor was asked 20 ms before the deadline.
- An unexpected error while two engines had a request left the successor open and counted in the load.

--- a/src/aspenbridge/relay/_attempt.py
+++ b/src/aspenbridge/relay/_attempt.py
@@ -27,6 +27,7 @@
     opening: asyncio.Task[RelayedAnswer]
     found_load: tuple[int, int]
     _load_view: LoadView
+    may_be_left: bool = True  # while its engine is silent, for another one
     _closed: bool = False
 
     def __attrs_post_init__(self) -> None:
--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -52,8 +52,8 @@
         return placed
 
     def place_elsewhere(
-        self, service: str, tried: Collection[str]
+        self, service: str, exclude: Collection[str]
     ) -> EngineEntry | None:
-        """Return an engine with a free slot that was not tried, if any."""
-        placed = place_online(self._view.candidates(service, exclude=tried), 0.0)
+        """Return an engine with a free slot that is not excluded, if any."""
+        placed = place_online(self._view.candidates(service, exclude=exclude), 0.0)
         return None if isinstance(placed, Refused) else placed
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -16,7 +16,7 @@
 from ._attempt import Attempt, HandedOverError
 from ._events import EventSplitter
 from ._handover import EngineState, Verdict, judge_handover
-from ._reading import read_events, read_whole
+from ._reading import read_chunks, read_events, read_whole
 from ._request import Progress
 
 if TYPE_CHECKING:
@@ -213,6 +213,8 @@
         """Update the request and the engine's health after a failure."""
         engine, head = attempt.engine, attempt.head
         progress.tried.add(engine.id)
+        if error.outcome is CallOutcome.BROKEN:
+            progress.broken_at.add(engine.id)
         if error.outcome is CallOutcome.NOT_SENT:
             self._health.record_unreachable(engine.id)
         else:
@@ -342,10 +344,12 @@
             yield chunk
 
     async def _next_chunk(self, progress: Progress, attempt: Attempt) -> bytes:
+        remaining_s = self._remaining_s(progress)
+        if remaining_s <= 0:
+            # Data that always waits to be read would let no time-out come.
+            raise AttemptError(CallOutcome.BROKEN, "answer was not complete in time")
         try:
-            async with asyncio.timeout(
-                min(SILENCE_LIMIT_S, self._remaining_s(progress))
-            ):
+            async with asyncio.timeout(min(SILENCE_LIMIT_S, remaining_s)):
                 return await attempt.answer.read()
         except TimeoutError:
             reading = asyncio.ensure_future(attempt.answer.read())
@@ -376,7 +380,7 @@
                     raise _silent()
                 successor = self._start_successor(progress, attempt)
                 if successor is not None:
-                    await self._settle(progress, part, successor)
+                    await self._settle(progress, attempt, part, successor)
                     continue
                 wait_s = self._remaining_s(progress)
                 if progress.may_switch_engine:
@@ -390,41 +394,37 @@
         return progress.call.deadline_s - self._clock.now_s()
 
     def _start_successor(self, progress: Progress, attempt: Attempt) -> Attempt | None:
-        """Send the request to a free engine that has not had it, if it may."""
-        if not progress.may_switch_engine:
+        """Send the request to a free engine that has not run it, if it may."""
+        if not (progress.may_switch_engine and attempt.may_be_left):
+            return None
+        if self._remaining_s(progress) <= MIN_ATTEMPT_S:
             return None
         if self._quarantine.is_quarantined(progress.fingerprint):
             return None
         placed = self._placement.place_elsewhere(
-            progress.service, {*progress.tried, attempt.engine.id}
+            progress.service, {*progress.broken_at, attempt.engine.id}
         )
         return None if placed is None else self._start_attempt(progress, placed)
 
     async def _settle(
-        self, progress: Progress, part: asyncio.Future[Part], successor: Attempt
+        self,
+        progress: Progress,
+        attempt: Attempt,
+        part: asyncio.Future[Part],
+        successor: Attempt,
     ) -> None:
         """
         Wait until it is clear which engine serves the request.
 
+        :param attempt: the one whose engine fell silent.
         :param part: what the engine that fell silent has not sent yet.
         :raises HandedOverError: when it is the successor.
         """
-        deadline_s = min(
-            self._clock.now_s() + HANDOVER_LIMIT_S, progress.call.deadline_s
-        )
         try:
-            while True:
-                overdue = self._clock.now_s() >= deadline_s
-                state = _successor_state(progress, successor)
-                verdict = judge_handover(_part_state(part), state, overdue=overdue)
-                if verdict is not Verdict.WAIT:
-                    break
-                await asyncio.wait(
-                    {task for task in (part, successor.opening) if not task.done()},
-                    timeout=max(0.0, deadline_s - self._clock.now_s()),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-        except asyncio.CancelledError:
+            state, verdict = await self._await_verdict(progress, part, successor)
+            if verdict is Verdict.KEEP and not progress.begun:
+                await self._keep_failure(progress, successor)
+        except BaseException:
             successor.close()
             self._record_abandoned(progress, successor)
             raise
@@ -447,6 +447,44 @@
             error = AttemptError(CallOutcome.BROKEN, "the silent engine went on")
         successor.close()
         self._record_failure(progress, successor, error)
+        # A run that has begun must not be followed by yet another one while
+        # the silent engine works on.
+        attempt.may_be_left = error.outcome is not CallOutcome.BROKEN
+
+    async def _await_verdict(
+        self, progress: Progress, part: asyncio.Future[Part], successor: Attempt
+    ) -> tuple[EngineState, Verdict]:
+        """Return what the successor has done, and which engine goes on."""
+        deadline_s = min(
+            self._clock.now_s() + HANDOVER_LIMIT_S, progress.call.deadline_s
+        )
+        while True:
+            overdue = self._clock.now_s() >= deadline_s
+            state = _successor_state(progress, successor)
+            verdict = judge_handover(_part_state(part), state, overdue=overdue)
+            if verdict is not Verdict.WAIT:
+                return state, verdict
+            await asyncio.wait(
+                {task for task in (part, successor.opening) if not task.done()},
+                timeout=max(0.0, deadline_s - self._clock.now_s()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    async def _keep_failure(self, progress: Progress, attempt: Attempt) -> None:
+        """Keep the server error that an engine gave, if it comes whole."""
+        head = attempt.head
+        if head is None or head.status < SERVER_ERROR:
+            return
+        chunks = read_chunks(attempt.answer, lambda: HANDOVER_LIMIT_S)
+        try:
+            progress.failed_answer = head, await read_whole(head, chunks)
+        except AttemptError as error:
+            log_decision(
+                "server error not kept",
+                request=progress.call.request_id,
+                engine=attempt.engine.id,
+                reason=error.reason,
+            )
 
     def _log_request(
         self, request: CallerRequest, progress: Progress, version: int, outcome: str
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -68,6 +68,8 @@
     failed_sends: int = 0  # failed attempts that may have reached an engine
     may_have_run: bool = False  # whether an engine may have run the request
     tried: set[str] = attrs.field(factory=set)  # engines that failed the request
+    # Those of them that may have run it; the others turned it away.
+    broken_at: set[str] = attrs.field(factory=set)
     engine: str = ""  # the engine of the last attempt
     # Online requests and batch items on this engine just before the attempt.
     found_load: tuple[int, int] = (0, 0)
--- a/tests/relay/test_silent_engines.py
+++ b/tests/relay/test_silent_engines.py
@@ -8,9 +8,16 @@
 import attrs
 import pytest
 
+from aspenbridge.clock import SystemClock
 from aspenbridge.ports import CallOutcome
 from tests.relay.test_relay import stream_of, with_fleet
-from tests.support.entry_fleet import Fault, make_configuration, make_request
+from tests.support.entry_fleet import (
+    EntryFleet,
+    Fault,
+    MemoryAnswer,
+    make_configuration,
+    make_request,
+)
 
 ONLINE = make_configuration().routes[0]
 # A silent run and the one begun in its place may overlap for this long.
@@ -37,6 +44,13 @@
     fill(fleet, *(e for e in fleet.entries if e != fleet.engines.runs[0].engine))
 
 
+async def set_attempts(fleet, attempts):
+    route = attrs.evolve(ONLINE, max_attempts=attempts)
+    fleet.configurations[b"2"] = make_configuration(2, [route])
+    fleet.store.write("op", "config", b"2")
+    await asyncio.sleep(0.5)
+
+
 def assert_one_run_at_a_time(fleet) -> None:
     for run, later in itertools.combinations(fleet.engines.runs, 2):
         overlap_s = min(run.ended_s, later.ended_s) - later.started_s
@@ -89,10 +103,7 @@
     silence, attempts, outcome
 ):
     async def check(fleet):
-        route = attrs.evolve(ONLINE, max_attempts=attempts)
-        fleet.configurations[b"2"] = make_configuration(2, [route])
-        fleet.store.write("op", "config", b"2")
-        await asyncio.sleep(0.5)
+        await set_attempts(fleet, attempts)
         turned_away = [Fault(outcome=outcome, delay_s=0.06) for _ in range(40)]
         fleet.engines.faults["r1"] = [Fault(**silence), *turned_away]
         reply = await fleet.relay("h0", make_request())
@@ -174,3 +185,86 @@
         assert (reply.status, reply.body, reply.finished) == (500, b"failed", True)
 
     with_fleet(check)
+
+
+@pytest.mark.parametrize("head_s", [0.15, 0.28])
+def test_silent_run_does_not_go_on_beside_one_failed_run_after_another(head_s):
+    async def check(fleet):
+        await set_attempts(fleet, 4)
+        failing = [Fault(status=500, head_pause_s=head_s) for _ in range(3)]
+        silent = Fault(pause_at=4, pause_s=60.0)
+        fleet.engines.faults["r1"] = [silent, *failing]
+        await fleet.relay("h0", make_request())
+        assert_one_run_at_a_time(fleet)
+        assert len(fleet.engines.runs) == 2
+
+    with_fleet(check, engines=5)
+
+
+def test_failure_of_a_successor_is_passed_on_when_the_silent_engine_breaks_off():
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [
+            Fault(outcome=CallOutcome.BROKEN, delay_s=1.2),
+            Fault(status=500, head_pause_s=0.1),
+        ]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.status, reply.body) == (500, b"failed")
+
+    with_fleet(check)
+
+
+def test_load_of_both_engines_is_released_when_a_read_fails_unexpectedly(monkeypatch):
+    async def check(fleet):
+        silent = Fault(pause_at=4, pause_s=0.8)
+        fleet.engines.faults["r1"] = [silent, Fault(head_pause_s=9.0)]
+        read = MemoryAnswer.read
+
+        async def failing(self):
+            chunk = await read(self)
+            if b"id: 4" in chunk:
+                raise RuntimeError("unexpected")
+            return chunk
+
+        monkeypatch.setattr(MemoryAnswer, "read", failing)
+        with pytest.raises(RuntimeError):
+            await fleet.relay("h0", make_request())
+        await asyncio.sleep(0.1)
+        view = fleet.hosts["h0"].load_view
+        assert all(view.load(engine_id).total == 0 for engine_id in fleet.entries)
+        assert all(run.ended_s is not None for run in fleet.engines.runs)
+
+    with_fleet(check)
+
+
+def test_no_engine_is_asked_in_the_last_moment_before_the_deadline():
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(pause_at=4, pause_s=60.0)]
+        deadline_s = fleet.clock.now_s() + 0.7
+        await fleet.relay("h0", make_request(deadline_s=deadline_s))
+        assert len(fleet.engines.runs) == 1
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("outcome", [CallOutcome.REFUSED, CallOutcome.NOT_SENT])
+def test_stream_leaves_a_hung_engine_for_one_that_turned_it_away_once(outcome):
+    async def check(fleet):
+        await set_attempts(fleet, 3)
+        hangs = Fault(pause_at=4, pause_s=60.0)
+        fleet.engines.faults["r1"] = [hangs, Fault(outcome=outcome, delay_s=0.06)]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+
+    with_fleet(check)
+
+
+def test_stream_that_always_has_data_ends_at_its_deadline():
+    async def main():
+        async with EntryFleet(SystemClock(), hosts=1, events=10**9) as fleet:
+            fleet.engines.event_s = 0.0
+            deadline_s = asyncio.get_running_loop().time() + 0.3
+            async with asyncio.timeout(3.0):
+                reply = await fleet.relay("h0", make_request(deadline_s=deadline_s))
+            assert reply.aborted
+
+    asyncio.run(main())
