Keep items while the configuration is older than the one of their job

Callers saw: items of an accepted job as given up for good. Cause: a host that claims a job judges its items by its own configuration. If that is older than the version under which the job was accepted (one lost reply of the feed, 2.3 s without notice), a route that was just added is missing there, and "no route" ended the items.

The head of a job now holds the version it was accepted under; without a route an item waits until this host has that version. Rows of older builds have 0.

--- a/src/aspenbridge/entry/_copies.py
+++ b/src/aspenbridge/entry/_copies.py
@@ -25,6 +25,11 @@
         self.current: Configuration | None = None
         self.on_change: Callable[[], None] = lambda: None
 
+    @property
+    def version(self) -> int:
+        """The version of the current configuration; 0 if there is none."""
+        return 0 if self.current is None else self.current.version
+
     def replace(self, rows: tuple[Row, ...]) -> None:
         """Apply the configuration, if it is among all rows of the table."""
         for row in rows:
--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -211,6 +211,7 @@
             self.worker,
             clock,
             self.incarnation,
+            lambda: self.configuration.version,
         )
 
     def _engines_changed(self) -> None:
--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -40,7 +40,8 @@
     ``host`` is the virtual host that the job was submitted to. ``owner`` is
     the incarnation of the host that runs the items, or empty. ``total`` is the
     number of items. ``listed`` holds the index of the item at each position of
-    the results.
+    the results. ``configuration`` is the version under which the job was
+    accepted; 0 in rows of builds without it.
     """
 
     id: str
@@ -52,6 +53,7 @@
     due_wall_s: float
     expires_wall_s: float
     listed: tuple[int, ...] = ()
+    configuration: int = 0
 
 
 @attrs.frozen
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -25,6 +25,8 @@
 from ._repository import read_items
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aspenbridge.fleet import Follower, Reachability, Route
     from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
     from aspenbridge.store import Store
@@ -68,6 +70,7 @@
         owned: OwnedJobs,
         clock: Clock,
         incarnation: str,
+        configuration_version: Callable[[], int],
     ) -> None:
         self._directory = directory
         self._follower = follower
@@ -78,6 +81,7 @@
         self._owned = owned
         self._clock = clock
         self._incarnation = incarnation
+        self._configuration_version = configuration_version
 
     async def submit(
         self, submission: JobSubmission, route: Route
@@ -125,6 +129,7 @@
             accepted_wall_s=now_s,
             due_wall_s=now_s + route.completion_goal_s,
             expires_wall_s=now_s + route.retention_s,
+            configuration=self._configuration_version(),
         )
 
     def _not_committed(
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -208,6 +208,8 @@
         Return the items that may start now, in the order of their start.
 
         Items without a route and items of an expired job fail permanently.
+        An item waits while this host's configuration is older than the one
+        under which its job was accepted.
         """
         waiting = []
         now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
@@ -216,12 +218,12 @@
         ):
             path = job.items[state.index].target.partition("?")[0]
             route = configuration.route_for(job.head.host, path)
-            if route is None:
-                self._fail_permanently(job, state, "no route matches the item any more")
-            elif self._clock.wall_s() > job.head.expires_wall_s + EXPIRY_SLACK_S:
+            if wall_s > job.head.expires_wall_s + EXPIRY_SLACK_S:
                 self._fail_permanently(job, state, "the job has expired")
-            else:
+            elif route is not None:
                 waiting.append((job, state, route))
+            elif configuration.version >= job.head.configuration:
+                self._fail_permanently(job, state, "no route matches the item any more")
         return waiting
 
     def _fail_permanently(self, job: OwnedJob, state: ItemState, reason: str) -> None:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import attrs
 import pytest
 from returns.result import Failure, Success
 
+from aspenbridge.fleet import CallKind
 from aspenbridge.fleet._hosts import LIVENESS_TIMEOUT_S
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._claims import CLAIM_TURN_S
@@ -651,3 +653,33 @@
     state = ItemState(0)
     state.restore(ProgressRecord(1, ("t0", "t1")))
     assert state.events_at_delay == len(state.events) == 2
+
+
+def test_items_are_not_given_up_by_a_host_whose_configuration_is_older(monkeypatch):
+    async def check(fleet):
+        feed_class = type(fleet.hosts["h1"].ports.feed)
+        read_changes = feed_class.changes
+        lost_until_s = fleet.clock.now_s() + 4.3
+
+        async def changes(self, table, after, wait_s):
+            page = await read_changes(self, table, after, wait_s)
+            if self._host == "h1" and table == "op" and page.unwrap().changes:
+                await asyncio.sleep(max(0.0, lost_until_s - fleet.clock.now_s()))
+            return page
+
+        monkeypatch.setattr(feed_class, "changes", changes)
+        await asyncio.sleep(2.0)
+        added = make_route("added", kind=CallKind.BATCH, max_attempts=3)
+        routes = (*make_configuration().routes, added)
+        fleet.configurations[b"2"] = make_configuration(2, routes)
+        fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.1)
+        items = [attrs.evolve(i, target="/added/x") for i in make_job(items=3).items]
+        job = attrs.evolve(make_job(items=3), items=tuple(items))
+        entry = fleet.hosts["h0"]
+        assert await entry.job_service.submit(job, added) == Success(None)
+        await entry.release_jobs()
+        results = await wait_done(fleet, "h1", job.id, 3)
+        assert {result.text for result in results} == {TEXT}
+
+    with_fleet(check, hosts=2)
