End the release of jobs in its time limit while the store does not answer

Cause: the wait for results that are being listed had no limit, and each write its own. A host that was stopped in an outage of the store never came to the part of its shutdown that ends requests and was killed in their midst (not ended after 20 s; 11.1 s with eight jobs; the limit of the shutdown is 8 s). Callers saw: closed connections.

Both tests were seen failing before.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -269,12 +269,17 @@
         """
         Release batch jobs to other hosts and leave the table of hosts.
 
-        Online requests go on.
+        Online requests go on. Ends after ``RELEASE_LIMIT_S``, whatever the
+        store does; other hosts then claim the jobs of a lost host.
         """
         deadline_s = self.ports.clock.now_s() + RELEASE_LIMIT_S
         self._claims.enabled = False
-        await self.worker.release_jobs(deadline_s)
-        await self._heartbeat.leave(deadline_s)
+        try:
+            async with asyncio.timeout(RELEASE_LIMIT_S):
+                await self.worker.release_jobs(deadline_s)
+                await self._heartbeat.leave(deadline_s)
+        except TimeoutError:
+            logger.warning("jobs were not released in %.1f s", RELEASE_LIMIT_S)
 
     async def _enable_claims(self) -> None:
         """
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -683,3 +683,33 @@
         assert {result.text for result in results} == {TEXT}
 
     with_fleet(check, hosts=2)
+
+
+def test_release_of_jobs_ends_in_time_while_the_store_does_not_answer():
+    async def check(fleet):
+        fleet.engines.event_s = 0.5
+        for number in range(8):
+            job = make_job(f"j{number}", items=1)
+            assert await submit(fleet, "h0", job) == Success(None)
+        await asyncio.sleep(0.3)
+        fleet.store.unreachable_for = {"h0"}
+        fleet.store.calls_time_out = True
+        began_s = fleet.clock.now_s()
+        await fleet.hosts["h0"].release_jobs()
+        assert fleet.clock.now_s() - began_s <= 4.0
+
+    with_fleet(check)
+
+
+def test_release_of_jobs_ends_in_time_while_results_can_not_be_listed():
+    async def check(fleet):
+        assert await submit(fleet, "h0", make_job("j0", items=2)) == Success(None)
+        await asyncio.sleep(0.15)
+        fleet.store.unreachable_for = {"h0"}
+        await asyncio.sleep(0.6)
+        began_s = fleet.clock.now_s()
+        async with asyncio.timeout(20):
+            await fleet.hosts["h0"].release_jobs()
+        assert fleet.clock.now_s() - began_s <= 4.0
+
+    with_fleet(check)
