--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
 from typing import Any
 
 from aiohttp import web
 
 CONNECTION = "Connection"
 CLOSE = "close"
+# The server's own limit lies above any that an operator configures, by a
+# factor of four.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class BodyStalledError(Exception):
+    """A part of a request's body took too long to come."""
 
 
 class CallerConnection(web.RequestHandler):
@@ -18,12 +27,26 @@
     closes.
     """
 
-    __slots__ = ("close_announced",)
+    __slots__ = ("_arrivals_s", "close_announced")
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         # Whether the caller was told that no other response follows.
         self.close_announced = False
+        # When the heads came that are not handled yet, by the loop's clock.
+        self._arrivals_s: deque[float] = deque()
+
+    def data_received(self, data: bytes) -> None:
+        """Read data; note when each head of a request is complete."""
+        known = self._request_count
+        super().data_received(data)
+        arrived = self._request_count - known
+        self._arrivals_s.extend([self._loop.time()] * arrived)
+
+    def take_age_s(self) -> float:
+        """Return for how long the request that is now handled has waited."""
+        now_s = self._loop.time()
+        return now_s - (self._arrivals_s.popleft() if self._arrivals_s else now_s)
 
     @property
     def idle(self) -> bool:
@@ -68,3 +91,26 @@
     connection = request.protocol
     assert isinstance(connection, CallerConnection)
     return connection
+
+
+async def read_body(request: web.BaseRequest, idle_limit_s: float) -> bytes:
+    """
+    Return the body of a caller's request.
+
+    :param idle_limit_s: how long each part may take to come, in seconds.
+    :raises BodyStalledError: when one takes longer.
+    :raises HTTPRequestEntityTooLarge: over ``MAX_BODY_BYTES``.
+    """
+    body = bytearray()
+    while True:
+        try:
+            async with asyncio.timeout(idle_limit_s):
+                part = await request.content.readany()
+        except TimeoutError as error:
+            detail = f"the body stalled after {len(body)} bytes"
+            raise BodyStalledError(detail) from error
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES)
+        if not part:
+            return bytes(body)
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -111,11 +111,15 @@
 
     :ivar scripts: the answers by request id; each is used once.
     :ivar resumed_after: the ``Last-Event-Id`` of each send, by request id.
+    :ivar headers: the headers of the last send, by request id.
+    :ivar bodies: the body of the last send, by request id.
     """
 
     def __init__(self) -> None:
         self.scripts: dict[str, list[Answer]] = {}
         self.resumed_after: dict[str, list[int | None]] = {}
+        self.headers: dict[str, dict[str, str]] = {}
+        self.bodies: dict[str, bytes] = {}
         self._stack = AsyncExitStack()
         self.port = 0
 
@@ -139,8 +143,9 @@
     async def _serve(self, sock: socket.socket) -> None:
         # A host that has left resets its connection.
         with sock, suppress(ConnectionError):
-            fields = await _read_request(sock)
+            fields, body = await _read_request(sock)
             request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
+            self.headers[request_id], self.bodies[request_id] = fields, body
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
@@ -162,18 +167,29 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
 
 
-async def _read_request(sock: socket.socket) -> dict[str, str]:
-    """Read a request with its body; return its headers."""
-    loop, data = asyncio.get_running_loop(), b""
+async def _read_request(sock: socket.socket) -> tuple[dict[str, str], bytes]:
+    """Read a request; return its headers and its body."""
+    data = b""
     while b"\r\n\r\n" not in data:
-        data += await loop.sock_recv(sock, 65536)
+        data += await _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
     lines = head.decode().split("\r\n")[1:]
     fields = dict(line.split(": ", 1) for line in lines)
-    missing = int(fields.get("Content-Length", 0)) - len(body)
-    while missing > 0:
-        missing -= len(await loop.sock_recv(sock, 65536))
-    return fields
+    while len(body) < int(fields.get("Content-Length", 0)):
+        body += await _receive(sock)
+    return fields, body
+
+
+async def _receive(sock: socket.socket) -> bytes:
+    """
+    Return received bytes.
+
+    :raises ConnectionResetError: when the host has left.
+    """
+    received = await asyncio.get_running_loop().sock_recv(sock, 65536)
+    if not received:
+        raise ConnectionResetError
+    return received
 
 
 def stream_of(events: int, first: int = 0) -> bytes:
