Serve others between small parts of the answers of eight endless engines

Cause: parts of 8 KiB, and the chunks of 16 KiB, of eight engines at once were handled before another request; the error of a parser kept the 256 KiB that had arrived together until a garbage collection. Change: parts of 2 KiB; received bytes are dropped with their call.

--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -77,6 +77,9 @@
             end = len(data) if self._reading_paused else start + PARSED_BYTES
             self._parse(data[start:end])
             start = end
+        # The traceback of a parser's error would keep it until the garbage
+        # collector finds the error.
+        del data
 
     def _parse(self, data: bytes) -> None:
         body = self._body
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -37,7 +37,7 @@
 )
 HTTP_MISDIRECTED_REQUEST = 421
 STATUSES_WITHOUT_BODY = (204, 304)
-READ_BYTES = 8 * 1024  # other requests are served between two such parts
+READ_BYTES = 2 * 1024  # other requests are served between two such parts
 LEAVING = "1"
 
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -215,6 +215,7 @@
             numbers = range(number, number + 500)
             events = [b"id: %d\ndata: %b\n\n" % (n, self._data) for n in numbers]
             await response.write(b"".join(events))
+            await asyncio.sleep(0.001)
             self.sent_events += len(numbers)
             number = numbers.stop
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -56,13 +56,15 @@
 
 
 @asynccontextmanager
-async def host_process(tmp_path):
+async def host_process(tmp_path, fill_store=lambda store: None):
+    """Run a host; ``fill_store`` may write other rows before it starts."""
     loop = asyncio.get_running_loop()
     engine_server = await loop.create_server(web.Server(engine), "127.0.0.1", 0)
     engine_port = engine_server.sockets[0].getsockname()[1]
     store = StoreStandIn()
     store.write("op", "config", configuration(3, [ROUTE]))
     store.write("servers", "i-1", engine_row(f"127.0.0.1:{engine_port}"))
+    fill_store(store)
     store_server = await loop.create_server(web.Server(store.handle), "127.0.0.1", 0)
     store_port = store_server.sockets[0].getsockname()[1]
     ports = free_ports(3)
