Drop a load report that nests arrays without end

Cause: the decoder raises RecursionError, which is not a DecodeError, for arrays nested in a field that this build does not know. Callers saw: nothing; the event loop logged an exception without the sender. Test seen failing first with RecursionError, passes now.

--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -121,7 +121,7 @@
         """Apply another host's report unless a newer one came first."""
         try:
             report = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             logger.warning("load report from %s can't be decoded: %s", sender, error)
             return
         if report.sequence <= self._last_sequences.get(report.host, 0):
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from aiohttp import web
 from returns.result import Failure, Success
@@ -12,6 +13,8 @@
 from aspenbridge.backends import open_session
 from aspenbridge.client_connections import InvalidAnswerError, read_body
 from aspenbridge.clock import SystemClock
+from aspenbridge.fleet import LoadExchange, LoadView
+from aspenbridge.fleet._exchange import LoadReport
 from aspenbridge.jobs._item_run import (
     ANSWER_LIMIT_S,
     EVENT_GAP_LIMIT_S,
@@ -45,8 +48,10 @@
     EndlessServer,
     head,
 )
-from tests.support.entry_fleet import make_engine
+from tests.support.entry_fleet import MemoryDatagrams, make_engine
+from tests.support.virtual_loop import run_virtual
 
+ADDRESS = ("10.0.1.1", 7000)
 # What the kernel may hold of a connection that the host does not read.
 KERNEL_BYTES = 7 * 1024 * 1024
 FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
@@ -334,3 +339,20 @@
     with pytest.raises(EventError):
         splitter.feed(b"id: 4\ndata: t\n\n" + rest)
     assert splitter.last_id == 3
+
+
+def test_load_report_of_nested_arrays_without_end_is_dropped():
+    async def check(clock):
+        exchange = LoadExchange(
+            "h0", ADDRESS, LoadView(clock), lambda: [], MemoryDatagrams(), clock
+        )
+        heard = []
+        exchange.on_report = lambda: heard.append("report")
+        fields = LoadReport("h1", 1, [], 0, 0.0, 0.0)
+        encoded = msgspec.msgpack.encode(fields)
+        nested = bytes([encoded[0] + 1]) + encoded[1:] + b"\x91" * 60_000
+        exchange.receive(nested, ADDRESS)
+        exchange.receive(encoded, ADDRESS)
+        return heard
+
+    assert run_virtual(check) == ["report"]
