Bound replies to the older program's HTTP clients

Cause: services, objects, engine loads and messages of other hosts were read whole, whatever their size. Callers saw: memory grew until the time-out of the call. Tests seen failing without the change: three calls, which ended with a time-out instead; not tested: messages between hosts.

--- a/src/aspenbridge/backends/_engines.py
+++ b/src/aspenbridge/backends/_engines.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from aspenbridge.client_connections import read_body
 from aspenbridge.ports import (
     CallOutcome,
     EngineFailure,
@@ -26,6 +27,7 @@
 STREAM_STALL_TIMEOUT_S = 30.0
 CONTROL_TIMEOUT_S = 2.0
 MAX_EVENT_BYTES = 1_000_000
+MAX_REPLY_BYTES = 1024 * 1024  # of any reply that is not a stream
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 _chunk_decoder = msgspec.json.Decoder(GeneratedChunk)
@@ -84,7 +86,7 @@
             async with self._session.get(
                 url, timeout=self._control_timeout
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_REPLY_BYTES)
                 return msgspec.json.decode(body, type=EngineLoad)
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise _to_engine_failure(engine, error) from error
--- a/src/aspenbridge/backends/_platform.py
+++ b/src/aspenbridge/backends/_platform.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from aspenbridge.client_connections import read_body
 from aspenbridge.ports import (
     Committed,
     Conflict,
@@ -27,6 +28,7 @@
     from aspenbridge.ports import Transaction
 
 Reply = TypeVar("Reply")
+MAX_REPLY_BYTES = 64 * 1024 * 1024
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
@@ -90,7 +92,7 @@
             async with self._session.request(
                 method, self._base_url + path, data=body, timeout=self._timeout
             ) as response:
-                reply = await response.read()
+                reply = await read_body(response, MAX_REPLY_BYTES)
                 if response.status in (STATUS_OK, STATUS_NOT_FOUND, STATUS_CONFLICT):
                     return Success((response.status, reply))
                 reason = f"status {response.status}"
--- a/src/aspenbridge/backends/_services.py
+++ b/src/aspenbridge/backends/_services.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from aspenbridge.client_connections import read_body
 from aspenbridge.ports import CallOutcome, ServiceFailure, ServiceReply
 from aspenbridge.telemetry import TRACEPARENT, current_traceparent
 
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from aspenbridge.ports import Clock, ServiceCall
 
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+
 
 class HttpServices:
     """
@@ -47,7 +50,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_REPLY_BYTES)
                 return ServiceReply(response.status, body, response.content_type)
         except (aiohttp.ClientError, TimeoutError) as error:
             outcome = CallOutcome.NOT_SENT if never_sent(error) else CallOutcome.BROKEN
--- a/src/aspenbridge/peers/transport.py
+++ b/src/aspenbridge/peers/transport.py
@@ -9,6 +9,7 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.config import Config
 
+from aspenbridge.client_connections import read_body
 from aspenbridge.loop import listening_socket
 from aspenbridge.ports import PeerUnreachableError
 from aspenbridge.resources import StackOwner
@@ -100,7 +101,7 @@
         body = encode_message(message)
         try:
             async with self._session.post(url, data=body, timeout=timeout) as response:
-                reply = await response.read()
+                reply = await read_body(response, MAX_MESSAGE_BYTES)
                 if response.status != OK:
                     reason = f"status {response.status}"
                     raise PeerUnreachableError(address, reason, sent=True)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -10,7 +10,12 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from aspenbridge.backends import open_session
+from aspenbridge.backends import (
+    HttpEngines,
+    HttpObjects,
+    HttpServices,
+    open_session,
+)
 from aspenbridge.client_connections import InvalidAnswerError, read_body
 from aspenbridge.clock import SystemClock
 from aspenbridge.fleet import LoadExchange, LoadView
@@ -31,9 +36,13 @@
 from aspenbridge.ports import (
     AttemptError,
     CallOutcome,
+    Engine,
+    EngineFailure,
     Put,
     RelayedCall,
     RowKey,
+    ServiceCall,
+    ServiceFailure,
     Transaction,
 )
 from aspenbridge.relay import EventSplitter, read_chunks, read_events
@@ -52,6 +61,7 @@
 from tests.support.virtual_loop import run_virtual
 
 ADDRESS = ("10.0.1.1", 7000)
+MAX_OLDER_REPLY_BYTES = 64 * 1024 * 1024
 # What the kernel may hold of a connection that the host does not read.
 KERNEL_BYTES = 7 * 1024 * 1024
 FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
@@ -300,6 +310,36 @@
         assert 0 < len(result.failure().reason) <= 300
 
 
+OLDER_CALLS = {
+    "object": lambda session, port: HttpObjects(
+        session, f"127.0.0.1:{port}", CALL_LIMIT_S
+    ).get("0"),
+    "service": lambda session, port: HttpServices(session, SystemClock()).call(
+        ServiceCall(f"127.0.0.1:{port}", "GET", "/0", b"", "c"),
+        SystemClock().now_s() + CALL_LIMIT_S,
+    ),
+    "engine load": lambda session, port: HttpEngines(session).load(
+        Engine("e1", f"127.0.0.1:{port}", "a", "a-1", "m", "1")
+    ),
+}
+
+
+@pytest.mark.parametrize("name", OLDER_CALLS)
+def test_endless_reply_to_the_older_program_is_a_failed_call(name):
+    async def check():
+        answer = Endless("", head(WHOLE, ""), b"x")
+        async with EndlessServer(answer) as server, open_session() as session:
+            try:
+                result = await OLDER_CALLS[name](session, server.port)
+            except (EngineFailure, ServiceFailure) as error:
+                result = error
+            return result, server.sent_bytes
+
+    result, sent_bytes = run(check())
+    assert "InvalidAnswerError" in str(result)
+    assert sent_bytes < MAX_OLDER_REPLY_BYTES + KERNEL_BYTES
+
+
 @pytest.mark.parametrize("open_client_session", [open_store_session, open_session])
 def test_kept_connection_is_closed_when_more_bytes_follow_an_answer(
     open_client_session,
