--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -5,13 +5,21 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from aiohttp import web
 from returns.result import Failure, Success
 
-from aspenbridge.backends import open_session
+from aspenbridge.backends import (
+    HttpEngines,
+    HttpObjects,
+    HttpServices,
+    open_session,
+)
 from aspenbridge.client_connections import InvalidAnswerError, read_body
 from aspenbridge.clock import SystemClock
+from aspenbridge.fleet import LoadExchange, LoadView
+from aspenbridge.fleet._exchange import LoadReport
 from aspenbridge.jobs._item_run import (
     ANSWER_LIMIT_S,
     EVENT_GAP_LIMIT_S,
@@ -28,9 +36,13 @@
 from aspenbridge.ports import (
     AttemptError,
     CallOutcome,
+    Engine,
+    EngineFailure,
     Put,
     RelayedCall,
     RowKey,
+    ServiceCall,
+    ServiceFailure,
     Transaction,
 )
 from aspenbridge.relay import EventSplitter, read_chunks, read_events
@@ -45,8 +57,11 @@
     EndlessServer,
     head,
 )
-from tests.support.entry_fleet import make_engine
+from tests.support.entry_fleet import MemoryDatagrams, make_engine
+from tests.support.virtual_loop import run_virtual
 
+ADDRESS = ("10.0.1.1", 7000)
+MAX_OLDER_REPLY_BYTES = 64 * 1024 * 1024
 # What the kernel may hold of a connection that the host does not read.
 KERNEL_BYTES = 7 * 1024 * 1024
 FAST_LIMIT_S = 2.0  # for a call whose server sends as fast as it can
@@ -215,6 +230,7 @@
             numbers = range(number, number + 500)
             events = [b"id: %d\ndata: %b\n\n" % (n, self._data) for n in numbers]
             await response.write(b"".join(events))
+            await asyncio.sleep(0.001)
             self.sent_events += len(numbers)
             number = numbers.stop
 
@@ -294,6 +310,36 @@
         assert 0 < len(result.failure().reason) <= 300
 
 
+OLDER_CALLS = {
+    "object": lambda session, port: HttpObjects(
+        session, f"127.0.0.1:{port}", CALL_LIMIT_S
+    ).get("0"),
+    "service": lambda session, port: HttpServices(session, SystemClock()).call(
+        ServiceCall(f"127.0.0.1:{port}", "GET", "/0", b"", "c"),
+        SystemClock().now_s() + CALL_LIMIT_S,
+    ),
+    "engine load": lambda session, port: HttpEngines(session).load(
+        Engine("e1", f"127.0.0.1:{port}", "a", "a-1", "m", "1")
+    ),
+}
+
+
+@pytest.mark.parametrize("name", OLDER_CALLS)
+def test_endless_reply_to_the_older_program_is_a_failed_call(name):
+    async def check():
+        answer = Endless("", head(WHOLE, ""), b"x")
+        async with EndlessServer(answer) as server, open_session() as session:
+            try:
+                result = await OLDER_CALLS[name](session, server.port)
+            except (EngineFailure, ServiceFailure) as error:
+                result = error
+            return result, server.sent_bytes
+
+    result, sent_bytes = run(check())
+    assert "InvalidAnswerError" in str(result)
+    assert sent_bytes < MAX_OLDER_REPLY_BYTES + KERNEL_BYTES
+
+
 @pytest.mark.parametrize("open_client_session", [open_store_session, open_session])
 def test_kept_connection_is_closed_when_more_bytes_follow_an_answer(
     open_client_session,
@@ -333,3 +379,20 @@
     with pytest.raises(EventError):
         splitter.feed(b"id: 4\ndata: t\n\n" + rest)
     assert splitter.last_id == 3
+
+
+def test_load_report_of_nested_arrays_without_end_is_dropped():
+    async def check(clock):
+        exchange = LoadExchange(
+            "h0", ADDRESS, LoadView(clock), lambda: [], MemoryDatagrams(), clock
+        )
+        heard = []
+        exchange.on_report = lambda: heard.append("report")
+        fields = LoadReport("h1", 1, [], 0, 0.0, 0.0)
+        encoded = msgspec.msgpack.encode(fields)
+        nested = bytes([encoded[0] + 1]) + encoded[1:] + b"\x91" * 60_000
+        exchange.receive(nested, ADDRESS)
+        exchange.receive(encoded, ADDRESS)
+        return heard
+
+    assert run_virtual(check) == ["report"]
