--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,14 @@
     assert any(len(crashed_s) >= 3 for crashed_s in oracle.crashed_s.values())
 
 
+def test_short_run_loses_no_answer_beside_planned_work_and_silences():
+    options = Options(10, SECONDS, hosts=3, plan="planned", subnet=SUBNET)
+    oracle = run_seed(options)
+    assert oracle.violations == []
+    assert oracle.answers.counted > 0
+    assert oracle.fault_counts.total() > 0
+
+
 def test_short_run_passes_no_answer_on_that_ended_early():
     kind = "engine ends answers early"
     options = Options(9, SECONDS, hosts=3, first_fault=kind, subnet=SUBNET)
