--- a/tests/platform/test_endless_process.py
+++ b/tests/platform/test_endless_process.py
@@ -92,7 +92,7 @@
             store.write("servers", f"i-endless-{number}", row)
 
     async with (
-        host_process(tmp_path, fill_store) as (process, ports, _),
+        host_process(tmp_path, fill_store=fill_store) as (process, ports, _),
         aiohttp.ClientSession() as session,
     ):
         reading = asyncio.create_task(process.stdout.read())
