--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, TypeVar
-
-import attrs
+from typing import TYPE_CHECKING
 
 from aspenbridge.fleet import CallKind, Refused, virtual_host
 from aspenbridge.observability import log_decision, metrics
-from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.ports import AttemptError, RelayedCall
 from aspenbridge.quarantine import QUARANTINE_CRASHES, request_fingerprint
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._attempt import Attempt, HandedOverError
+from ._attempts import Attempts
 from ._events import EventSplitter
-from ._handover import EngineState, Verdict, judge_handover
-from ._reading import read_chunks, read_events, read_whole
+from ._failover import MIN_ATTEMPT_S, SERVER_ERROR, Failover, status_error
+from ._reading import read_events, read_whole
 from ._request import Progress
 
 if TYPE_CHECKING:
@@ -24,7 +23,6 @@
 
     from aspenbridge.fleet import (
         Configuration,
-        EngineEntry,
         EngineHealth,
         LoadView,
         Route,
@@ -35,22 +33,9 @@
     from ._placement import OnlinePlacement
     from ._request import CallerRequest, ResponseWriter
 
-Part = TypeVar("Part")
-# For a request that may run more than once (``Route.repeatable``) and has
-# attempts left, another engine is looked for when the next part of the answer
-# takes longer. That is twice the time to the first event on a full engine, or
-# twenty usual gaps between events.
-SILENCE_LIMIT_S = 0.6
-# How often to look again while the engine stays silent and no other is free.
-PLACEMENT_INTERVAL_S = 0.1
-# How long a silent engine and its successor may both have the request. A free
-# engine answers within half of it from another region.
-HANDOVER_LIMIT_S = 0.3
-MIN_ATTEMPT_S = 0.05  # less time than a first event takes
 # The retry delay of a request whose attempts have failed; the engines that
 # refused it have a free slot by then.
 RETRY_AFTER_S = 0.2
-SERVER_ERROR = 500
 
 
 class Relay:
@@ -68,9 +53,10 @@
         self._placement = placement
         self._load_view = load_view
         self._health = health
-        self._engine_caller = engine_caller
         self._quarantine = quarantine
         self._clock = clock
+        self._attempts = Attempts(load_view, health, engine_caller, quarantine, clock)
+        self._failover = Failover(placement, self._attempts, quarantine, clock)
 
     async def serve(
         self,
@@ -150,14 +136,14 @@
                 self._quarantine.record_completed(progress.fingerprint)
                 return True
             except HandedOverError as error:
-                self._record_failure(progress, current, error.reason)
+                self._attempts.record_failure(progress, current, error.reason)
                 attempt = error.successor
             except AttemptError as error:
-                self._record_failure(progress, current, error)
+                self._attempts.record_failure(progress, current, error)
                 return False
             except asyncio.CancelledError:
                 # The caller has left; the engine may still crash.
-                self._record_abandoned(progress, current)
+                self._attempts.record_abandoned(progress, current)
                 raise
             finally:
                 current.close()
@@ -174,27 +160,7 @@
             return await self._fail(progress, placed)
         if not await self._quarantine.begin_run(progress.fingerprint):
             return await self._fail_quarantined(progress)
-        return self._start_attempt(progress, placed)
-
-    def _start_attempt(self, progress: Progress, engine: EngineEntry) -> Attempt:
-        call = progress.call
-        if progress.begun:
-            call = attrs.evolve(call, resume_after=progress.events.last_id)
-        load = self._load_view.load(engine.id)
-        opening = self._engine_caller.open(
-            engine.id, engine.address, call, call.deadline_s
-        )
-        return Attempt(
-            engine,
-            asyncio.ensure_future(opening),
-            (load.online, load.batch),
-            self._load_view,
-        )
-
-    def _record_abandoned(self, progress: Progress, attempt: Attempt) -> None:
-        self._quarantine.record_broken_run(
-            progress.fingerprint, attempt.engine, connection_lost=False
-        )
+        return self._attempts.start(progress, placed)
 
     def _may_retry(self, progress: Progress) -> bool:
         """
@@ -207,42 +173,6 @@
         remaining_s = progress.call.deadline_s - self._clock.now_s()
         return progress.may_send_again and remaining_s > MIN_ATTEMPT_S
 
-    def _record_failure(
-        self, progress: Progress, attempt: Attempt, error: AttemptError
-    ) -> None:
-        """Update the request and the engine's health after a failure."""
-        engine, head = attempt.engine, attempt.head
-        progress.tried.add(engine.id)
-        if error.outcome is CallOutcome.BROKEN:
-            progress.broken_at.add(engine.id)
-        if error.outcome is CallOutcome.NOT_SENT:
-            self._health.record_unreachable(engine.id)
-        else:
-            progress.failed_sends += 1
-        if error.outcome is CallOutcome.REFUSED:
-            self._health.record_refusal(engine.id)
-        if error.outcome is CallOutcome.BROKEN:
-            progress.may_have_run = True
-            self._quarantine.record_broken_run(
-                progress.fingerprint, engine, connection_lost=error.connection_lost
-            )
-        else:
-            self._quarantine.record_not_run(progress.fingerprint)
-        metrics.ATTEMPT_FAILURES.labels(error.outcome.value).inc()
-        log_decision(
-            "attempt failed",
-            request=progress.call.request_id,
-            engine=engine.id,
-            outcome=error.outcome.value,
-            reason=error.reason,
-            connection_lost=error.connection_lost,
-            remaining_ms=round(self._remaining_s(progress) * 1000),
-            body_end=head and head.body_end.value,
-            events=progress.events_sent,
-            fingerprint=progress.fingerprint,
-            sends=progress.failed_sends,
-        )
-
     async def _fail_quarantined(self, progress: Progress) -> str:
         retry_after_s = self._quarantine.retry_after_s(progress.fingerprint)
         metrics.QUARANTINE.labels("refused").inc()
@@ -292,10 +222,10 @@
         :raises HandedOverError: when another engine has taken it over.
         """
         progress.answer = None
-        answer = await self._part(progress, attempt, attempt.opening, SILENCE_LIMIT_S)
+        answer = await self._failover.answer(progress, attempt)
         progress.answer = answer.head
         self._health.record_answer(attempt.engine.id)
-        chunks = self._chunks(progress, attempt)
+        chunks = self._failover.chunks(progress, attempt)
         if answer.head.streams and answer.head.status < SERVER_ERROR:
             await self._relay_events(progress, answer.head, chunks)
         else:
@@ -326,7 +256,7 @@
         # status.
         if progress.begun or (failed and progress.may_switch_engine):
             progress.failed_answer = head, body
-            raise _failed_with(head)
+            raise status_error(head)
         await self._send_whole(progress, head, body)
 
     async def _send_whole(
@@ -336,156 +266,6 @@
         await progress.send(body)
         await progress.writer.finish()
 
-    async def _chunks(
-        self, progress: Progress, attempt: Attempt
-    ) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they arrive."""
-        while chunk := await self._next_chunk(progress, attempt):
-            yield chunk
-
-    async def _next_chunk(self, progress: Progress, attempt: Attempt) -> bytes:
-        remaining_s = self._remaining_s(progress)
-        if remaining_s <= 0:
-            # Data that always waits to be read would let no time-out come.
-            raise AttemptError(CallOutcome.BROKEN, "answer was not complete in time")
-        try:
-            async with asyncio.timeout(min(SILENCE_LIMIT_S, remaining_s)):
-                return await attempt.answer.read()
-        except TimeoutError:
-            reading = asyncio.ensure_future(attempt.answer.read())
-            return await self._part(progress, attempt, reading, 0.0)
-
-    async def _part(
-        self,
-        progress: Progress,
-        attempt: Attempt,
-        part: asyncio.Future[Part],
-        silence_limit_s: float,
-    ) -> Part:
-        """
-        Return the next part of an answer, however long its engine is silent.
-
-        :param silence_limit_s: how long to wait before another engine that is
-            free is asked for the answer as well.
-        :raises AttemptError: when the answer breaks off, or the deadline of
-            the request comes first.
-        :raises HandedOverError: when another engine has taken it over.
-        """
-        try:
-            await asyncio.wait(
-                {part}, timeout=min(silence_limit_s, self._remaining_s(progress))
-            )
-            while not part.done():
-                if self._remaining_s(progress) <= 0:
-                    raise _silent()
-                successor = self._start_successor(progress, attempt)
-                if successor is not None:
-                    await self._settle(progress, attempt, part, successor)
-                    continue
-                wait_s = self._remaining_s(progress)
-                if progress.may_switch_engine:
-                    wait_s = min(wait_s, PLACEMENT_INTERVAL_S)
-                await asyncio.wait({part}, timeout=wait_s)
-            return part.result()
-        finally:
-            part.cancel()
-
-    def _remaining_s(self, progress: Progress) -> float:
-        return progress.call.deadline_s - self._clock.now_s()
-
-    def _start_successor(self, progress: Progress, attempt: Attempt) -> Attempt | None:
-        """Send the request to a free engine that has not run it, if it may."""
-        if not (progress.may_switch_engine and attempt.may_be_left):
-            return None
-        if self._remaining_s(progress) <= MIN_ATTEMPT_S:
-            return None
-        if self._quarantine.is_quarantined(progress.fingerprint):
-            return None
-        placed = self._placement.place_elsewhere(
-            progress.service, {*progress.broken_at, attempt.engine.id}
-        )
-        return None if placed is None else self._start_attempt(progress, placed)
-
-    async def _settle(
-        self,
-        progress: Progress,
-        attempt: Attempt,
-        part: asyncio.Future[Part],
-        successor: Attempt,
-    ) -> None:
-        """
-        Wait until it is clear which engine serves the request.
-
-        :param attempt: the one whose engine fell silent.
-        :param part: what the engine that fell silent has not sent yet.
-        :raises HandedOverError: when it is the successor.
-        """
-        try:
-            state, verdict = await self._await_verdict(progress, part, successor)
-            if verdict is Verdict.KEEP and not progress.begun:
-                await self._keep_failure(progress, successor)
-        except BaseException:
-            successor.close()
-            self._record_abandoned(progress, successor)
-            raise
-        log_decision(
-            "engine silent",
-            request=progress.call.request_id,
-            engine=progress.engine,
-            successor=successor.engine.id,
-            events=progress.events_sent,
-            engine_state=_part_state(part).value,
-            successor_state=state.value,
-            verdict=verdict.value,
-        )
-        if verdict is Verdict.MOVE:
-            raise HandedOverError(successor, _failure(part) or _silent())
-        error = _failure(successor.opening)
-        if error is None and state is EngineState.FAILED:
-            error = _failed_with(successor.answer.head)
-        if error is None:
-            error = AttemptError(CallOutcome.BROKEN, "the silent engine went on")
-        successor.close()
-        self._record_failure(progress, successor, error)
-        # A run that has begun must not be followed by yet another one while
-        # the silent engine works on.
-        attempt.may_be_left = error.outcome is not CallOutcome.BROKEN
-
-    async def _await_verdict(
-        self, progress: Progress, part: asyncio.Future[Part], successor: Attempt
-    ) -> tuple[EngineState, Verdict]:
-        """Return what the successor has done, and which engine goes on."""
-        deadline_s = min(
-            self._clock.now_s() + HANDOVER_LIMIT_S, progress.call.deadline_s
-        )
-        while True:
-            overdue = self._clock.now_s() >= deadline_s
-            state = _successor_state(progress, successor)
-            verdict = judge_handover(_part_state(part), state, overdue=overdue)
-            if verdict is not Verdict.WAIT:
-                return state, verdict
-            await asyncio.wait(
-                {task for task in (part, successor.opening) if not task.done()},
-                timeout=max(0.0, deadline_s - self._clock.now_s()),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-
-    async def _keep_failure(self, progress: Progress, attempt: Attempt) -> None:
-        """Keep the server error that an engine gave, if it comes whole."""
-        head = attempt.head
-        if head is None or head.status < SERVER_ERROR:
-            return
-        chunks = read_chunks(attempt.answer, lambda: HANDOVER_LIMIT_S)
-        try:
-            progress.failed_answer = head, await read_whole(head, chunks)
-        except AttemptError as error:
-            log_decision(
-                "server error not kept",
-                request=progress.call.request_id,
-                engine=attempt.engine.id,
-                reason=error.reason,
-            )
-
     def _log_request(
         self, request: CallerRequest, progress: Progress, version: int, outcome: str
     ) -> None:
@@ -518,41 +298,3 @@
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
         )
-
-
-def _silent() -> AttemptError:
-    return AttemptError(CallOutcome.BROKEN, "engine sent no data in time")
-
-
-def _failed_with(head: AnswerHead) -> AttemptError:
-    reason = f"engine answered with status {head.status}"
-    return AttemptError(CallOutcome.BROKEN, reason)
-
-
-def _failure(part: asyncio.Future[Part]) -> AttemptError | None:
-    """
-    Return the error with which a part of an answer ended, if it did.
-
-    :raises Exception: when it ended with any other error.
-    """
-    error = part.exception() if part.done() else None
-    if error is None or isinstance(error, AttemptError):
-        return error
-    raise error
-
-
-def _part_state(part: asyncio.Future[Part]) -> EngineState:
-    if not part.done():
-        return EngineState.SILENT
-    if _failure(part) is not None:
-        return EngineState.FAILED
-    return EngineState.COMPLETED if part.result() == b"" else EngineState.SPOKE
-
-
-def _successor_state(progress: Progress, successor: Attempt) -> EngineState:
-    state = _part_state(successor.opening)
-    if state is not EngineState.SPOKE:
-        return state
-    head = successor.answer.head
-    unusable = head.status >= SERVER_ERROR or (progress.begun and not head.streams)
-    return EngineState.FAILED if unusable else EngineState.SPOKE
