Tests: give the host of a run its own loopback address

Cause: the port of the metrics is fixed, so that a host process of a second run of the tests on the machine exits as it starts.

--- a/tests/platform/test_endless_process.py
+++ b/tests/platform/test_endless_process.py
@@ -13,6 +13,7 @@
 
 from tests.platform.test_endless_answers import ValidEvents, run
 from tests.platform.test_process import (
+    HOST_IP,
     REQUEST_ID,
     ROUTE,
     host_process,
@@ -64,7 +65,7 @@
 
 async def call_endless(ports, number) -> None:
     """Send a request to an endless engine and discard the answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", ports[0])
+    reader, writer = await asyncio.open_connection(HOST_IP, ports[0])
     writer.write(
         f"POST /endless/{number} HTTP/1.1\r\nHost: a.example\r\n"
         f"{REQUEST_ID}: endless-{number}\r\nContent-Length: 1\r\n"
@@ -96,7 +97,7 @@
         aiohttp.ClientSession() as session,
     ):
         reading = asyncio.create_task(process.stdout.read())
-        await wait_status(session, f"http://127.0.0.1:{ports[1]}/readyz", 200)
+        await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
         calm_s = await longest_delay_s(session, ports, CALM_S)
         calm_kib = peak_memory_kib(process)
         callers = [asyncio.create_task(keep_calling(ports, n)) for n in numbers]
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -25,6 +25,8 @@
 from tests.support.processes import free_ports
 
 SYSTEM_FILE = Path(__file__).parents[2] / "deploy" / "system.toml"
+# The port of the metrics is fixed, and other runs of the tests may use it.
+HOST_IP = f"127.1.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
 REQUEST_ID = "X-Aspenbridge-Attempt-Id"
 ROUTE = {
     "name": "r",
@@ -73,7 +75,7 @@
     path.write_text(
         SETTINGS.format(
             name="h1",
-            ip="127.0.0.1",
+            ip=HOST_IP,
             callers=callers,
             ready=ready,
             peers=peers,
@@ -115,7 +117,7 @@
 
 def send_request(session, ports, path="/a/x"):
     return session.post(
-        f"http://127.0.0.1:{ports[0]}{path}",
+        f"http://{HOST_IP}:{ports[0]}{path}",
         data=b"q",
         headers={"Host": "a.example", REQUEST_ID: "r1"},
     )
@@ -132,7 +134,7 @@
             host_process(tmp_path) as (process, ports, _),
             aiohttp.ClientSession() as session,
         ):
-            await wait_status(session, f"http://127.0.0.1:{ports[1]}/readyz", 200)
+            await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
             while process.returncode is None:
                 with suppress(ProcessLookupError):
                     process.send_signal(signal.SIGTERM)
@@ -148,7 +150,7 @@
             host_process(tmp_path) as (process, ports, path),
             aiohttp.ClientSession() as session,
         ):
-            ready_url = f"http://127.0.0.1:{ports[1]}/readyz"
+            ready_url = f"http://{HOST_IP}:{ports[1]}/readyz"
             await wait_status(session, ready_url, 200)
             async with send_request(session, ports, "/b/x") as missing:
                 assert missing.status == 404
