--- a/tests/platform/test_endless_process.py
+++ b/tests/platform/test_endless_process.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import aiohttp
@@ -20,7 +20,13 @@
     send_request,
     wait_status,
 )
-from tests.support.endless_answers import BODIES, FRAMINGS, HEADS, EndlessServer
+from tests.support.endless_answers import (
+    BODIES,
+    FRAMINGS,
+    HEADS,
+    TRICKLE_INTERVAL_S,
+    EndlessServer,
+)
 from tests.support.platform_standins import configuration, engine_row
 
 ENGINES = 8
@@ -36,6 +42,7 @@
     "service": "endless",
     "timeoutMs": 2000,
 }
+MAX_CALL_S = 2.5  # half a second beyond the limit of that route
 
 
 def peak_memory_kib(process) -> int:
@@ -83,8 +90,9 @@
         await asyncio.sleep(PAUSE_S)
 
 
-async def measure(tmp_path, port, numbers) -> tuple[float, float, int]:
-    """Return the longest delays in calm and in trouble, and added memory."""
+@asynccontextmanager
+async def ready_host(tmp_path, port):
+    """Run a host whose route ``/endless/`` has engines at a port."""
 
     def fill_store(store) -> None:
         store.write("op", "config", configuration(4, [ROUTE, ENDLESS_ROUTE]))
@@ -98,6 +106,14 @@
     ):
         reading = asyncio.create_task(process.stdout.read())
         await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
+        yield process, ports, session
+        process.kill()
+        await reading
+
+
+async def measure(tmp_path, port, numbers) -> tuple[float, float, int]:
+    """Return the longest delays in calm and in trouble, and added memory."""
+    async with ready_host(tmp_path, port) as (process, ports, session):
         calm_s = await longest_delay_s(session, ports, CALM_S)
         calm_kib = peak_memory_kib(process)
         callers = [asyncio.create_task(keep_calling(ports, n)) for n in numbers]
@@ -105,8 +121,7 @@
         for caller in callers:
             caller.cancel()
         added_kib = peak_memory_kib(process) - calm_kib
-        process.kill()
-        await asyncio.gather(reading, *callers, return_exceptions=True)
+        await asyncio.gather(*callers, return_exceptions=True)
     return calm_s, trouble_s, added_kib
 
 
@@ -140,3 +155,22 @@
     calm_s, trouble_s, added_kib = run(check())
     assert added_kib < MAX_MEMORY_KIB
     assert trouble_s < calm_s + MAX_DELAY_S
+
+
+def test_trickle_of_an_engine_ends_with_the_time_limit_of_its_route(tmp_path):
+    async def check():
+        async with (
+            EndlessServer(*KINDS, slow=True) as server,
+            ready_host(tmp_path, server.port) as (_, ports, _),
+        ):
+            started_s = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                for number in range(len(KINDS)):
+                    group.create_task(call_endless(ports, number))
+            duration_s = time.monotonic() - started_s
+            await asyncio.sleep(5 * TRICKLE_INTERVAL_S)
+            return duration_s, server.open_connections
+
+    duration_s, connections = run(check())
+    assert duration_s < MAX_CALL_S
+    assert connections == 0
