--- a/tests/platform/test_planned_work_signals.py
+++ b/tests/platform/test_planned_work_signals.py
@@ -9,7 +9,12 @@
 from aiohttp import web
 
 from aspenbridge.entry import Address
-from tests.platform.test_process import host_process, run_on_loop, wait_status
+from tests.platform.test_process import (
+    HOST_IP,
+    host_process,
+    run_on_loop,
+    wait_status,
+)
 from tests.support.raw_callers import (
     BODY,
     call_after_another,
@@ -20,8 +25,6 @@
     request_head,
 )
 
-# Of its own, since each host's metrics have the same port.
-HOST_IP = "127.0.77.1"
 EVENTS = 4
 STREAM = b"".join(b"id: %d\ndata: w\n\n" % number for number in range(EVENTS))
 SILENCE_S = 1.5  # the longest of a sound engine
@@ -68,7 +71,7 @@
 def with_process(tmp_path, engine, check):
     async def main():
         async with (
-            host_process(tmp_path, engine, HOST_IP) as (process, ports, path),
+            host_process(tmp_path, engine) as (process, ports, path),
             aiohttp.ClientSession() as session,
         ):
             ready_url = f"http://{HOST_IP}:{ports[1]}/readyz"
