--- a/tests/support/scripted_host.py
+++ b/tests/support/scripted_host.py
@@ -163,13 +163,13 @@
         )
     if fields.get("Transfer-Encoding") != "chunked":
         return Reply(status, body, True, fields) if ended else None
-    parts = b""
-    while body:
-        size, found, body = body.partition(b"\r\n")
-        length = int(size or b"0", 16)
-        if not found or len(body) < length + 2:
+    parts, at = [], 0
+    while (line_end := body.find(b"\r\n", at)) >= 0:
+        length = int(body[at:line_end] or b"0", 16)
+        begin, at = line_end + 2, line_end + 2 + length + 2
+        if len(body) < at:
             return None
         if length == 0:
-            return Reply(status, parts, True, fields)
-        parts, body = parts + body[:length], body[length + 2 :]
+            return Reply(status, b"".join(parts), True, fields)
+        parts.append(body[begin : begin + length])
     return None
