Give load reports an age

A report that another host passes on was made some time ago. apply_report takes its age, so that it expires REPORT_LIFETIME_S after it was made; until now each report counted from its arrival. Reports that come from their host have age 0, as before.

Fails before: test_report_that_another_host_passed_on_is_valid_from_when_it_was_made (no such parameter).

--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -102,10 +102,19 @@
         return backlogs
 
     def apply_report(
-        self, host: str, by_engine: Mapping[str, EngineLoad], backlog: Backlog
+        self,
+        host: str,
+        by_engine: Mapping[str, EngineLoad],
+        backlog: Backlog,
+        age_s: float = 0.0,
     ) -> None:
-        """Replace the last report of another host."""
-        valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S
+        """
+        Replace the last report of another host.
+
+        :param age_s: the time since the host made the report, which others may
+            have passed on.
+        """
+        valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S - age_s
         self._reports[host] = HostLoad(by_engine, backlog, valid_until_s)
         self.on_capacity_change()
 
