Count a store call that got 502 as maybe applied

Cause: NOT_APPLIED_STATUSES held 502. A submission whose head was written then got 503, "not run", though its items run; a retry that met its own write took it for a conflict.

403, 507 and 500 counted as maybe applied before and are in the table now.

Test fails before: test_failed_call_tells_whether_it_may_have_been_applied [502-True].

--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -39,7 +39,7 @@
 # Added to the requested wait of a call on the change feed.
 FEED_TIMEOUT_MARGIN_S = 0.8
 # With these statuses the store has not applied the call.
-NOT_APPLIED_STATUSES = (502, 503, 429)
+NOT_APPLIED_STATUSES = (503, 429)
 HISTORY_LOST_STATUS = 410
 MAX_ROWS_PER_CALL = 500  # the maximum number of rows in one response
 # Of a reply that holds no object: eight times the megabyte of rows that the
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -95,7 +95,8 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "maybe_applied"), [(503, False), (429, False), (500, True), (None, True)]
+    ("status", "maybe_applied"),
+    [(503, False), (429, False), *((s, True) for s in (403, 500, 502, 507, None))],
 )
 def test_failed_call_tells_whether_it_may_have_been_applied(status, maybe_applied):
     result, _ = call_store(status, {}, transact)
