Count objects that were sent twice as maybe written

Cause: when a kept connection ends, aiohttp sends a PUT or DELETE again. If that send was refused, or not even connected, the call counted as not applied although the first send may have been. No caller was told so: submissions answer by the head alone, and whoever else writes objects tries again.

Fails before: test_call_that_was_sent_again_may_have_been_applied_the_first_time (4 cases).

--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -40,6 +40,9 @@
 FEED_TIMEOUT_MARGIN_S = 0.8
 # With these statuses the store has not applied the call.
 NOT_APPLIED_STATUSES = (503, 429)
+# aiohttp sends calls with these methods again when a kept connection ends, so
+# the end of the last send doesn't tell whether the first was applied.
+RESENT_METHODS = ("PUT", "DELETE")
 HISTORY_LOST_STATUS = 410
 MAX_ROWS_PER_CALL = 500  # the maximum number of rows in one response
 # Of a reply that holds no object: eight times the megabyte of rows that the
@@ -249,6 +252,7 @@
         max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> Result[tuple[int, bytes], Unavailable]:
         started_s = time.perf_counter()
+        resent = method in RESENT_METHODS
         sent_headers = {"Content-Type": "application/json"} | (headers or {})
         try:
             async with self._session.request(
@@ -262,7 +266,7 @@
                 reply = await read_body(response, max_reply_bytes)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             _observe_duration(path, "not sent", started_s)
-            return Failure(Unavailable(describe_error(error), maybe_applied=False))
+            return Failure(Unavailable(describe_error(error), maybe_applied=resent))
         except (aiohttp.ClientError, TimeoutError) as error:
             _observe_duration(path, "no answer", started_s)
             return Failure(Unavailable(describe_error(error), maybe_applied=True))
@@ -272,7 +276,7 @@
         return Failure(
             Unavailable(
                 f"status {response.status}",
-                maybe_applied=response.status not in NOT_APPLIED_STATUSES,
+                maybe_applied=resent or response.status not in NOT_APPLIED_STATUSES,
             )
         )
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -38,10 +38,12 @@
 
 
 @asynccontextmanager
-async def store(handle):
+async def store(handle, listeners=None):
     server = web.Server(handle)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, "127.0.0.1", 0)
+    if listeners is not None:
+        listeners.append(listener)
     port = listener.sockets[0].getsockname()[1]
     async with open_store_session() as session:
         yield StoreClient(session, f"127.0.0.1:{port}")
@@ -105,6 +107,31 @@
     assert error.maybe_applied is maybe_applied
 
 
+@pytest.mark.parametrize("status", [None, 503])
+@pytest.mark.parametrize("call", [lambda c: c.put("a", b"x"), lambda c: c.delete("a")])
+def test_call_that_was_sent_again_may_have_been_applied_the_first_time(call, status):
+    """Guards against judging by the last of two sends."""
+    received, listeners = [], []
+
+    async def handle(request):
+        received.append(await request.read())
+        if len(received) == 2:
+            if status is None:
+                listeners[0].close()
+            request.transport.abort()
+        return web.Response(status=200 if len(received) == 1 else status or 200)
+
+    async def main():
+        async with store(handle, listeners) as client:
+            await client.put("first", b"x")
+            return await call(client)
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        error = runner.run(main()).failure()
+    assert len(received) == (2 if status is None else 3)
+    assert error.maybe_applied
+
+
 def test_changes_mark_removed_rows():
     removed = {"table": "t", "key": "x", "tombstone": True, "ver": 6}
     result, (_, path, _) = call_store(
