Refuse a request whose deadline passed before it was sent as not run

A request whose deadline has passed is now refused before any engine is asked: 503, code 3006 (DEADLINE_EXCEEDED is 504, which promises nothing). At the deadline the relay lets the opening end by itself, since only it knows whether anything was sent. Refusals log their code.

--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -33,6 +34,27 @@
 )
 
 
+class ConnectionNote:
+    """Whether a request has got its connection, and may have been sent."""
+
+    connected = False
+
+
+async def _note_connected(
+    _session: aiohttp.ClientSession, context: SimpleNamespace, _params: object
+) -> None:
+    note = context.trace_request_ctx
+    if isinstance(note, ConnectionNote):
+        note.connected = True
+
+
+def _connection_trace() -> aiohttp.TraceConfig:
+    """Return what fills in the ``ConnectionNote`` of a request."""
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_note_connected)
+    return trace
+
+
 class EngineConnection(ClientConnection):
     """
     A connection that carries one request to an engine.
@@ -103,7 +125,8 @@
 
     An engine may answer a request twice, or close an idle connection just as
     the next request arrives. With one request per connection, neither can
-    affect another request.
+    affect another request. A ``ConnectionNote`` that a request passes as
+    ``trace_request_ctx`` is filled in.
     """
     return aiohttp.ClientSession(
         connector=EngineConnector(limit=0, force_close=True),
@@ -112,4 +135,5 @@
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
+        trace_configs=[_connection_trace()],
     )
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -14,6 +14,7 @@
 from aspenbridge.ports import AnswerHead, AttemptError, BodyEnd, CallOutcome
 
 from . import _names as names
+from ._connections import ConnectionNote
 
 if TYPE_CHECKING:
     from aspenbridge.ports import Clock, Headers, RelayedCall
@@ -104,11 +105,17 @@
         """
         Send a request and wait for the head of its response.
 
+        A request whose deadline has passed is not sent.
+
         :raises AttemptError: when no valid response comes; ``outcome`` says
             whether the engine may have run the request.
         """
+        now_s = self._clock.now_s()
+        timeout_s = answer_deadline_s - now_s
+        if min(timeout_s, call.deadline_s - now_s) <= 0:
+            raise AttemptError(CallOutcome.EXPIRED, "deadline passed before the send")
         url = URL(f"http://{address}{call.target}", encoded=True)
-        timeout_s = answer_deadline_s - self._clock.now_s()
+        note = ConnectionNote()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._session.request(
@@ -117,13 +124,14 @@
                     headers=self._headers(engine_id, call),
                     data=call.body or None,
                     allow_redirects=False,
+                    trace_request_ctx=note,
                 )
         except aiohttp.ClientConnectorError as error:
             raise AttemptError(CallOutcome.NOT_SENT, str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise AttemptError(CallOutcome.NOT_SENT, "connect timeout") from error
         except TimeoutError as error:
-            raise AttemptError(CallOutcome.BROKEN, "no answer in time") from error
+            raise _deadline_error(note) from error
         except (aiohttp.ClientConnectionError, OSError) as error:
             raise AttemptError(
                 CallOutcome.BROKEN, describe_error(error), connection_lost=True
@@ -144,6 +152,13 @@
         return headers
 
 
+def _deadline_error(note: ConnectionNote) -> AttemptError:
+    """Return the error of a request at whose deadline no answer had come."""
+    if note.connected:
+        return AttemptError(CallOutcome.BROKEN, "no answer in time")
+    return AttemptError(CallOutcome.EXPIRED, "deadline passed while connecting")
+
+
 def _check_response(
     response: aiohttp.ClientResponse, request_id: str
 ) -> EngineResponse:
--- a/src/aspenbridge/ports/_backends.py
+++ b/src/aspenbridge/ports/_backends.py
@@ -75,12 +75,15 @@
     How far a failed call got.
 
     Nothing of a ``NOT_SENT`` call was sent, and the server declined to run a
-    ``REFUSED`` call. A ``BROKEN`` call may have run, in part or in whole.
+    ``REFUSED`` call. A ``BROKEN`` call may have run, in part or in whole. The
+    deadline of an ``EXPIRED`` call passed before anything of it was sent;
+    that tells nothing of the server.
     """
 
     NOT_SENT = "not sent"
     REFUSED = "refused"
     BROKEN = "broken"
+    EXPIRED = "expired"
 
 
 class EngineFailure(Exception):
--- a/src/aspenbridge/relay/_attempts.py
+++ b/src/aspenbridge/relay/_attempts.py
@@ -63,7 +63,7 @@
             progress.broken_at.add(engine.id)
         if error.outcome is CallOutcome.NOT_SENT:
             self._health.record_unreachable(engine.id)
-        else:
+        elif error.outcome is not CallOutcome.EXPIRED:
             progress.failed_sends += 1
         if error.outcome is CallOutcome.REFUSED:
             self._health.record_refusal(engine.id)
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -113,6 +113,10 @@
             )
             while not part.done():
                 if self._remaining_s(progress) <= 0:
+                    if part is attempt.opening:
+                        # It ends by itself, and knows whether it was sent.
+                        await asyncio.wait({part})
+                        break
                     raise _silent_error()
                 successor = self._start_successor(progress, attempt)
                 if successor is not None:
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -150,6 +150,8 @@
 
     async def _begin_attempt(self, progress: Progress) -> Attempt | str:
         """Send the request to an engine, or fail it and return the outcome."""
+        if self._remaining_s(progress) <= 0:
+            return await self._fail(progress, Refused(RETRY_AFTER_S))
         placed = self._placement.place(
             progress.service,
             progress.route,
@@ -170,8 +172,10 @@
         engine can have run it. ``may_switch_engine`` applies during an
         attempt: it requires a repeatable request and another attempt left.
         """
-        remaining_s = progress.call.deadline_s - self._clock.now_s()
-        return progress.may_send_again and remaining_s > MIN_ATTEMPT_S
+        return progress.may_send_again and self._remaining_s(progress) > MIN_ATTEMPT_S
+
+    def _remaining_s(self, progress: Progress) -> float:
+        return progress.call.deadline_s - self._clock.now_s()
 
     async def _fail_quarantined(self, progress: Progress) -> str:
         retry_after_s = self._quarantine.retry_after_s(progress.fingerprint)
@@ -202,15 +206,20 @@
             return "answered"
         if progress.may_have_run:
             detail = "the engine may have run the request"
-            await progress.writer.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
+            await progress.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
             return "unknown"
-        overloaded = Problem(
+        await progress.refuse(problem or self._not_run_problem(progress, refused))
+        return "refused"
+
+    def _not_run_problem(self, progress: Progress, refused: Refused) -> Problem:
+        if self._remaining_s(progress) <= 0:
+            detail = "the deadline passed before an engine ran the request"
+            return Problem(ResultCode.DEADLINE_BEFORE_RUN, detail)
+        return Problem(
             ResultCode.OVERLOADED,
             "no engine can serve in time",
             retry_after_s=refused.retry_after_s,
         )
-        await progress.writer.refuse(problem or overloaded)
-        return "refused"
 
     async def _relay_answer(self, progress: Progress, attempt: Attempt) -> None:
         """
@@ -283,6 +292,7 @@
             configuration=version,
             outcome=outcome,
             status=progress.status,
+            code=progress.problem and int(progress.problem.code),
             streams=progress.answer and progress.answer.streams,
             body_end=progress.answer and progress.answer.body_end.value,
             events=progress.events_sent,
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -81,6 +81,7 @@
     bytes_sent: int = 0
     first_event_s: float | None = None
     refused: Refused | None = None  # set when the request has failed
+    problem: Problem | None = None  # what the caller was told in that case
 
     @property
     def begun(self) -> bool:
@@ -92,6 +93,11 @@
         self.status = head.status
         await self.writer.begin(head, length)
 
+    async def refuse(self, problem: Problem) -> None:
+        """Tell the caller that no answer comes, before one has begun."""
+        self.problem = problem
+        await self.writer.refuse(problem)
+
     async def send(self, data: bytes, events: int = 0) -> None:
         """Send a part of the body, which has so many events, to the caller."""
         self.events_sent += events
--- a/src/aspenbridge/result_codes/_codes.py
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -36,6 +36,7 @@
     DEADLINE_EXCEEDED = 3003
     NO_ENGINE_ALLOWED = 3004
     REQUEST_QUARANTINED = 3005
+    DEADLINE_BEFORE_RUN = 3006
     STORE_UNAVAILABLE = 4001
     OUTCOME_UNKNOWN = 4002
     BACKEND_FAILED = 4003
@@ -100,6 +101,11 @@
         503,
         "Engines crashed under this request, and it waits for a trial",
     ),
+    _row(
+        ResultCode.DEADLINE_BEFORE_RUN,
+        503,
+        "The deadline passed before an engine ran the request",
+    ),
     _row(ResultCode.STORE_UNAVAILABLE, 503, "The platform's store is down"),
     _row(
         ResultCode.OUTCOME_UNKNOWN,
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 
@@ -247,6 +247,59 @@
     assert caught.value.outcome is CallOutcome.NOT_SENT
 
 
+async def full_listener(stack):
+    """Return the address of a listener whose connections are never opened."""
+    listener = stack.enter_context(socket.socket())
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    for _ in range(3):
+        client = stack.enter_context(socket.socket())
+        client.setblocking(False)
+        client.connect_ex(listener.getsockname())
+    await asyncio.sleep(0.01)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@pytest.mark.parametrize(
+    ("call_s", "answer_s"), [(-0.1, 5.0), (5.0, -0.1), (0.0, 0.0), (0.05, 0.05)]
+)
+def test_request_whose_deadline_passes_before_it_is_sent_has_not_run(call_s, answer_s):
+    async def check():
+        async with AsyncExitStack() as stack:
+            address = await full_listener(stack)
+            session = await stack.enter_async_context(open_engine_session())
+            clock = SystemClock()
+            call = make_call(deadline_s=clock.now_s() + call_s)
+            deadline_s = clock.now_s() + answer_s
+            await HttpEngineCaller(session, clock).open(
+                "i-1", address, call, deadline_s
+            )
+
+    with pytest.raises(AttemptError) as caught:
+        run_on_loop(check())
+    assert caught.value.outcome is CallOutcome.EXPIRED
+
+
+def test_request_whose_deadline_passes_after_it_was_sent_may_have_run():
+    async def check():
+        async with AsyncExitStack() as stack:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(1)
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            session = await stack.enter_async_context(open_engine_session())
+            clock = SystemClock()
+            deadline_s = clock.now_s() + 0.05
+            call = make_call(deadline_s=deadline_s)
+            await HttpEngineCaller(session, clock).open(
+                "i-1", address, call, deadline_s
+            )
+
+    with pytest.raises(AttemptError) as caught:
+        run_on_loop(check())
+    assert caught.value.outcome is CallOutcome.BROKEN
+
+
 def test_cancelled_requests_do_not_break_later_connections():
     """
     Guards against closing a socket that a transport still uses.
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -5,7 +5,7 @@
 import pytest
 
 from aspenbridge.ports import CallOutcome
-from aspenbridge.result_codes import ResultCode
+from aspenbridge.result_codes import Execution, ResultCode
 from tests.support.entry_fleet import (
     EntryFleet,
     Fault,
@@ -104,6 +104,36 @@
     with_fleet(check)
 
 
+@pytest.mark.parametrize("late_s", [0.0, 0.2])
+@pytest.mark.parametrize("path", ["/once/x", "/online/x"])
+def test_request_whose_deadline_has_passed_is_refused_as_not_run(path, late_s):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [Fault(), Fault()]
+        started_s = fleet.clock.now_s()
+        request = make_request(path=path, deadline_s=started_s - late_s)
+        reply = await fleet.relay("h0", request)
+        assert reply.problem.code is ResultCode.DEADLINE_BEFORE_RUN
+        assert (reply.status, reply.problem.execution) == (503, Execution.NOT_RUN)
+        assert fleet.clock.now_s() == started_s
+        assert len(fleet.engines.faults["r1"]) == 2
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/online/x"])
+def test_deadline_before_the_send_is_no_failure_of_the_engine(path):
+    async def check(fleet):
+        expired = Fault(outcome=CallOutcome.EXPIRED, delay_s=0.1)
+        fleet.engines.faults["r1"] = [expired]
+        deadline_s = fleet.clock.now_s() + 0.1
+        reply = await fleet.relay("h0", make_request(path=path, deadline_s=deadline_s))
+        assert reply.problem.code is ResultCode.DEADLINE_BEFORE_RUN
+        assert len(fleet.hosts["h0"].quarantine._ledger) == 0
+        assert (await fleet.relay("h0", make_request("r2"))).finished
+
+    with_fleet(check, engines=1)
+
+
 def test_request_that_could_not_be_sent_goes_to_another_engine():
     async def check(fleet):
         fleet.engines.faults["r1"] = [Fault(outcome=CallOutcome.NOT_SENT)]
