Keep the sums of the load as reports come and go

For each request and batch item the load of an engine was summed over the reports of all hosts, so that a choice cost hosts x engines. Sums and the backlogs that are not empty are now kept as reports arrive, are replaced and expire. A heap tells which hosts' reports to look at for expiry, since a report that was passed on may expire before one that arrived earlier.

--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -1,8 +1,13 @@
-"""The load on each engine: counted for this host, reported by the others."""
+"""
+The load on each engine: counted for this host, reported by the others.
+
+The sums are kept as reports arrive and expire, since a host receives hundreds
+of reports a second and reads the sums for each request and batch item.
+"""
 
 from __future__ import annotations
 
-from collections import defaultdict
+import heapq
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,13 +39,26 @@
 NO_BACKLOG = Backlog(0, 0.0)
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class HostLoad:
     """The last load report of another host."""
 
     by_engine: Mapping[str, EngineLoad]
     backlog: Backlog
     valid_until_s: float
+    check_s: float  # when to look whether it has expired, until then or before
+
+
+NO_REPORT = HostLoad({}, NO_BACKLOG, 0.0, float("inf"))
+
+
+@attrs.define(eq=False)
+class _EngineSum:
+    """The load of all hosts on one engine, and its parts by other host."""
+
+    online: int = 0
+    batch: int = 0
+    by_host: dict[str, EngineLoad] = attrs.field(factory=dict)
 
 
 class LoadView:
@@ -52,8 +70,13 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._own: dict[str, EngineLoad] = defaultdict(EngineLoad)
-        self._reports: dict[str, HostLoad] = {}  # by incarnation
+        self._own: dict[str, EngineLoad] = {}
+        self._reports: dict[str, HostLoad] = {}  # valid ones, by incarnation
+        # A heap of ``check_s`` and host. An entry counts while the host's
+        # report names its time; most reports are replaced before they expire.
+        self._checks: list[tuple[float, str]] = []
+        self._sums: dict[str, _EngineSum] = {}  # by engine
+        self._backlogs: dict[str, Backlog] = {}  # that are not empty
         self._own_backlog = NO_BACKLOG
         self.on_own_change: Callable[[], None] = lambda: None
         # Called when slots may have become free: when a request of this host
@@ -62,12 +85,14 @@
 
     def add(self, engine_id: str, *, online: int = 0, batch: int = 0) -> None:
         """Add started requests of this host; ended requests are negative."""
-        load = self._own[engine_id]
+        load = self._own.get(engine_id, NO_LOAD)
         changed = EngineLoad(load.online + online, load.batch + batch)
+        self._add_to_sum(engine_id, online, batch)
         if changed.total:
             self._own[engine_id] = changed
         else:
-            del self._own[engine_id]
+            self._own.pop(engine_id, None)
+            self._drop_if_unused(engine_id)
         self.on_own_change()
         if online < 0 or batch < 0:
             self.on_capacity_change()
@@ -91,12 +116,8 @@
 
         :param own_host: the key for this host's backlog.
         """
-        now_s = self._clock.now_s()
-        backlogs = {
-            host: report.backlog
-            for host, report in self._reports.items()
-            if report.backlog.items and now_s < report.valid_until_s
-        }
+        self._drop_expired()
+        backlogs = dict(self._backlogs)
         if self._own_backlog.items:
             backlogs[own_host] = self._own_backlog
         return backlogs
@@ -115,12 +136,25 @@
             have passed on.
         """
         valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S - age_s
-        self._reports[host] = HostLoad(by_engine, backlog, valid_until_s)
+        previous = self._reports.get(host, NO_REPORT)
+        check_s = min(previous.check_s, valid_until_s)
+        self._reports[host] = HostLoad(by_engine, backlog, valid_until_s, check_s)
+        if check_s != previous.check_s:
+            heapq.heappush(self._checks, (check_s, host))
+        self._replace_loads(host, previous.by_engine, by_engine)
+        if backlog.items:
+            self._backlogs[host] = backlog
+        else:
+            self._backlogs.pop(host, None)
+        self._drop_expired()
         self.on_capacity_change()
 
     def remove_host(self, host: str) -> None:
         """Drop the report of a host that was removed."""
-        self._reports.pop(host, None)
+        report = self._reports.pop(host, None)
+        if report is not None:
+            self._replace_loads(host, report.by_engine, {})
+            self._backlogs.pop(host, None)
 
     def own_load(self, engine_id: str) -> EngineLoad:
         """Return the load of this host on an engine."""
@@ -132,21 +166,62 @@
 
     def loads_by_host(self, engine_id: str) -> dict[str, EngineLoad]:
         """Return the load of the other hosts on an engine, by host."""
-        now_s = self._clock.now_s()
-        return {
-            host: report.by_engine[engine_id]
-            for host, report in self._reports.items()
-            if engine_id in report.by_engine and now_s < report.valid_until_s
-        }
+        self._drop_expired()
+        engine_sum = self._sums.get(engine_id)
+        return {} if engine_sum is None else dict(engine_sum.by_host)
 
     def reporting_hosts(self) -> int:
         """Return the number of other hosts whose last report is valid."""
-        now_s = self._clock.now_s()
-        return sum(now_s < report.valid_until_s for report in self._reports.values())
+        self._drop_expired()
+        return len(self._reports)
 
     def load(self, engine_id: str) -> EngineLoad:
         """Return the load of all hosts on an engine."""
-        loads = [self.own_load(engine_id), *self.loads_by_host(engine_id).values()]
-        return EngineLoad(
-            sum(load.online for load in loads), sum(load.batch for load in loads)
-        )
+        self._drop_expired()
+        engine_sum = self._sums.get(engine_id)
+        if engine_sum is None:
+            return NO_LOAD
+        return EngineLoad(engine_sum.online, engine_sum.batch)
+
+    def _drop_expired(self) -> None:
+        now_s = self._clock.now_s()
+        while self._checks and self._checks[0][0] <= now_s:
+            check_s, host = heapq.heappop(self._checks)
+            report = self._reports.get(host, NO_REPORT)
+            if report.check_s != check_s:
+                continue
+            if report.valid_until_s <= now_s:
+                self.remove_host(host)
+            else:
+                report.check_s = report.valid_until_s
+                heapq.heappush(self._checks, (report.check_s, host))
+
+    def _replace_loads(
+        self,
+        host: str,
+        previous: Mapping[str, EngineLoad],
+        by_engine: Mapping[str, EngineLoad],
+    ) -> None:
+        """Put a host's new loads into the sums in place of the last ones."""
+        for engine_id, load in by_engine.items():
+            before = previous.get(engine_id, NO_LOAD)
+            online, batch = load.online - before.online, load.batch - before.batch
+            if online or batch:
+                self._add_to_sum(engine_id, online, batch).by_host[host] = load
+        for engine_id, load in previous.items():
+            if engine_id not in by_engine:
+                engine_sum = self._add_to_sum(engine_id, -load.online, -load.batch)
+                engine_sum.by_host.pop(host, None)
+                self._drop_if_unused(engine_id)
+
+    def _add_to_sum(self, engine_id: str, online: int, batch: int) -> _EngineSum:
+        engine_sum = self._sums.get(engine_id)
+        if engine_sum is None:
+            engine_sum = self._sums[engine_id] = _EngineSum()
+        engine_sum.online += online
+        engine_sum.batch += batch
+        return engine_sum
+
+    def _drop_if_unused(self, engine_id: str) -> None:
+        if not self._sums[engine_id].by_host and engine_id not in self._own:
+            del self._sums[engine_id]
