Index the engines by service and preference

A choice built a candidate for each engine of all services, and so did each waiting batch item for its slot. fleet/_engine_index.py keeps the preference key and the free slots of each engine by service and changes them with each load that changes, so that a choice takes the lowest of the kept keys. The assigned slots of a round are looked up once, by service.

The preference itself stays in fleet/_placement.py.

--- /dev/null
+++ b/src/aspenbridge/fleet/_engine_index.py
@@ -0,0 +1,147 @@
+"""
+Keeps the usable engines of each service by preference and by free slots.
+
+It is for hundreds of load reports a second, each of which changes the load of
+a few engines, beside a few choices a second among up to a thousand engines.
+Each changed engine gets a new key at once; a choice takes the lowest of the
+kept keys.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ._placement import Candidate, preference_key
+from ._slot_assignment import HEADROOM_SLOTS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from ._engines import EngineDirectory, EngineEntry
+    from ._load import LoadView
+
+
+@attrs.define(eq=False)
+class _Service:
+    """
+    The usable engines of one service.
+
+    ``keys`` holds the preference of each engine by id: expected delay, batch
+    items, position in the directory, and the engine itself. ``free`` holds
+    the engines with free slots for batch items, ``free_slots`` their sum.
+    """
+
+    keys: dict[str, tuple[float, int, int, _IndexedEngine]] = attrs.field(factory=dict)
+    free: dict[str, int] = attrs.field(factory=dict)
+    free_slots: int = 0
+
+
+@attrs.define(eq=False)
+class _IndexedEngine:
+    entry: EngineEntry
+    position: int  # in the directory; breaks ties
+    network_delay_s: float
+    service: _Service
+    online: int = 0
+    batch: int = 0
+
+    def set_load(self, online: int, batch: int) -> None:
+        entry, service = self.entry, self.service
+        self.online, self.batch = online, batch
+        delay_s, items = preference_key(
+            entry.slots, online, batch, self.network_delay_s
+        )
+        service.keys[entry.id] = (delay_s, items, self.position, self)
+        free = entry.slots - HEADROOM_SLOTS - online - batch
+        service.free_slots -= service.free.pop(entry.id, 0)
+        if free > 0:
+            service.free[entry.id] = free
+            service.free_slots += free
+
+    def candidate(self) -> Candidate:
+        return Candidate(self.entry, self.online, self.batch, self.network_delay_s)
+
+
+class EngineIndex:
+    """
+    The usable engines by service, each with the load of all hosts.
+
+    :param network_delay_s: returns the delay to a failure domain.
+    """
+
+    def __init__(
+        self,
+        directory: EngineDirectory,
+        load_view: LoadView,
+        network_delay_s: Callable[[str], float],
+    ) -> None:
+        self._directory = directory
+        self._load_view = load_view
+        self._network_delay_s = network_delay_s
+        self._revision = -1  # of the directory when it was read
+        self._engines: dict[str, _IndexedEngine] = {}
+        self._services: dict[str, _Service] = {}
+        load_view.on_load_change = self._change_load
+
+    def preferred(
+        self, service: str, excluded: Collection[str]
+    ) -> tuple[Candidate | None, int]:
+        """
+        Return the engine that online requests prefer.
+
+        :param excluded: ids of engines that don't count.
+        :return: the engine, or None; and the number of engines that count.
+        """
+        keys = self._service(service).keys
+        if excluded:
+            keys = {name: key for name, key in keys.items() if name not in excluded}
+        if not keys:
+            return None, 0
+        *_, engine = min(keys.values())
+        return engine.candidate(), len(keys)
+
+    def free_slots(self, services: Collection[str]) -> dict[str, int]:
+        """Return the free slots for batch items by engine, without zeros."""
+        free: dict[str, int] = {}
+        for service in services:
+            free.update(self._service(service).free)
+        return free
+
+    def free_slot_count(self, services: Collection[str]) -> int:
+        """Return the number of free slots for batch items."""
+        return sum(self._service(service).free_slots for service in services)
+
+    def get(self, engine_id: str) -> EngineEntry | None:
+        """Return an engine if it is usable."""
+        self._refresh()
+        engine = self._engines.get(engine_id)
+        return None if engine is None else engine.entry
+
+    def _service(self, name: str) -> _Service:
+        self._refresh()
+        return self._services.get(name) or _Service()
+
+    def _refresh(self) -> None:
+        """Leave out reports that have expired, and follow the directory."""
+        self._load_view.drop_expired()
+        revision = self._directory.revision
+        if revision != self._revision:
+            self._revision = revision
+            self._read_directory()
+
+    def _read_directory(self) -> None:
+        self._engines, self._services = {}, {}
+        for position, entry in enumerate(self._directory.all_usable()):
+            service = self._services.setdefault(entry.service, _Service())
+            delay_s = self._network_delay_s(entry.failure_domain)
+            engine = _IndexedEngine(entry, position, delay_s, service)
+            self._engines[entry.id] = engine
+            load = self._load_view.load(entry.id)
+            engine.set_load(load.online, load.batch)
+
+    def _change_load(self, engine_id: str, online: int, batch: int) -> None:
+        engine = self._engines.get(engine_id)
+        if engine is not None:
+            engine.set_load(online, batch)
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -54,6 +54,13 @@
         # The starts, by engine id, of those that said that they leave. They
         # outlive the entries, which may lapse in an outage and come back.
         self._leaving_ms: dict[str, int] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Grows with each change of the engines that may get work."""
+        self._drop_expired()
+        return self._revision
 
     def store_recovered(self) -> None:
         """Keep missing engines until they have had time to register again."""
@@ -67,6 +74,7 @@
         elif leaving_ms is not None:
             entry = attrs.evolve(entry, draining=True)
         self._entries[entry.id] = entry
+        self._revision += 1
         self._expires_s.pop(entry.id, None)
 
     def mark_leaving(self, engine_id: str, started_ms: int) -> bool:
@@ -86,6 +94,7 @@
         self._leaving_ms[engine_id] = started_ms
         if entry is not None:
             self._entries[engine_id] = attrs.evolve(entry, draining=True)
+            self._revision += 1
         if len(self._leaving_ms) > MAX_LEAVING_MARKS:
             self._drop_oldest_mark()
         return True
@@ -106,6 +115,7 @@
             self._expires_s[engine_id] = self._grace_until_s
         else:
             del self._entries[engine_id]
+            self._revision += 1
 
     def replace(self, entries: Iterable[EngineEntry]) -> None:
         """Apply the whole list; missing engines go through ``remove``."""
@@ -144,3 +154,4 @@
         for engine_id in [e for e, end_s in self._expires_s.items() if end_s <= now_s]:
             del self._expires_s[engine_id]
             self._entries.pop(engine_id, None)
+            self._revision += 1
--- a/src/aspenbridge/fleet/_health.py
+++ b/src/aspenbridge/fleet/_health.py
@@ -37,6 +37,10 @@
         pause = self._pauses.get(engine_id)
         return pause is not None and self._clock.now_s() < pause.until_s
 
+    def paused(self) -> set[str]:
+        """Return the ids of the engines that must not get requests now."""
+        return {engine_id for engine_id in self._pauses if self.is_paused(engine_id)}
+
     def record_unreachable(self, engine_id: str) -> None:
         """Record that a request could not be sent; double the last pause."""
         previous = self._pauses.get(engine_id)
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -79,6 +79,8 @@
         self._backlogs: dict[str, Backlog] = {}  # that are not empty
         self._own_backlog = NO_BACKLOG
         self.on_own_change: Callable[[], None] = lambda: None
+        # Called with engine, online requests and batch items of all hosts.
+        self.on_load_change: Callable[[str, int, int], None] = lambda *load: None
         # Called when slots may have become free: when a request of this host
         # ends, and when a report arrives.
         self.on_capacity_change: Callable[[], None] = lambda: None
@@ -116,7 +118,7 @@
 
         :param own_host: the key for this host's backlog.
         """
-        self._drop_expired()
+        self.drop_expired()
         backlogs = dict(self._backlogs)
         if self._own_backlog.items:
             backlogs[own_host] = self._own_backlog
@@ -146,7 +148,7 @@
             self._backlogs[host] = backlog
         else:
             self._backlogs.pop(host, None)
-        self._drop_expired()
+        self.drop_expired()
         self.on_capacity_change()
 
     def remove_host(self, host: str) -> None:
@@ -166,24 +168,25 @@
 
     def loads_by_host(self, engine_id: str) -> dict[str, EngineLoad]:
         """Return the load of the other hosts on an engine, by host."""
-        self._drop_expired()
+        self.drop_expired()
         engine_sum = self._sums.get(engine_id)
         return {} if engine_sum is None else dict(engine_sum.by_host)
 
     def reporting_hosts(self) -> int:
         """Return the number of other hosts whose last report is valid."""
-        self._drop_expired()
+        self.drop_expired()
         return len(self._reports)
 
     def load(self, engine_id: str) -> EngineLoad:
         """Return the load of all hosts on an engine."""
-        self._drop_expired()
+        self.drop_expired()
         engine_sum = self._sums.get(engine_id)
         if engine_sum is None:
             return NO_LOAD
         return EngineLoad(engine_sum.online, engine_sum.batch)
 
-    def _drop_expired(self) -> None:
+    def drop_expired(self) -> None:
+        """Take expired reports out of the sums; each answer does so first."""
         now_s = self._clock.now_s()
         while self._checks and self._checks[0][0] <= now_s:
             check_s, host = heapq.heappop(self._checks)
@@ -220,6 +223,7 @@
             engine_sum = self._sums[engine_id] = _EngineSum()
         engine_sum.online += online
         engine_sum.batch += batch
+        self.on_load_change(engine_id, engine_sum.online, engine_sum.batch)
         return engine_sum
 
     def _drop_if_unused(self, engine_id: str) -> None:
--- a/src/aspenbridge/fleet/_placement.py
+++ b/src/aspenbridge/fleet/_placement.py
@@ -36,19 +36,16 @@
     network_delay_s: float
 
     @property
-    def free_slots(self) -> int:
-        """The number of unused slots; negative when requests are queued."""
-        return self.engine.slots - self.online - self.batch
+    def preference_key(self) -> tuple[float, int]:
+        """The candidate with the lowest key is preferred."""
+        return preference_key(
+            self.engine.slots, self.online, self.batch, self.network_delay_s
+        )
 
     @property
     def expected_wait_s(self) -> float:
-        """
-        How long an online request is expected to wait for a slot.
-
-        Only online requests count, because batch items are preempted.
-        """
-        queued = max(0, self.online + 1 - self.engine.slots)
-        return queued * WAIT_PER_QUEUED_S
+        """How long an online request is expected to wait for a slot."""
+        return expected_wait_s(self.engine.slots, self.online)
 
 
 @attrs.frozen
@@ -72,32 +69,40 @@
     """
     if not candidates:
         return Refused(NO_ENGINE_RETRY_S)
-    best = min(candidates, key=_preference_key)
+    best = min(candidates, key=lambda candidate: candidate.preference_key)
     if best.expected_wait_s > wait_budget_s:
         return Refused(best.expected_wait_s, len(candidates))
     return best.engine
 
 
-def _preference_key(candidate: Candidate) -> tuple[float, float]:
+def preference_key(
+    slots: int, online: int, batch: int, network_delay_s: float
+) -> tuple[float, int]:
     """
-    Return the sort key of a candidate: expected delay, then batch items.
+    Return the sort key of an engine: expected delay, then batch items.
 
     The engine with the lowest key is preferred. An engine becomes slower as it
     fills up, and the preemption of a batch item adds a delay of its own.
     """
-    online_share = candidate.online / candidate.engine.slots
-    preemption_s = (
-        PREEMPTION_DELAY_S if candidate.free_slots <= 0 and candidate.batch else 0.0
-    )
+    preempts = batch and online + batch >= slots
     return (
-        candidate.expected_wait_s
-        + candidate.network_delay_s
-        + preemption_s
-        + online_share * FULL_ENGINE_DELAY_S,
-        candidate.batch,
+        expected_wait_s(slots, online)
+        + network_delay_s
+        + (PREEMPTION_DELAY_S if preempts else 0.0)
+        + online / slots * FULL_ENGINE_DELAY_S,
+        batch,
     )
 
 
+def expected_wait_s(slots: int, online: int) -> float:
+    """
+    Return how long an online request is expected to wait for a slot.
+
+    Only online requests count, because batch items are preempted.
+    """
+    return max(0, online + 1 - slots) * WAIT_PER_QUEUED_S
+
+
 NO_ENGINE_RETRY_S = 0.5  # a crashed or restarting engine is usually back
 # The time for the load report to reach the host of the batch item, for that
 # host to stop the item, and for the item to start again on a slot. The restart
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+HEADROOM_SLOTS = 1  # slots of each engine reserved for online requests
+
 
 @attrs.frozen
 class Backlog:
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -4,10 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from ._placement import OTHER_DOMAIN_DELAY_S, OTHER_REGION_DELAY_S, Candidate
+import attrs
+
+from ._engine_index import EngineIndex
+from ._placement import (
+    OTHER_DOMAIN_DELAY_S,
+    OTHER_REGION_DELAY_S,
+    Refused,
+    place_online,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from ._engines import EngineDirectory, EngineEntry
     from ._health import EngineHealth
@@ -31,52 +39,51 @@
         regions: Mapping[str, str],
     ) -> None:
         self._directory = directory
-        self._load_view = load_view
         self._health = health
         self._failure_domain = failure_domain
         self._regions = regions
+        self._index = EngineIndex(directory, load_view, self._network_delay_s)
 
-    def candidates(
-        self, service: str, *, exclude: Collection[str] = ()
-    ) -> list[Candidate]:
-        """Return the engines of a service that may get a request now."""
-        return [
-            self._candidate(engine)
-            for engine in self._directory.usable(service)
-            if engine.id not in exclude and not self._health.is_paused(engine.id)
-        ]
+    def place(
+        self, service: str, wait_budget_s: float, *, exclude: Collection[str] = ()
+    ) -> EngineEntry | Refused:
+        """
+        Choose the engine of an online request as ``place_online`` does.
 
-    def free_slots(self, headroom: int, services: Collection[str]) -> dict[str, int]:
+        :param wait_budget_s: the longest wait for a slot that still serves the
+            caller in time.
+        :param exclude: ids of engines that are not chosen.
+        """
+        excluded = self._health.paused().union(exclude)
+        best, engines = self._index.preferred(service, excluded)
+        placed = place_online([] if best is None else [best], wait_budget_s)
+        if isinstance(placed, Refused):
+            return attrs.evolve(placed, engines=engines)
+        return placed
+
+    def free_slots(self, services: Collection[str]) -> dict[str, int]:
         """
         Return the number of free slots for batch items, by engine.
 
-        Engines without a free slot are left out.
+        Engines without a free slot are left out, and so are the slots that are
+        reserved for online requests.
 
-        :param headroom: the slots of each engine reserved for online requests.
         :param services: the services whose engines count.
         """
-        free: dict[str, int] = {}
-        for engine in self._directory.all_usable():
-            if engine.service not in services:
-                continue
-            count = engine.slots - headroom - self._load_view.load(engine.id).total
-            if count > 0:
-                free[engine.id] = count
-        return free
+        return self._index.free_slots(services)
+
+    def usable(self, engine_ids: Iterable[str]) -> list[EngineEntry]:
+        """Return those of the engines that may get a request now."""
+        paused = self._health.paused()
+        entries = (self._index.get(engine_id) for engine_id in engine_ids)
+        return [
+            entry for entry in entries if entry is not None and entry.id not in paused
+        ]
 
     def engine(self, engine_id: str) -> EngineEntry | None:
         """Return a registered engine."""
         return self._directory.get(engine_id)
 
-    def _candidate(self, engine: EngineEntry) -> Candidate:
-        load = self._load_view.load(engine.id)
-        return Candidate(
-            engine=engine,
-            online=load.online,
-            batch=load.batch,
-            network_delay_s=self._network_delay_s(engine.failure_domain),
-        )
-
     def _network_delay_s(self, failure_domain: str) -> float:
         if failure_domain == self._failure_domain:
             return 0.0
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
 from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots
@@ -9,7 +10,7 @@
 from ._order import completes_in_time
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from aspenbridge.fleet import EngineEntry, EngineView, LoadView, Route
     from aspenbridge.ports import Clock
@@ -17,7 +18,6 @@
     from ._order import DurationEstimator
     from ._owned import ItemState, OwnedJob
 
-HEADROOM_SLOTS = 1  # slots of each engine reserved for online requests
 # Time in which a load report reaches the hosts of other regions.
 REPORT_DELAY_S = 0.06
 # Added to the due time of a backlog whose first item can't complete in time,
@@ -94,26 +94,19 @@
         """
         self._report_received_s = self._clock.now_s() + REPORT_DELAY_S
 
-    def assigned_slots(self, services: Collection[str]) -> list[str]:
+    def assigned_slots(
+        self, services: Collection[str]
+    ) -> Mapping[str, deque[EngineEntry]]:
         """
-        Return the ids of engines to start items on, one entry per slot.
+        Return the engines to start items on by service, one entry per slot.
 
         :param services: the services that may run the waiting items. A slot
             of another one would count as assigned without being used.
         """
         backlogs = self._load_view.backlogs(self._incarnation)
-        free = self._view.free_slots(HEADROOM_SLOTS, services)
-        return assign_slots(self._incarnation, backlogs, free)
-
-    def pop_slot(self, slots: list[str], service: str) -> EngineEntry | None:
-        """
-        Remove the first slot on an engine of a service from a list.
-
-        :return: the engine, or None if no slot fits.
-        """
-        usable = {c.engine.id: c.engine for c in self._view.candidates(service)}
-        for engine_id in slots:
-            if engine_id in usable:
-                slots.remove(engine_id)
-                return usable[engine_id]
-        return None
+        free = self._view.free_slots(services)
+        slots = assign_slots(self._incarnation, backlogs, free)
+        by_service: dict[str, deque[EngineEntry]] = defaultdict(deque)
+        for engine in self._view.usable(slots):
+            by_service[engine.service].append(engine)
+        return by_service
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -191,11 +191,10 @@
         unassigned = []
         for job, state, route in waiting:
             service = route.pick_service(self._random)
-            engine = self._slots.pop_slot(slots, service) if slots else None
-            if engine is None:
-                unassigned.append((job, state, route))
+            if slots.get(service):
+                self._start_item(job, state, route, slots[service].popleft())
             else:
-                self._start_item(job, state, route, engine)
+                unassigned.append((job, state, route))
         if len(unassigned) == len(waiting):
             return False
         self._slots.report_backlog(unassigned)
--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import Refused, place_online
+from aspenbridge.fleet import Refused
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -41,11 +41,10 @@
             only if there is no other.
         :param waited_s: how long the caller has already waited.
         """
-        candidates = self._view.candidates(service, exclude=tried)
-        if not candidates and tried:
-            candidates = self._view.candidates(service)
         wait_budget_s = max(0.0, route.latency_goal_s * QUEUE_SHARE - waited_s)
-        placed = place_online(candidates, wait_budget_s)
+        placed = self._view.place(service, wait_budget_s, exclude=tried)
+        if isinstance(placed, Refused) and tried and not placed.engines:
+            placed = self._view.place(service, wait_budget_s)
         if isinstance(placed, Refused):
             spread = self._random.uniform(1.0, RETRY_SPREAD)
             return Refused(placed.retry_after_s * spread, placed.engines)
@@ -55,5 +54,5 @@
         self, service: str, exclude: Collection[str]
     ) -> EngineEntry | None:
         """Return an engine with a free slot that is not excluded, if any."""
-        placed = place_online(self._view.candidates(service, exclude=exclude), 0.0)
+        placed = self._view.place(service, 0.0, exclude=exclude)
         return None if isinstance(placed, Refused) else placed
--- a/src/aspenbridge_bench/_fleet_cost.py
+++ b/src/aspenbridge_bench/_fleet_cost.py
@@ -266,7 +266,7 @@
     applied_s = _applied_cost_s(fleet, limit_s)
     choice_s = _mean_s(lambda: _choose(fleet), limit_s)
     after_reports_s = _mean_s(lambda: _choose(fleet), limit_s, fleet.receive_from_all)
-    free_slots_s = _mean_s(lambda: fleet.host.view.free_slots(1, {SERVICE}), limit_s)
+    free_slots_s = _mean_s(lambda: fleet.host.view.free_slots({SERVICE}), limit_s)
     async with _working(_Fleet(hosts, engines, seed)) as idle:
         report_idle_s = await _report_cost_s(idle, limit_s)
         round_idle_s = await _round_cost_s(idle, limit_s)
--- a/tests/fleet/test_load_sums.py
+++ b/tests/fleet/test_load_sums.py
@@ -11,7 +11,7 @@
 
 LIFETIME_S = 2.2
 NONE = EngineLoad()
-ENGINES = ["e0", "e1", "e2"]
+ENGINES = ["e0", "e1", "e2", "e3"]
 loads = st.builds(EngineLoad, st.integers(0, 4), st.integers(0, 4))
 reports = st.tuples(
     st.sampled_from("abcd"),
@@ -20,14 +20,11 @@
     st.sampled_from([0.0, 0.7, 1.5, 2.5]),
 )
 own_changes = st.tuples(st.sampled_from(ENGINES), st.integers(0, 2), st.integers(0, 2))
-histories = st.lists(
-    st.one_of(
-        reports.map(lambda report: ("report", report)),
-        own_changes.map(lambda change: ("own", change)),
-        st.sampled_from("abcd").map(lambda host: ("removed", host)),
-        st.sampled_from([0.1, 0.7, 1.5]).map(lambda step_s: ("time", step_s)),
-    ),
-    max_size=30,
+load_steps = st.one_of(
+    reports.map(lambda report: ("report", report)),
+    own_changes.map(lambda change: ("own", change)),
+    st.sampled_from("abcd").map(lambda host: ("removed", host)),
+    st.sampled_from([0.1, 0.7, 1.5]).map(lambda step_s: ("time", step_s)),
 )
 
 
@@ -59,32 +56,32 @@
         return EngineLoad(sum(p.online for p in parts), sum(p.batch for p in parts))
 
 
-def play(history, clock, view, plain):
-    """Apply a history to both views; yield after each step."""
-    for kind, step in history:
-        if kind == "time":
-            clock.time_s += step
-        elif kind == "removed":
-            view.remove_host(step)
-            plain.reports.pop(step, None)
-        elif kind == "own":
-            engine_id, online, batch = step
-            before = plain.own.get(engine_id, (0, 0))
-            plain.own[engine_id] = (online, batch)
-            view.add(engine_id, online=online - before[0], batch=batch - before[1])
-        else:
-            host, by_engine, backlog, age_s = step
-            view.apply_report(host, by_engine, backlog, age_s)
-            until_s = clock.now_s() + LIFETIME_S - age_s
-            plain.reports[host] = (by_engine, backlog, until_s)
-        yield
-
-
-@given(histories)
+def apply_step(step, clock, view, plain):
+    """Apply a step of a history to both views."""
+    kind, change = step
+    if kind == "time":
+        clock.time_s += change
+    elif kind == "removed":
+        view.remove_host(change)
+        plain.reports.pop(change, None)
+    elif kind == "own":
+        engine_id, online, batch = change
+        before = plain.own.get(engine_id, (0, 0))
+        plain.own[engine_id] = (online, batch)
+        view.add(engine_id, online=online - before[0], batch=batch - before[1])
+    else:
+        host, by_engine, backlog, age_s = change
+        view.apply_report(host, by_engine, backlog, age_s)
+        until_s = clock.now_s() + LIFETIME_S - age_s
+        plain.reports[host] = (by_engine, backlog, until_s)
+
+
+@given(st.lists(load_steps, max_size=30))
 def test_kept_sums_equal_those_over_all_valid_reports(history):
     clock = ManualClock()
     view, plain = LoadView(clock), PlainView(clock)
-    for _ in play(history, clock, view, plain):
+    for step in history:
+        apply_step(step, clock, view, plain)
         for engine_id in ENGINES:
             assert view.load(engine_id) == plain.load(engine_id)
             by_host = view.loads_by_host(engine_id).items()
