Stop the items and writes of a killed host in the fleet of the tests

test_host_claims_jobs_before_it_has_read_the_crashes passed on the code before as well: the fleet's kill ended the loops of a host, but the tasks of its items ran on in the test's process and listed their results, so that nobody had to claim the job.

--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -148,9 +148,12 @@
     def __init__(self, store: MemoryStore, host: str) -> None:
         self._store = store
         self._host = host
+        self.killed = False  # calls of a killed host never return
 
     async def _wait_for_store(self) -> bool:
         """Wait as long as a call takes; return whether it succeeds."""
+        if self.killed:
+            await asyncio.Event().wait()
         reached = not self._store.unreachable_for & {self._host, "*"}
         timed_out = self._store.calls_time_out and not reached
         await asyncio.sleep(CALL_TIMEOUT_S if timed_out else STORE_DELAY_S)
@@ -677,8 +680,11 @@
 
     async def kill(self, name: str) -> None:
         """Stop a host at once; it does not release its jobs to other hosts."""
-        del self.hosts[name]
+        host = self.hosts.pop(name)
+        host.ports.table.killed = True
         await self._stacks.pop(name).aclose()
+        # Its tasks would go on in this process, run items and list results.
+        await host.worker._running.stop_all()
 
     def cut_off(self, name: str) -> None:
         """Cut a host off from the store and from the other hosts."""
