Have the test of an unread response see that a drain waits for it

Now the request ends with the bytes still in the host, and the drain may not have ended before the caller reads. The body is smaller, since the system buffers are.

Fails with that wait removed (the drain ends at once) and with idle connections aborted (nothing is left to send).

--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -5,6 +5,8 @@
 import asyncio
 import gzip
 import json
+import socket
+from contextlib import closing
 
 import attrs
 import pytest
@@ -30,6 +32,7 @@
 # Longer than a host looks for other engines, shorter than a sound silence.
 SILENCE_S = 0.9
 CHECK_LIMIT_S = 8.0
+SMALL_BUFFER_BYTES = 4096  # of a system's send or receive buffer
 IDLE_LIMIT_S = 0.5  # of a body between two parts
 
 
@@ -193,18 +196,31 @@
     """Guards against an exit that drops what is still to be sent."""
 
     async def check(host):
-        # More bytes than the buffers between host and caller hold.
-        body = b"".join(b"id: %d\ndata: %05000d\n\n" % (n, n) for n in range(1500))
+        body = b"".join(b"id: %d\ndata: %05000d\n\n" % (n, n) for n in range(100))
         request_id = host.add_script([Answer(body)])
-        async with connection(host.callers, limit=4096) as (reader, writer):
+        sock = await host.connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+        with closing(writer):
+            (served,) = host.ingress._caller_server.connections
+            transport = served.transport
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+            )
+            # The request ends while most of its response is still to be sent.
+            transport.set_write_buffer_limits(high=2 * len(body))
             writer.write(whole_request("once", request_id))
             await wait_sent(host, request_id)
-            host.host.leaving = True
+            while not served.idle:
+                await asyncio.sleep(0.01)
             draining = asyncio.create_task(host.ingress.drain(4.0))
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(0.5)
+            assert transport.get_write_buffer_size() > 0
+            assert not draining.done()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * len(body))
             reply = await read_response(reader)
             assert reply[:3] == (200, body, True)
-        assert await draining
+            assert await draining
 
     with_host(check)
 
