Log bytes of a caller that are not UTF-8

A header or path with such bytes is a text with lone surrogates, which the encoder of log lines refuses; the error ended the caller's request. Such a line is now written with escapes.

fails before: test_line_holds_bytes_that_are_no_text (UnicodeEncodeError).

--- a/src/aspenbridge/observability/_lines.py
+++ b/src/aspenbridge/observability/_lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import json
 import logging
 import os
 import time
@@ -60,8 +61,7 @@
         if not self._try_spend_line(record):
             self._drop()
             return
-        line = self._encoder.encode(self._fields(record)) + b"\n"
-        if self._write(line):
+        if self._write(self._encode(self._fields(record)) + b"\n"):
             self.dropped = 0
         else:
             self._drop()
@@ -98,6 +98,13 @@
             fields["lines_dropped"] = self.dropped
         return fields
 
+    def _encode(self, fields: dict[str, Any]) -> bytes:
+        try:
+            return self._encoder.encode(fields)
+        except UnicodeEncodeError:
+            # A caller's bytes that are not UTF-8 are kept as lone surrogates.
+            return json.dumps(fields).encode()
+
     def _write(self, line: bytes) -> bool:
         """Write as much of a line as fits; return False if nothing does."""
         data = self._unwritten + line
--- a/tests/observability/test_lines.py
+++ b/tests/observability/test_lines.py
@@ -33,6 +33,14 @@
     assert line["level"] == "info"
 
 
+def test_line_holds_bytes_that_are_no_text():
+    """Guards against a 500 for a caller whose header has odd bytes."""
+    reading, writing = os.pipe()
+    LineHandler(writing).emit(make_record(request="r\udcff"))
+    (line,) = read_lines(reading)
+    assert line["request"] == "r\udcff"
+
+
 def test_lines_over_the_rate_are_counted_and_warnings_are_not_dropped():
     reading, writing = os.pipe()
     handler = LineHandler(writing, lambda: 0.0)
