Refuse odd input of callers with 400 and its value

Numbers in headers and queries were read by str.isdigit, int and float: digits such as ², thousands of digits and bytes that are no text ended as 500; nan, inf, negative and empty values were taken for a default without a word. Items of a batch job could have a path that names another address, ids and headers with line breaks, or ids that stand twice.

One module reads them now: whole numbers of at most 15 ASCII digits, durations that may have a fraction, ids of jobs that fit the store's keys and have no slash. Anything else gets INVALID_PARAMETER with the name and the shortened value. Submissions are decoded as typed records, whose errors name the place. Ids in paths are percent-decoded; a target with a fragment, which engines would not get, is refused.

--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
-from typing import Any
+from collections import Counter
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,6 +17,8 @@
 )
 from aspenbridge.jobs import ItemResult, JobSubmission, ResultPage, SubmittedItem
 
+from ._parameters import ID_PATTERN, shown
+
 ROUTE_KINDS = {
     "idempotent": CallKind.IDEMPOTENT,
     "non_idempotent": CallKind.NON_IDEMPOTENT,
@@ -30,6 +31,11 @@
 RESULT_FAILED = "dead_letter"  # an item that ended without an output
 DEFAULT_RETENTION_S = 60.0  # for a batch route without retainS
 MAX_JOB_ITEMS = 200
+MAX_TOKENS = 2**53  # JSON numbers are exact up to it
+# An item is sent as a request, so its parts must be such as HTTP can carry.
+ITEM_PATH_PATTERN = r"^/[!\"$-~]*$"
+HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$"
+HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*$"
 
 
 class MessageError(ValueError):
@@ -119,6 +125,27 @@
     return value
 
 
+class _Item(msgspec.Struct):
+    """An item of a batch job on the wire; ``body`` is base64 there."""
+
+    id: Annotated[str, msgspec.Meta(pattern=ID_PATTERN)]
+    path: Annotated[str, msgspec.Meta(pattern=ITEM_PATH_PATTERN)]
+    body: bytes
+    headers: dict[
+        Annotated[str, msgspec.Meta(pattern=HEADER_NAME_PATTERN)],
+        Annotated[str, msgspec.Meta(pattern=HEADER_VALUE_PATTERN)] | int,
+    ] = {}
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)] = 0
+
+
+class _Submission(msgspec.Struct):
+    """A batch job on the wire."""
+
+    requests: Annotated[
+        list[_Item], msgspec.Meta(min_length=1, max_length=MAX_JOB_ITEMS)
+    ]
+
+
 def decode_submission(job_id: str, host: str, body: bytes) -> JobSubmission:
     """
     Decode the request body by which a caller submits a batch job.
@@ -126,28 +153,24 @@
     :raises MessageError: when the body is not a valid batch job.
     """
     try:
-        item_fields = msgspec.json.decode(body)["requests"]
-        if not 0 < len(item_fields) <= MAX_JOB_ITEMS:
-            raise ValueError(f"{len(item_fields)} items, not 1 to {MAX_JOB_ITEMS}")
-        items = tuple(map(_decode_item, item_fields))
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        binascii.Error,
-    ) as error:
-        raise MessageError(f"batch job {job_id!r} is invalid: {error!r}") from error
+        submission = msgspec.json.decode(body, type=_Submission)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MessageError(f"batch job {job_id!r} is invalid: {error}") from error
+    repeated = Counter(item.id for item in submission.requests).most_common(1)
+    for item_id, count in repeated:
+        if count > 1:
+            detail = f"{count} items have the id {shown(item_id)}"
+            raise MessageError(f"batch job {job_id!r} is invalid: {detail}")
+    items = tuple(map(_submitted_item, submission.requests))
     return JobSubmission(id=job_id, host=host, items=items)
 
 
-def _decode_item(fields: dict[str, Any]) -> SubmittedItem:
+def _submitted_item(item: _Item) -> SubmittedItem:
     return SubmittedItem(
-        id=_non_empty_string(fields["id"]),
-        target=_non_empty_string(fields["path"]),
-        headers=tuple((str(k), str(v)) for k, v in fields.get("headers", {}).items()),
-        body=base64.b64decode(fields["body"], validate=True),
+        id=item.id,
+        target=item.path,
+        headers=tuple((name, str(value)) for name, value in item.headers.items()),
+        body=item.body,
     )
 
 
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -23,6 +23,7 @@
     read_body,
 )
 from ._job_endpoints import JobEndpoints
+from ._parameters import ParameterError, check_target, duration_s, whole_number
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
 LAST_RESPONSES_S = 0.2
 CLOSE_INTERVAL_S = 0.05  # how often a drain looks for idle connections
 RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
-DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no valid time budget
+DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no time budget
 
 
 class Ingress(StackOwner):
@@ -180,6 +181,9 @@
             )
             response.force_close()
             return response
+        except ParameterError as error:
+            problem = Problem(ResultCode.INVALID_PARAMETER, str(error))
+            return refuse_call(request, problem)
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -267,13 +271,19 @@
 def _caller_request(
     request: web.BaseRequest, body: bytes, received_s: float
 ) -> CallerRequest:
+    """
+    Return the request that a caller sent.
+
+    :raises ParameterError: when its target or a header has a wrong value.
+    """
+    check_target(request.raw_path)
     headers = request.headers
-    resume_after = headers.get(names.RESUME_AFTER, "")
-    time_budget_ms = headers.get(names.TIME_BUDGET_MS, "")
+    resume_after = headers.get(names.RESUME_AFTER)
+    time_budget_ms = headers.get(names.TIME_BUDGET_MS)
     time_budget_s = (
-        float(time_budget_ms) / 1000
-        if time_budget_ms.isdigit()
-        else DEFAULT_TIME_BUDGET_S
+        DEFAULT_TIME_BUDGET_S
+        if time_budget_ms is None
+        else duration_s(names.TIME_BUDGET_MS, time_budget_ms)
     )
     return CallerRequest(
         request_id=headers.get(names.REQUEST_ID, ""),
@@ -284,5 +294,9 @@
         body=body,
         received_s=received_s,
         deadline_s=received_s + time_budget_s,
-        resume_after=int(resume_after) if resume_after.isdigit() else None,
+        resume_after=(
+            None
+            if resume_after is None
+            else whole_number(names.RESUME_AFTER, resume_after)
+        ),
     )
--- a/src/aspenbridge/platform/_job_endpoints.py
+++ b/src/aspenbridge/platform/_job_endpoints.py
@@ -11,6 +11,13 @@
 
 from . import _names as names
 from ._decode import MessageError, decode_submission, encode_results
+from ._parameters import (
+    ParameterError,
+    check_job_id,
+    duration_s,
+    job_id_of,
+    whole_number,
+)
 from ._replies import refuse_call, response_from_result
 
 if TYPE_CHECKING:
@@ -41,6 +48,8 @@
 
         :return: None when the request is not about a batch job, or has another
             method than POST on a batch route.
+        :raises ParameterError: when the path holds no id of a batch job, or
+            when awaited, for another parameter.
         """
         host = virtual_host(request.headers.get("Host", ""))
         path = request.raw_path.partition("?")[0]
@@ -52,14 +61,13 @@
         if route is not None:
             return None
         if path.startswith(names.RESULTS_PATH):
-            job_id = path.removeprefix(names.RESULTS_PATH)
+            job_id = job_id_of(path.removeprefix(names.RESULTS_PATH))
             if request.method == "DELETE":
                 return self._end_job(request, job_id)
             return self._read_results(request, job_id)
         if path.startswith(names.ITEM_BODIES_PATH):
-            return self._read_item_body(
-                request, path.removeprefix(names.ITEM_BODIES_PATH)
-            )
+            job_id = job_id_of(path.removeprefix(names.ITEM_BODIES_PATH))
+            return self._read_item_body(request, job_id)
         return None
 
     async def _submit_job(
@@ -69,7 +77,9 @@
         route: Route,
         body: bytes,
     ) -> web.StreamResponse:
-        job_id = request.headers.get(names.REQUEST_ID, "")
+        job_id = check_job_id(
+            names.REQUEST_ID, request.headers.get(names.REQUEST_ID, "")
+        )
         try:
             submission = decode_submission(job_id, host, body)
         except MessageError as error:
@@ -81,14 +91,10 @@
     async def _read_results(
         self, request: web.BaseRequest, job_id: str
     ) -> web.StreamResponse:
-        try:
-            first_position = int(request.query.get("after", "0"))
-            wait_s = float(request.headers.get(names.WAIT_MS, "0")) / 1000
-        except ValueError as error:
-            problem = Problem(ResultCode.INVALID_PARAMETER, str(error))
-            return refuse_call(request, problem)
+        first_position = whole_number("after", request.query.get("after", "0"))
+        wait_s = duration_s(names.WAIT_MS, request.headers.get(names.WAIT_MS, "0"))
         result = await self._job_service.results(
-            job_id, max(0, first_position), min(wait_s, MAX_WAIT_S)
+            job_id, first_position, min(wait_s, MAX_WAIT_S)
         )
         return response_from_result(
             request,
@@ -101,7 +107,10 @@
     async def _read_item_body(
         self, request: web.BaseRequest, job_id: str
     ) -> web.StreamResponse:
-        result = await self._job_service.body(job_id, request.query.get("id", ""))
+        item_id = request.query.get("id", "")
+        if not item_id:
+            raise ParameterError("id", item_id, "the id of an item")
+        result = await self._job_service.body(job_id, item_id)
         return response_from_result(
             request, result, lambda body: web.Response(body=body)
         )
