Wake the job worker only for what it can use

Each received report woke the job worker for a whole round: preemption, free slots and assignment over all engines, also without any batch item. Changes of the load now share one look for all of a moment, and none at a host without jobs. The look stops excess items at once, and wakes the worker if a slot is assigned to this host, if a retry delay has ended, or if other hosts take this one for lost. Whether a slot is assigned follows from the number of free slots and of items that other hosts start before; a round also ends there.

A host's own online request is now looked at as well: until now its own items gave way only with the next report or within 0.25 s. The loss of a host's report counts as a change.

Fails before: test_reports_that_give_no_item_a_slot_do_not_make_the_worker_look (100 rounds for 100 reports), test_items_give_way_at_once_to_online_requests_of_the_same_host and test_item_whose_retry_delay_is_over_starts_with_the_next_report (whose items gave way too late).

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -179,8 +179,7 @@
             lambda: self.configuration.current,
         )
         self._job_directory.on_change = self.worker.head_changed
-        self.load_view.on_capacity_change = self.worker.wake
-        self.exchange.on_report = self.worker.wake
+        self.load_view.on_change = self.worker.load_changed
         self._engine_copy.on_change = self._engines_changed
         self.configuration.on_change = self.worker.wake
         self._claims = JobClaims(
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -81,9 +81,9 @@
         self.on_own_change: Callable[[], None] = lambda: None
         # Called with engine, online requests and batch items of all hosts.
         self.on_load_change: Callable[[str, int, int], None] = lambda *load: None
-        # Called when slots may have become free: when a request of this host
-        # ends, and when a report arrives.
-        self.on_capacity_change: Callable[[], None] = lambda: None
+        # Called when slots may be free, or more used than there are: after a
+        # change of this host's requests, a report, or the loss of one.
+        self.on_change: Callable[[], None] = lambda: None
 
     def add(self, engine_id: str, *, online: int = 0, batch: int = 0) -> None:
         """Add started requests of this host; ended requests are negative."""
@@ -96,8 +96,7 @@
             self._own.pop(engine_id, None)
             self._drop_if_unused(engine_id)
         self.on_own_change()
-        if online < 0 or batch < 0:
-            self.on_capacity_change()
+        self.on_change()
 
     def set_backlog(self, backlog: Backlog) -> None:
         """Set the batch items that wait at this host."""
@@ -149,7 +148,7 @@
         else:
             self._backlogs.pop(host, None)
         self.drop_expired()
-        self.on_capacity_change()
+        self.on_change()
 
     def remove_host(self, host: str) -> None:
         """Drop the report of a host that was removed."""
@@ -157,6 +156,7 @@
         if report is not None:
             self._replace_loads(host, report.by_engine, {})
             self._backlogs.pop(host, None)
+            self.on_change()
 
     def own_load(self, engine_id: str) -> EngineLoad:
         """Return the load of this host on an engine."""
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -50,14 +50,28 @@
     :param backlogs: the waiting items by host, this host included.
     :param free: the number of free slots by engine.
     """
-    slots = _most_free_first(free)
-    start = 0
-    for host in sorted(backlogs, key=lambda name: (backlogs[name].due_wall_s, name)):
-        end = start + backlogs[host].items
-        if host == own_host:
-            return list(slots[start:end])
-        start = end
-    return []
+    if own_host not in backlogs:
+        return []
+    start = items_ahead(own_host, backlogs, sum(free.values()))
+    end = start + backlogs[own_host].items
+    return list(_most_free_first(free)[start:end])
+
+
+def items_ahead(own_host: str, backlogs: Mapping[str, Backlog], limit: int) -> int:
+    """
+    Return the number of items that get their slots before this host's.
+
+    :param limit: the number from which on no more are counted, because there
+        are no more slots.
+    """
+    own_turn = (backlogs[own_host].due_wall_s, own_host)
+    ahead = 0
+    for host, backlog in backlogs.items():
+        if (backlog.due_wall_s, host) < own_turn:
+            ahead += backlog.items
+            if ahead >= limit:
+                break
+    return ahead
 
 
 def _most_free_first(free: Mapping[str, int]) -> Sequence[str]:
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -72,6 +72,10 @@
         """
         return self._index.free_slots(services)
 
+    def free_slot_count(self, services: Collection[str]) -> int:
+        """Return the number of free slots for batch items."""
+        return self._index.free_slot_count(services)
+
     def usable(self, engine_ids: Iterable[str]) -> list[EngineEntry]:
         """Return those of the engines that may get a request now."""
         paused = self._health.paused()
--- a/src/aspenbridge/jobs/_order.py
+++ b/src/aspenbridge/jobs/_order.py
@@ -90,6 +90,17 @@
     )
 
 
+def next_ready_s(jobs: Iterable[OwnedJob], now_s: float) -> float:
+    """Return when the next retry delay of a waiting item ends, or infinity."""
+    delayed = (
+        state.not_before_s
+        for job in jobs
+        for state in job.waiting
+        if state.not_before_s > now_s
+    )
+    return min(delayed, default=float("inf"))
+
+
 def preemption_order(
     runs: Iterable[RunningItem], estimator: DurationEstimator, wall_s: float
 ) -> list[RunningItem]:
--- a/src/aspenbridge/jobs/_running.py
+++ b/src/aspenbridge/jobs/_running.py
@@ -64,6 +64,9 @@
         self._clock = clock
         self._runs: dict[asyncio.Task[None], RunningItem] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._runs)
+
     def add(self, run: RunningItem) -> None:
         """Track a run that has started."""
         self._runs[run.task] = run
@@ -100,7 +103,7 @@
         """Stop items on engines that have more requests than slots."""
         for engine_id in {run.engine_id for run in self._runs.values()}:
             engine = self._view.engine(engine_id)
-            if engine is None:
+            if engine is None or self._load_view.load(engine_id).total <= engine.slots:
                 continue
             count = items_to_preempt(
                 engine.slots,
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -5,12 +5,12 @@
 from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots
+from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots, items_ahead
 
 from ._order import completes_in_time
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping, Sequence
+    from collections.abc import Mapping, Sequence, Set
 
     from aspenbridge.fleet import EngineEntry, EngineView, LoadView, Route
     from aspenbridge.ports import Clock
@@ -46,6 +46,9 @@
         self._load_view = load_view
         self._estimator = estimator
         self._clock = clock
+        # The services that may run the waiting items. A slot of another one
+        # would count as assigned without being used.
+        self._services: Set[str] = frozenset()
         self._reported_items = 0
         self._report_received_s = 0.0  # when the other hosts have the latest report
 
@@ -63,6 +66,9 @@
         :param waiting: the items that may start now, in the order of their
             start.
         """
+        self._services = {
+            target.service for _, _, route in waiting for target in route.targets
+        }
         if not waiting:
             self._load_view.set_backlog(NO_BACKLOG)
             return
@@ -94,17 +100,24 @@
         """
         self._report_received_s = self._clock.now_s() + REPORT_DELAY_S
 
-    def assigned_slots(
-        self, services: Collection[str]
-    ) -> Mapping[str, deque[EngineEntry]]:
+    def any_assigned(self) -> bool:
         """
-        Return the engines to start items on by service, one entry per slot.
+        Whether a waiting item may start on a slot that is assigned to it.
 
-        :param services: the services that may run the waiting items. A slot
-            of another one would count as assigned without being used.
+        Costs little, since the answer is no for most load reports.
         """
+        if not self._services or self.report_delay_s > 0:
+            return False
+        free = self._view.free_slot_count(self._services)
+        if not free:
+            return False
         backlogs = self._load_view.backlogs(self._incarnation)
-        free = self._view.free_slots(services)
+        return items_ahead(self._incarnation, backlogs, free) < free
+
+    def assigned_slots(self) -> Mapping[str, deque[EngineEntry]]:
+        """Return the engines to start items on by service, one a slot."""
+        backlogs = self._load_view.backlogs(self._incarnation)
+        free = self._view.free_slots(self._services)
         slots = assign_slots(self._incarnation, backlogs, free)
         by_service: dict[str, deque[EngineEntry]] = defaultdict(deque)
         for engine in self._view.usable(slots):
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -10,7 +10,7 @@
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRunResult, run_item
-from ._order import DurationEstimator, ready_items
+from ._order import DurationEstimator, next_ready_s, ready_items
 from ._owned import OwnedJob
 from ._progress_saver import ProgressSaver
 from ._records import JobState
@@ -76,6 +76,8 @@
         self._lister = ResultLister(repository, self._jobs)
         self._saver = ProgressSaver(repository, self._jobs, clock)
         self._wake = asyncio.Event()
+        self._look: asyncio.Handle | None = None  # at loads that have changed
+        self._next_ready_s = float("inf")  # when the next retry delay ends
         self._estimator = DurationEstimator()
         self._running = RunningItems(
             incarnation, view, load_view, self._estimator, clock
@@ -150,7 +152,8 @@
             self._running.preempt_excess_items()
             if self._dispatch_items():
                 self._slots.start_report_delay()
-            delay_s = self._slots.report_delay_s
+            now_s, delay_s = self._clock.now_s(), self._slots.report_delay_s
+            self._next_ready_s = next_ready_s(self._jobs.values(), now_s)
             try:
                 async with asyncio.timeout(
                     delay_s if delay_s > 0 else DISPATCH_INTERVAL_S
@@ -159,6 +162,26 @@
             except TimeoutError:
                 continue
 
+    def load_changed(self) -> None:
+        """
+        Look soon whether items have to stop or may start.
+
+        All changes of a moment share one look, which costs less than a round
+        of the run loop. Without a job there is none.
+        """
+        if self._jobs and self._look is None:
+            self._look = asyncio.get_running_loop().call_soon(self._look_at_loads)
+
+    def _look_at_loads(self) -> None:
+        self._look = None
+        self._running.preempt_excess_items()
+        if (
+            self._slots.any_assigned()
+            or self._next_ready_s <= self._clock.now_s()
+            or (self._running and self._reachability.presumed_lost)
+        ):
+            self.wake()
+
     async def save_progress(self) -> None:
         """Save the progress of unfinished items until cancelled."""
         await self._saver.run()
@@ -186,8 +209,9 @@
         self._slots.report_backlog(waiting)
         if not waiting or not self._slots.track_backlog(len(waiting)):
             return False
-        services = {t.service for _, _, route in waiting for t in route.targets}
-        slots = self._slots.assigned_slots(services)
+        if not self._slots.any_assigned():
+            return False
+        slots = self._slots.assigned_slots()
         unassigned = []
         for job, state, route in waiting:
             service = route.pick_service(self._random)
