Ask an engine that was left for its silence again

Cause: a request whose engine and its successor were both silent moved to the successor; when that one then hung, refused, failed or broke off, and no other engine was allowed, the answer was lost though the first engine was sound. So it was when the first one spoke again and the successor answered and broke off.

It is one of the engines that the route's attempts allow. Logged as asked_again.

--- a/src/aspenbridge/relay/_attempt.py
+++ b/src/aspenbridge/relay/_attempt.py
@@ -27,6 +27,7 @@
     opening: asyncio.Task[RelayedAnswer]
     found_load: tuple[int, int]
     _load_view: LoadView
+    asked_again: bool = False  # whether its engine was silent on it before
     may_be_left: bool = True  # while its engine is silent, for another one
     _closed: bool = False
 
--- a/src/aspenbridge/relay/_attempts.py
+++ b/src/aspenbridge/relay/_attempts.py
@@ -43,6 +43,8 @@
         if progress.begun:
             call = attrs.evolve(call, resume_after=progress.events.last_id)
         load = self._load_view.load(engine.id)
+        asked_again = engine.id in progress.left_silent
+        progress.left_silent.discard(engine.id)
         opening = self._engine_caller.open(
             engine.id, engine.address, call, call.deadline_s
         )
@@ -51,6 +53,7 @@
             asyncio.ensure_future(opening),
             (load.online, load.batch),
             self._load_view,
+            asked_again=asked_again,
         )
 
     def record_failure(
@@ -87,6 +90,7 @@
             events=progress.events_sent,
             fingerprint=progress.fingerprint,
             sends=progress.failed_sends,
+            asked_again=attempt.asked_again,
         )
 
     def record_abandoned(self, progress: Progress, attempt: Attempt) -> None:
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -141,9 +141,13 @@
             return None
         if self._quarantine.is_quarantined(progress.fingerprint):
             return None
-        placed = self._placement.place_elsewhere(
-            progress.service, {*progress.broken_at, attempt.engine.id}
-        )
+        placed = None
+        if progress.new_engines_left > 1:  # the running one counts, too
+            placed = self._placement.place_elsewhere(
+                progress.service, {*progress.broken_at, attempt.engine.id}
+            )
+        if placed is None and attempt.head is None:
+            placed = self._placement.place_among(progress.service, progress.left_silent)
         return None if placed is None else self._attempts.start(progress, placed)
 
     async def _settle(
@@ -177,9 +181,13 @@
             engine_state=_part_state(part).value,
             successor_state=state.value,
             verdict=verdict.value,
+            asked_again=successor.asked_again,
         )
         if verdict is Verdict.MOVE:
-            raise HandedOverError(successor, _failure(part) or _silent_error())
+            failure = _failure(part)
+            if failure is None and not attempt.asked_again:
+                progress.left_silent.add(attempt.engine.id)
+            raise HandedOverError(successor, failure or _silent_error())
         error = _failure(successor.opening)
         if error is None and state is EngineState.FAILED:
             error = status_error(successor.answer.head)
@@ -201,7 +209,12 @@
         while True:
             overdue = self._clock.now_s() >= deadline_s
             state = _successor_state(progress, successor)
-            verdict = judge_handover(_part_state(part), state, overdue=overdue)
+            verdict = judge_handover(
+                _part_state(part),
+                state,
+                overdue=overdue,
+                asked_again=successor.asked_again,
+            )
             if verdict is not Verdict.WAIT:
                 return state, verdict
             await asyncio.wait(
--- a/src/aspenbridge/relay/_handover.py
+++ b/src/aspenbridge/relay/_handover.py
@@ -3,7 +3,8 @@
 
 The rule suits engines that pause for a second and go on, beside engines that
 hang, while the others may be full. A silent engine is kept until another one
-has answered, but two engines run a request for a short time only.
+has answered, but two engines run a request for a short time only. An engine
+that was left for its silence may be asked once more; it must answer then.
 """
 
 from __future__ import annotations
@@ -29,7 +30,11 @@
 
 
 def judge_handover(
-    current: EngineState, successor: EngineState, *, overdue: bool
+    current: EngineState,
+    successor: EngineState,
+    *,
+    overdue: bool,
+    asked_again: bool = False,
 ) -> Verdict:
     """
     Return which of two engines to go on with.
@@ -40,6 +45,8 @@
     :param current: the state of the engine that fell silent.
     :param successor: the state of the engine that was asked in its place.
     :param overdue: whether both have had the request for as long as allowed.
+    :param asked_again: whether the successor had the request before and was
+        silent then.
     """
     if current is EngineState.COMPLETED or successor is EngineState.FAILED:
         return Verdict.KEEP
@@ -47,4 +54,5 @@
         return Verdict.MOVE
     if not overdue:
         return Verdict.WAIT
-    return Verdict.KEEP if current is EngineState.SPOKE else Verdict.MOVE
+    sound = current is EngineState.SPOKE or asked_again
+    return Verdict.KEEP if sound else Verdict.MOVE
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -23,6 +23,7 @@
 
     from aspenbridge.fleet import (
         Configuration,
+        EngineEntry,
         EngineHealth,
         LoadView,
         Route,
@@ -152,18 +153,27 @@
         """Send the request to an engine, or fail it and return the outcome."""
         if self._remaining_s(progress) <= 0:
             return await self._fail(progress, Refused(RETRY_AFTER_S))
-        placed = self._placement.place(
-            progress.service,
-            progress.route,
-            progress.tried,
-            self._clock.now_s() - progress.received_s,
-        )
+        placed = self._place(progress)
         if isinstance(placed, Refused):
             return await self._fail(progress, placed)
         if not await self._quarantine.begin_run(progress.fingerprint):
             return await self._fail_quarantined(progress)
         return self._attempts.start(progress, placed)
 
+    def _place(self, progress: Progress) -> EngineEntry | Refused:
+        placed: EngineEntry | Refused = Refused(RETRY_AFTER_S)
+        if progress.new_engines_left > 0:
+            placed = self._placement.place(
+                progress.service,
+                progress.route,
+                progress.tried,
+                self._clock.now_s() - progress.received_s,
+            )
+        if isinstance(placed, Refused):
+            again = self._placement.place_among(progress.service, progress.left_silent)
+            placed = again or placed
+        return placed
+
     def _may_retry(self, progress: Progress) -> bool:
         """
         Return whether to try again after a failed attempt.
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -70,6 +70,8 @@
     tried: set[str] = attrs.field(factory=set)  # engines that failed the request
     # Those of them that may have run it; the others turned it away.
     broken_at: set[str] = attrs.field(factory=set)
+    # Those that were left only for their silence; each may get it once more.
+    left_silent: set[str] = attrs.field(factory=set)
     engine: str = ""  # the engine of the last attempt
     # Online requests and batch items on this engine just before the attempt.
     found_load: tuple[int, int] = (0, 0)
@@ -109,19 +111,31 @@
         """
         Whether another attempt is allowed after a failed one.
 
-        False when all attempts of the route are used, or when the request may
-        have run and must not run twice.
+        False when all attempts of the route are used and no engine was left
+        for its silence, or when the request may have run and must not run
+        twice.
         """
         if self.may_have_run and not self.route.repeatable:
             return False
-        return self.failed_sends < self.route.max_attempts
+        return self.new_engines_left > 0 or bool(self.left_silent)
+
+    @property
+    def new_engines_left(self) -> int:
+        """
+        Return how many engines more may get the request.
+
+        The attempts of a route bound the number of engines. One that has had
+        the request and was left for its silence may get it again.
+        """
+        return self.route.max_attempts - self.failed_sends
 
     @property
     def may_switch_engine(self) -> bool:
         """
         Whether the running attempt may be abandoned for another engine.
 
-        The request must be repeatable, and an attempt must be left when the
-        running one counts as failed.
+        The request must be repeatable, and another engine must be allowed when
+        the running attempt counts as failed.
         """
-        return self.route.repeatable and self.failed_sends + 1 < self.route.max_attempts
+        another = self.new_engines_left > 1 or bool(self.left_silent)
+        return self.route.repeatable and another
--- a/tests/relay/test_handover.py
+++ b/tests/relay/test_handover.py
@@ -42,6 +42,11 @@
     assert judge_handover(current, SILENT, overdue=overdue) is verdict
 
 
+def test_engine_that_is_silent_again_gets_no_answer_in_hand():
+    verdict = judge_handover(SILENT, SILENT, overdue=True, asked_again=True)
+    assert verdict is Verdict.KEEP
+
+
 def test_handover_never_waits_longer_than_allowed():
     for current, successor in itertools.product(EngineState, EngineState):
         verdict = judge_handover(current, successor, overdue=True)
--- a/tests/relay/test_silent_engines.py
+++ b/tests/relay/test_silent_engines.py
@@ -115,6 +115,44 @@
     with_fleet(check, engines=4)
 
 
+LATE_FAILURES = [
+    pytest.param({"outcome": CallOutcome.REFUSED, "delay_s": 0.5}, id="refused"),
+    pytest.param({"outcome": CallOutcome.BROKEN, "delay_s": 0.5}, id="broken"),
+    pytest.param({"head_pause_s": 0.5, "break_after": 1}, id="breaks-off"),
+    pytest.param({"head_pause_s": 0.1, "break_after": 1}, id="answers-breaks-off"),
+    pytest.param({"head_pause_s": 0.5, "status": 500}, id="error"),
+    pytest.param({"head_pause_s": 60.0}, id="hangs"),
+]
+
+
+@pytest.mark.parametrize("attempts", [2, 3])
+@pytest.mark.parametrize("late", LATE_FAILURES)
+@pytest.mark.parametrize("silence", [SILENCES[2], SILENCES[5]])
+def test_stream_is_whole_when_the_successor_of_a_silent_engine_fails_late(
+    silence, late, attempts
+):
+    async def check(fleet):
+        await set_attempts(fleet, attempts)
+        fleet.engines.faults["r1"] = [Fault(**silence), Fault(**late)]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+        assert_one_run_at_a_time(fleet)
+        assert len({run.engine for run in fleet.engines.runs}) <= attempts
+
+    with_fleet(check)
+
+
+def test_stream_stays_at_the_successor_of_an_engine_that_hangs_for_good():
+    async def check(fleet):
+        hangs = Fault(head_pause_s=60.0)
+        fleet.engines.faults["r1"] = [hangs, Fault(head_pause_s=1.5), hangs]
+        reply = await fleet.relay("h0", make_request())
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+        assert_one_run_at_a_time(fleet)
+
+    with_fleet(check)
+
+
 def test_stream_is_whole_when_its_engine_speaks_again_while_another_is_asked():
     """The other engine does not begin; its queue is longer than known."""
 
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -111,6 +111,7 @@
 
     :ivar scripts: the answers by request id; each is used once.
     :ivar resumed_after: the ``Last-Event-Id`` of each send, by request id.
+    :ivar asked: the engine that each send names, by request id.
     :ivar headers: the headers of the last send, by request id.
     :ivar bodies: the body of the last send, by request id.
     """
@@ -118,6 +119,7 @@
     def __init__(self) -> None:
         self.scripts: dict[str, list[Answer]] = {}
         self.resumed_after: dict[str, list[int | None]] = {}
+        self.asked: dict[str, list[str]] = {}
         self.headers: dict[str, dict[str, str]] = {}
         self.bodies: dict[str, bytes] = {}
         self._stack = AsyncExitStack()
@@ -149,6 +151,8 @@
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
+            engine = fields.get("X-Aspenbridge-Expect-Instance", "")
+            self.asked.setdefault(request_id, []).append(engine)
             answer = self.scripts[request_id].pop(0)
             *parts, (silence_s, data) = answer.parts(request_id, after)
             loop = asyncio.get_running_loop()
