Count the items ahead and the overfull engines as reports come

The look at changed loads copied and counted the backlogs of all hosts, and read the load of each engine that runs items of this host. The number of items that get their slots before this host's is now kept with the backlogs, and the engines with more requests than slots with the index.

--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -20,7 +20,7 @@
     Target,
     virtual_host,
 )
-from ._slot_assignment import Backlog, assign_slots, items_ahead
+from ._slot_assignment import Backlog, assign_slots
 from ._view import EngineView
 
 __all__ = [
@@ -52,7 +52,6 @@
     "Target",
     "UdpDatagrams",
     "assign_slots",
-    "items_ahead",
     "items_to_preempt",
     "place_online",
     "rank",
--- a/src/aspenbridge/fleet/_engine_index.py
+++ b/src/aspenbridge/fleet/_engine_index.py
@@ -1,5 +1,5 @@
 """
-Keeps the usable engines of each service by preference and by free slots.
+Keeps the engines of each service by preference and by free slots.
 
 It is for hundreds of load reports a second, each of which changes the load of
 a few engines, beside a few choices a second among up to a thousand engines.
@@ -17,7 +17,7 @@
 from ._slot_assignment import HEADROOM_SLOTS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Set
 
     from ._engines import EngineDirectory, EngineEntry
     from ._load import LoadView
@@ -37,36 +37,37 @@
     free: dict[str, int] = attrs.field(factory=dict)
     free_slots: int = 0
 
+    def set_load(self, engine: _IndexedEngine, online: int, batch: int) -> None:
+        """Move an engine to the place that its load gives it."""
+        entry = engine.entry
+        engine.online, engine.batch = online, batch
+        delay_s, items = preference_key(
+            entry.slots, online, batch, engine.network_delay_s
+        )
+        self.keys[entry.id] = (delay_s, items, engine.position, engine)
+        free = entry.slots - HEADROOM_SLOTS - online - batch
+        self.free_slots -= self.free.pop(entry.id, 0)
+        if free > 0:
+            self.free[entry.id] = free
+            self.free_slots += free
+
 
 @attrs.define(eq=False)
 class _IndexedEngine:
     entry: EngineEntry
     position: int  # in the directory; breaks ties
     network_delay_s: float
-    service: _Service
+    service: _Service | None  # none while the engine drains
     online: int = 0
     batch: int = 0
 
-    def set_load(self, online: int, batch: int) -> None:
-        entry, service = self.entry, self.service
-        self.online, self.batch = online, batch
-        delay_s, items = preference_key(
-            entry.slots, online, batch, self.network_delay_s
-        )
-        service.keys[entry.id] = (delay_s, items, self.position, self)
-        free = entry.slots - HEADROOM_SLOTS - online - batch
-        service.free_slots -= service.free.pop(entry.id, 0)
-        if free > 0:
-            service.free[entry.id] = free
-            service.free_slots += free
-
     def candidate(self) -> Candidate:
         return Candidate(self.entry, self.online, self.batch, self.network_delay_s)
 
 
 class EngineIndex:
     """
-    The usable engines by service, each with the load of all hosts.
+    The engines by service, each with the load of all hosts.
 
     :param network_delay_s: returns the delay to a failure domain.
     """
@@ -83,6 +84,7 @@
         self._revision = -1  # of the directory when it was read
         self._engines: dict[str, _IndexedEngine] = {}
         self._services: dict[str, _Service] = {}
+        self._overfull: set[str] = set()  # engines with requests in their queues
         load_view.on_load_change = self._change_load
 
     def preferred(
@@ -113,11 +115,16 @@
         """Return the number of free slots for batch items."""
         return sum(self._service(service).free_slots for service in services)
 
+    def overfull(self) -> Set[str]:
+        """Return the engines with more requests than slots, also draining."""
+        self._refresh()
+        return self._overfull
+
     def get(self, engine_id: str) -> EngineEntry | None:
         """Return an engine if it is usable."""
         self._refresh()
         engine = self._engines.get(engine_id)
-        return None if engine is None else engine.entry
+        return engine.entry if engine is not None and engine.service else None
 
     def _service(self, name: str) -> _Service:
         self._refresh()
@@ -132,16 +139,25 @@
             self._read_directory()
 
     def _read_directory(self) -> None:
-        self._engines, self._services = {}, {}
-        for position, entry in enumerate(self._directory.all_usable()):
-            service = self._services.setdefault(entry.service, _Service())
+        self._engines, self._services, self._overfull = {}, {}, set()
+        usable = {entry.id for entry in self._directory.all_usable()}
+        for position, entry in enumerate(self._directory.registered()):
+            service = None
+            if entry.id in usable:
+                service = self._services.setdefault(entry.service, _Service())
             delay_s = self._network_delay_s(entry.failure_domain)
             engine = _IndexedEngine(entry, position, delay_s, service)
             self._engines[entry.id] = engine
             load = self._load_view.load(entry.id)
-            engine.set_load(load.online, load.batch)
+            self._change_load(entry.id, load.online, load.batch)
 
     def _change_load(self, engine_id: str, online: int, batch: int) -> None:
         engine = self._engines.get(engine_id)
-        if engine is not None:
-            engine.set_load(online, batch)
+        if engine is None:
+            return
+        if online + batch > engine.entry.slots:
+            self._overfull.add(engine_id)
+        else:
+            self._overfull.discard(engine_id)
+        if engine.service is not None:
+            engine.service.set_load(engine, online, batch)
--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -131,8 +131,12 @@
 
     def all_usable(self) -> list[EngineEntry]:
         """Return the engines of all services that may get new work."""
+        return [e for e in self.registered() if not e.draining]
+
+    def registered(self) -> list[EngineEntry]:
+        """Return the engines of all services, draining or not."""
         self._drop_expired()
-        return [e for e in self._entries.values() if not e.draining]
+        return list(self._entries.values())
 
     def get(self, engine_id: str) -> EngineEntry | None:
         """Return a registered engine, draining or not."""
@@ -150,6 +154,8 @@
         del self._leaving_ms[oldest]
 
     def _drop_expired(self) -> None:
+        if not self._expires_s:
+            return
         now_s = self._clock.now_s()
         for engine_id in [e for e, end_s in self._expires_s.items() if end_s <= now_s]:
             del self._expires_s[engine_id]
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from ._slot_assignment import Backlog
+from ._slot_assignment import Backlog, items_ahead
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -78,6 +78,10 @@
         self._sums: dict[str, _EngineSum] = {}  # by engine
         self._backlogs: dict[str, Backlog] = {}  # that are not empty
         self._own_backlog = NO_BACKLOG
+        # The place of this host's items in the order of assignment, and the
+        # number of items that come before it.
+        self._own_turn = (float("-inf"), "")
+        self._items_ahead = 0
         self.on_own_change: Callable[[], None] = lambda: None
         # Called with engine, online requests and batch items of all hosts.
         self.on_load_change: Callable[[str, int, int], None] = lambda *load: None
@@ -123,6 +127,19 @@
             backlogs[own_host] = self._own_backlog
         return backlogs
 
+    def items_ahead(self, own_host: str) -> int:
+        """
+        Return the number of items that get their slots before this host's.
+
+        :param own_host: the key that orders this host among the others.
+        """
+        self.drop_expired()
+        own_turn = (self._own_backlog.due_wall_s, own_host)
+        if own_turn != self._own_turn:
+            self._own_turn = own_turn
+            self._items_ahead = items_ahead(own_turn, self._backlogs)
+        return self._items_ahead
+
     def apply_report(
         self,
         host: str,
@@ -143,10 +160,7 @@
         if check_s != previous.check_s:
             heapq.heappush(self._checks, (check_s, host))
         self._replace_loads(host, previous.by_engine, by_engine)
-        if backlog.items:
-            self._backlogs[host] = backlog
-        else:
-            self._backlogs.pop(host, None)
+        self._replace_backlog(host, backlog)
         self.drop_expired()
         self.on_change()
 
@@ -155,7 +169,7 @@
         report = self._reports.pop(host, None)
         if report is not None:
             self._replace_loads(host, report.by_engine, {})
-            self._backlogs.pop(host, None)
+            self._replace_backlog(host, NO_BACKLOG)
             self.on_change()
 
     def own_load(self, engine_id: str) -> EngineLoad:
@@ -217,6 +231,17 @@
                 engine_sum.by_host.pop(host, None)
                 self._drop_if_unused(engine_id)
 
+    def _replace_backlog(self, host: str, backlog: Backlog) -> None:
+        previous = self._backlogs.pop(host, NO_BACKLOG)
+        if backlog.items:
+            self._backlogs[host] = backlog
+        elif previous is NO_BACKLOG:
+            return
+        if (previous.due_wall_s, host) < self._own_turn:
+            self._items_ahead -= previous.items
+        if (backlog.due_wall_s, host) < self._own_turn:
+            self._items_ahead += backlog.items
+
     def _add_to_sum(self, engine_id: str, online: int, batch: int) -> _EngineSum:
         engine_sum = self._sums.get(engine_id)
         if engine_sum is None:
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -50,28 +50,24 @@
     :param backlogs: the waiting items by host, this host included.
     :param free: the number of free slots by engine.
     """
-    if own_host not in backlogs:
+    own = backlogs.get(own_host)
+    if own is None:
         return []
-    start = items_ahead(own_host, backlogs, sum(free.values()))
-    end = start + backlogs[own_host].items
-    return list(_most_free_first(free)[start:end])
+    start = items_ahead((own.due_wall_s, own_host), backlogs)
+    return list(_most_free_first(free)[start : start + own.items])
 
 
-def items_ahead(own_host: str, backlogs: Mapping[str, Backlog], limit: int) -> int:
+def items_ahead(turn: tuple[float, str], backlogs: Mapping[str, Backlog]) -> int:
     """
-    Return the number of items that get their slots before this host's.
+    Return the number of items that get their slots before those of a host.
 
-    :param limit: the number from which on no more are counted, because there
-        are no more slots.
+    :param turn: the due time of the host's backlog, and the host.
     """
-    own_turn = (backlogs[own_host].due_wall_s, own_host)
-    ahead = 0
-    for host, backlog in backlogs.items():
-        if (backlog.due_wall_s, host) < own_turn:
-            ahead += backlog.items
-            if ahead >= limit:
-                break
-    return ahead
+    return sum(
+        backlog.items
+        for host, backlog in backlogs.items()
+        if (backlog.due_wall_s, host) < turn
+    )
 
 
 def _most_free_first(free: Mapping[str, int]) -> Sequence[str]:
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping, Set
 
     from ._engines import EngineDirectory, EngineEntry
     from ._health import EngineHealth
@@ -76,6 +76,10 @@
         """Return the number of free slots for batch items."""
         return self._index.free_slot_count(services)
 
+    def overfull(self) -> Set[str]:
+        """Return the ids of the engines with more requests than slots."""
+        return self._index.overfull()
+
     def usable(self, engine_ids: Iterable[str]) -> list[EngineEntry]:
         """Return those of the engines that may get a request now."""
         paused = self._health.paused()
--- a/src/aspenbridge/jobs/_running.py
+++ b/src/aspenbridge/jobs/_running.py
@@ -101,9 +101,13 @@
 
     def preempt_excess_items(self) -> None:
         """Stop items on engines that have more requests than slots."""
-        for engine_id in {run.engine_id for run in self._runs.values()}:
+        if not self._runs:
+            return
+        overfull = self._view.overfull()
+        engine_ids = {run.engine_id for run in self._runs.values()}
+        for engine_id in engine_ids & overfull:
             engine = self._view.engine(engine_id)
-            if engine is None or self._load_view.load(engine_id).total <= engine.slots:
+            if engine is None:
                 continue
             count = items_to_preempt(
                 engine.slots,
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -5,7 +5,7 @@
 from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots, items_ahead
+from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots
 
 from ._order import completes_in_time
 
@@ -109,10 +109,7 @@
         if not self._services or self.report_delay_s > 0:
             return False
         free = self._view.free_slot_count(self._services)
-        if not free:
-            return False
-        backlogs = self._load_view.backlogs(self._incarnation)
-        return items_ahead(self._incarnation, backlogs, free) < free
+        return free > self._load_view.items_ahead(self._incarnation)
 
     def assigned_slots(self) -> Mapping[str, deque[EngineEntry]]:
         """Return the engines to start items on by service, one a slot."""
--- a/src/aspenbridge_bench/_fleet_cost.py
+++ b/src/aspenbridge_bench/_fleet_cost.py
@@ -132,6 +132,7 @@
         for engine in self._make_engines(engines):
             self.host._engine_directory.put(engine)
         self.placement = OnlinePlacement(self.host.view, self._random)
+        self.host.view.free_slots({SERVICE})  # reads the engines
 
     def _two_reports(self, number: int, engines: int) -> tuple[_Report, _Report]:
         """Return reports between which one engine and the backlog change."""
@@ -263,8 +264,9 @@
     :param limit_s: the processor time to spend on each figure.
     """
     fleet = _Fleet(hosts, engines, seed)
-    applied_s = _applied_cost_s(fleet, limit_s)
+    fleet.receive_from_all()
     choice_s = _mean_s(lambda: _choose(fleet), limit_s)
+    applied_s = _applied_cost_s(fleet, limit_s)
     after_reports_s = _mean_s(lambda: _choose(fleet), limit_s, fleet.receive_from_all)
     free_slots_s = _mean_s(lambda: fleet.host.view.free_slots({SERVICE}), limit_s)
     async with _working(_Fleet(hosts, engines, seed)) as idle:
--- a/tests/fleet/test_engine_index.py
+++ b/tests/fleet/test_engine_index.py
@@ -64,6 +64,11 @@
         else:
             method, *arguments = step
             getattr(directory if part == "engines" else health, method)(*arguments)
+        assert view.overfull() == {
+            engine.id
+            for engine in directory.registered()
+            if plain.load(engine.id).total > engine.slots
+        }
         for service in SERVICES:
             candidates = [
                 Candidate(
--- a/tests/fleet/test_load_sums.py
+++ b/tests/fleet/test_load_sums.py
@@ -80,7 +80,9 @@
 def test_kept_sums_equal_those_over_all_valid_reports(history):
     clock = ManualClock()
     view, plain = LoadView(clock), PlainView(clock)
-    for step in history:
+    for number, step in enumerate(history):
+        own = Backlog(1, 3.0 + number // 8)
+        view.set_backlog(own)
         apply_step(step, clock, view, plain)
         for engine_id in ENGINES:
             assert view.load(engine_id) == plain.load(engine_id)
@@ -90,7 +92,10 @@
         valid = plain.valid()
         assert view.reporting_hosts() == len(valid)
         backlogs = {host: b for host, (_, b) in valid.items() if b.items}
-        assert view.backlogs("own") == backlogs
+        assert view.backlogs("own") == {**backlogs, "own": own}
+        turns = {host: (b.due_wall_s, host) for host, b in backlogs.items()}
+        ahead = [host for host, turn in turns.items() if turn < (own.due_wall_s, "own")]
+        assert view.items_ahead("own") == sum(backlogs[host].items for host in ahead)
 
 
 def test_nothing_is_kept_of_hosts_and_engines_without_load():
