Look for orphaned jobs among the open ones only

Four times a second a host listed the live hosts and looked at the heads of all jobs, also of those that are over and kept for their results. The directory keeps the open heads apart, and the live hosts are listed only when a job is orphaned.

--- a/src/aspenbridge/jobs/_claims.py
+++ b/src/aspenbridge/jobs/_claims.py
@@ -16,8 +16,6 @@
 from aspenbridge.fleet import rank
 from aspenbridge.observability import log_decision, metrics
 
-from ._records import JobState
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -100,13 +98,16 @@
         claimed at once, whatever the order of the hosts.
         """
         now_s = self._clock.now_s()
-        live_hosts = [record.host for record in self._hosts.live()]
+        orphaned = [
+            stored
+            for stored in self._directory.open_heads()
+            if self._is_orphaned(stored.record)
+        ]
+        live_hosts = [record.host for record in self._hosts.live()] if orphaned else []
         due: list[Stored[JobHead]] = []
         orphans: dict[str, _Orphan] = {}
-        for stored in self._directory:
+        for stored in orphaned:
             head = stored.record
-            if not self._is_orphaned(head):
-                continue
             orphan = self._orphans.get(head.id)
             if orphan is None or orphan.version != stored.version:
                 orphan = _Orphan(stored.version, now_s)
@@ -120,8 +121,6 @@
         return due
 
     def _is_orphaned(self, head: JobHead) -> bool:
-        if head.state is not JobState.OPEN:
-            return False
         if head.owner == self._incarnation:
             return not self._worker.owns(head.id)
         return not self._hosts.is_live(head.owner)
--- a/src/aspenbridge/jobs/_sweep.py
+++ b/src/aspenbridge/jobs/_sweep.py
@@ -12,6 +12,8 @@
 from ._records import JobState
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from aspenbridge.fleet import HostTable
     from aspenbridge.ports import Clock
     from aspenbridge.store import Stored
@@ -52,10 +54,12 @@
         """Remove old jobs at regular intervals until cancelled."""
         while True:
             await self._clock.sleep_until(self._clock.now_s() + SWEEP_INTERVAL_S)
-            for stored in self._directory:
-                if self._is_past_retention(stored.record) and self._is_assigned_here(
-                    stored.record.id
-                ):
+            old = [s for s in self._directory if self._is_past_retention(s.record)]
+            live_hosts = {self._host}
+            if old:
+                live_hosts.update(record.host for record in self._hosts.live())
+            for stored in old:
+                if self._is_assigned_here(stored.record.id, live_hosts):
                     await self._remove(stored)
 
     def _is_past_retention(self, head: JobHead) -> bool:
@@ -64,8 +68,7 @@
         age_s = self._clock.wall_s() - head.accepted_wall_s
         return age_s > self._retention_s + CLOCK_SLACK_S
 
-    def _is_assigned_here(self, job_id: str) -> bool:
-        live_hosts = {self._host, *(record.host for record in self._hosts.live())}
+    def _is_assigned_here(self, job_id: str, live_hosts: Set[str]) -> bool:
         return min(live_hosts, key=lambda host: rank(host, job_id)) == self._host
 
     async def _remove(self, stored: Stored[JobHead]) -> None:
