--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -50,19 +50,9 @@
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
 
-    def place_among(
-        self, service: str, engine_ids: Collection[str]
-    ) -> EngineEntry | None:
-        """Return one of some engines that has a free slot, if any."""
-        if not engine_ids:
-            return None
-        candidates = [
-            candidate
-            for candidate in self._view.candidates(service)
-            if candidate.engine.id in engine_ids
-        ]
-        placed = place_online(candidates, 0.0)
-        return None if isinstance(placed, Refused) else placed
+    def place_among(self, engine_ids: Collection[str]) -> EngineEntry | None:
+        """Return one of some engines that may get a request now, if any."""
+        return next(iter(self._view.usable(sorted(engine_ids))), None)
 
     def place_elsewhere(
         self, service: str, exclude: Collection[str]
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -170,7 +170,7 @@
                 self._clock.now_s() - progress.received_s,
             )
         if isinstance(placed, Refused):
-            again = self._placement.place_among(progress.service, progress.left_silent)
+            again = self._placement.place_among(progress.left_silent)
             placed = again or placed
         return placed
 
