--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -7,7 +7,7 @@
 from aspenbridge.fleet import Refused
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Set
+    from collections.abc import Collection
     from random import Random
 
     from aspenbridge.fleet import EngineEntry, EngineView, Route
@@ -50,9 +50,9 @@
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
 
-    def place_among(self, service: str, engine_ids: Set[str]) -> EngineEntry | None:
-        """Return one of some engines that has a free slot, if any."""
-        return self._view.place_among(service, engine_ids)
+    def place_among(self, engine_ids: Collection[str]) -> EngineEntry | None:
+        """Return one of some engines that may get a request now, if any."""
+        return next(iter(self._view.usable(sorted(engine_ids))), None)
 
     def place_elsewhere(
         self, service: str, exclude: Collection[str]
