Read the table of hosts every half second at the earliest

Each host renews its row each second, and each renewal ended the waiting feed call of every host: rows and calls grew with the square of the hosts. A host made 72 calls to the store a second among 69 hosts and 101 among 300, where 4.7 were meant; nearly half of its processor time went there.

Now a follower may have a least time between two reads of changes, and the one of the hosts has half a second, so one call brings the renewals of all. It waits for changes that much shorter, so a copy is confirmed as often as before. Other tables stay as prompt. Whether a host is live is looked up by its incarnation, not by going through all hosts. A killed host is noticed up to 0.5 s later.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -8,6 +8,7 @@
 
 from aspenbridge.fleet import (
     HOSTS_TABLE,
+    READ_INTERVAL_S,
     EngineDirectory,
     EngineHealth,
     EngineView,
@@ -111,7 +112,9 @@
             *feed_options, tables.engines_table, self._engine_copy
         )
         engine_follower.on_recovery = engine_directory.store_recovered
-        host_follower = Follower(*feed_options, HOSTS_TABLE, self.hosts)
+        host_follower = Follower(
+            *feed_options, HOSTS_TABLE, self.hosts, interval_s=READ_INTERVAL_S
+        )
         host_follower.on_recovery = self.hosts.store_recovered
         head_follower = Follower(
             *feed_options, HEADS_TABLE, self._job_directory, all_parts=True
--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -7,7 +7,14 @@
 from ._exchange import CrashNotices, LoadExchange
 from ._follower import Follower, TableCopy
 from ._health import EngineHealth
-from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
+from ._hosts import (
+    HOSTS_TABLE,
+    READ_INTERVAL_S,
+    Heartbeat,
+    HostRecord,
+    HostTable,
+    rank,
+)
 from ._load import NO_BACKLOG, EngineLoad, LoadView
 from ._placement import Candidate, Refused, place_online
 from ._preemption import items_to_preempt
@@ -27,6 +34,7 @@
     "FRESH_LIMIT_S",
     "HOSTS_TABLE",
     "NO_BACKLOG",
+    "READ_INTERVAL_S",
     "Backlog",
     "CallKind",
     "Candidate",
--- a/src/aspenbridge/fleet/_follower.py
+++ b/src/aspenbridge/fleet/_follower.py
@@ -39,6 +39,9 @@
     Reads a whole table, then its changes; rereads it if history is lost.
 
     Without ``all_parts``, only the unnamed part of the table is read at first.
+
+    :param interval_s: the least time between two reads of changes, so that one
+        read brings the changes that many rows had meanwhile.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         copy: TableCopy,
         *,
         all_parts: bool = False,
+        interval_s: float = 0.0,
     ) -> None:
         self._feed = feed
         self._clock = clock
@@ -57,6 +61,8 @@
         self._table = table
         self._copy = copy
         self._all_parts = all_parts
+        self._interval_s = interval_s
+        self._next_read_s = float("-inf")
         self._version: int | None = None
         self._unavailable = False
         self.confirmed_s = float("-inf")  # when the copy was last known to be current
@@ -85,7 +91,9 @@
         """Make one read; return False if it has to be tried again later."""
         if self._version is None:
             return await self._read_whole()
-        page = await self._feed.changes(self._table, self._version, POLL_WAIT_S)
+        wait_s = POLL_WAIT_S - await self._wait_for_interval()
+        started_s = self._clock.now_s()
+        page = await self._feed.changes(self._table, self._version, wait_s)
         if isinstance(page, Failure):
             error = page.failure()
             if isinstance(error, HistoryLost):
@@ -94,6 +102,7 @@
                 return True
             self._mark_unavailable(error.reason)
             return False
+        self._next_read_s = started_s + self._interval_s
         self._mark_available()
         for change in page.unwrap().changes:
             self._copy.apply_change(change)
@@ -101,6 +110,13 @@
         self.confirmed_s = self._clock.now_s()
         return True
 
+    async def _wait_for_interval(self) -> float:
+        """Wait until the next read may start; return how long that took."""
+        delay_s = max(0.0, self._next_read_s - self._clock.now_s())
+        if delay_s:
+            await self._clock.sleep_until(self._next_read_s)
+        return delay_s
+
     async def _read_whole(self) -> bool:
         rows: list[Row] = []
         # The unnamed part is read first, so that its version, from which
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -21,6 +21,9 @@
 logger = logging.getLogger(__name__)
 HOSTS_TABLE = "hosts"
 HEARTBEAT_INTERVAL_S = 1.0
+# Between two reads of the renewals of all hosts, so that the reads of a host
+# don't grow with their number. A lost host is noticed up to this much later.
+READ_INTERVAL_S = 0.5
 # A host that renewed its row within this time, two and a half heartbeats,
 # reaches the store.
 STORE_REACHED_S = 2.5
@@ -51,6 +54,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._listed: dict[str, _ListedHost] = {}  # by host
+        self._host_names: dict[str, str] = {}  # of the listed hosts, by incarnation
         # The last renewal that each host reported itself, by incarnation.
         self._reported_s: dict[str, float] = {}
         self.on_removed: Callable[[str], None] = lambda incarnation: None
@@ -91,18 +95,19 @@
 
     def live(self) -> list[HostRecord]:
         """Return the listed hosts that are live."""
-        records = (listed.record for listed in self._listed.values())
-        return [record for record in records if self.is_live(record.incarnation)]
+        return [r for r in self.listed() if self.is_live(r.incarnation)]
+
+    def listed(self) -> list[HostRecord]:
+        """Return the listed hosts, live or not."""
+        return [listed.record for listed in self._listed.values()]
 
     def is_live(self, incarnation: str) -> bool:
         """Whether an incarnation renewed its row, or reported so, in time."""
         oldest_s = self._clock.now_s() - LIVENESS_TIMEOUT_S
         if self._reported_s.get(incarnation, oldest_s - 1) >= oldest_s:
             return True
-        return any(
-            listed.record.incarnation == incarnation and listed.received_s >= oldest_s
-            for listed in self._listed.values()
-        )
+        listed = self._listed.get(self._host_names.get(incarnation, ""))
+        return listed is not None and listed.received_s >= oldest_s
 
     def listed_count(self) -> int:
         """
@@ -123,10 +128,12 @@
             self._remove(record.host)
         if listed is None or listed.record != record:
             self._listed[record.host] = _ListedHost(record, self._clock.now_s())
+            self._host_names[record.incarnation] = record.host
 
     def _remove(self, host: str) -> None:
         listed = self._listed.pop(host, None)
         if listed is not None:
+            self._host_names.pop(listed.record.incarnation, None)
             self._reported_s.pop(listed.record.incarnation, None)
             self.on_removed(listed.record.incarnation)
 
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from aspenbridge.fleet import HostRecord
+from aspenbridge.store import encode_record
 from tests.support.entry_fleet import EntryFleet, make_configuration, make_request
 from tests.support.virtual_loop import run_virtual
 
@@ -117,3 +119,38 @@
         assert host.relay._health.is_paused("e1")
 
     with_fleet(check)
+
+
+@pytest.mark.parametrize("others", [8, 299])
+def test_host_calls_the_store_six_times_a_second_at_most_in_a_fleet_of_any_size(others):
+    calls = []
+
+    async def renew(store, number):
+        await asyncio.sleep(number / others)
+        for beat in range(11):
+            ip, name = f"10.1.{number // 250}.{number % 250}", f"other-{number}"
+            record = HostRecord(name, f"{name}-1", ip, 7000, "a-1", beat)
+            store.write("hosts", name, encode_record(record, b"t" * 16))
+            await asyncio.sleep(1.0)
+
+    async def check(fleet):
+        client = fleet.hosts["h0"].ports.feed
+        renewals = [renew(fleet.store, number) for number in range(others)]
+        renewed = asyncio.gather(*renewals)
+        await asyncio.sleep(1.0)
+        for name in ("changes", "transact", "rows"):
+            call = getattr(client, name)
+            setattr(client, name, count(call))
+        await asyncio.sleep(9.0)
+        renewed.cancel()
+        return len(fleet.hosts["h0"].hosts.live())
+
+    def count(call):
+        def counted(*arguments, **options):
+            calls.append(call)
+            return call(*arguments, **options)
+
+        return counted
+
+    assert with_fleet(check, hosts=1) == others + 1
+    assert len(calls) <= 6 * 9
