Bound the load reports that a host receives in a second

Each host sent each change of its load to all others 20 ms after it: 470 reports a second reached each of 69 hosts, and 2,100 each of 300.

Up to 13 hosts nothing changes. Above, the first change after a pause still goes to all at 20 ms, and the next report follows at the earliest after (n - 1) / 200 s. Above 151 hosts that would be too rare for a report that is valid for 2.2 s: it goes to some hosts of each failure domain, in turns, and these pass it on once within their domain. A report that is passed on keeps its age, so that it expires as a direct one does, and one from before its host's removal is dropped. News of crashes and of leaving engines goes to all hosts directly 20 ms after it, at any size. New fields stand at the end of a report; older builds ignore them. on_report is gone, since nothing needs it.

Sequences were kept for each name ever heard (10,000 after 10,000 made-up names); now they end 10 s after a host's last report, and 4,000 hosts are kept at most. The renewals that hosts report are bounded in the same way.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -39,7 +39,9 @@
 from ._leaving import LeavingEngines
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterable
+    from collections.abc import Coroutine
+
+    from aspenbridge.fleet import PeerAddress
 
     from ._ports import EntryPorts
     from ._settings import EntrySettings
@@ -81,7 +83,7 @@
             settings.regions,
         )
         self.hosts = HostTable(clock)
-        self.hosts.on_removed = self.load_view.remove_host
+        self.hosts.on_removed = self._remove_host
         port = settings.peer_ports[0]
         self._heartbeat = Heartbeat(
             store,
@@ -98,10 +100,12 @@
         self.exchange = LoadExchange(
             self.incarnation,
             (settings.ip, port),
+            settings.failure_domain,
             self.load_view,
             self._peers,
             ports.datagrams,
             clock,
+            random,
         )
         self.exchange.heartbeat_age_s = lambda: self._heartbeat.age_s
         self.exchange.on_heartbeat = self.hosts.record_heartbeat
@@ -129,11 +133,11 @@
             random,
             settings.engine_heartbeat_s,
         )
-        self.quarantine.on_news = self.exchange.schedule_send
+        self.quarantine.on_news = self.exchange.announce
         self.exchange.notices = self.quarantine.notices
         self.exchange.on_notices = self.quarantine.apply_notices
         engine_caller = LeavingEngines(ports.engine_caller, engine_directory)
-        engine_caller.on_news = self.exchange.schedule_send
+        engine_caller.on_news = self.exchange.announce
         self.exchange.leaving = engine_directory.leaving
         self.exchange.on_leaving = engine_caller.apply_report
         self.relay = Relay(
@@ -183,7 +187,6 @@
         )
         self._job_directory.on_change = self.worker.head_changed
         self.load_view.on_capacity_change = self.worker.wake
-        self.exchange.on_report = self.worker.wake
         self._engine_copy.on_change = self._engines_changed
         self.configuration.on_change = self.worker.wake
         self._claims = JobClaims(
@@ -221,12 +224,21 @@
         self._health.keep_only(self._engine_directory.ids())
         self.worker.wake()
 
-    def _peers(self) -> Iterable[tuple[str, int]]:
-        return [
-            (record.ip, record.port)
-            for record in self.hosts.live()
+    def _peers(self) -> dict[PeerAddress, str]:
+        """Return the failure domains of the hosts to report to, by address."""
+        return {
+            (record.ip, record.port): record.failure_domain
+            for record in self.hosts.listed()
             if record.incarnation != self.incarnation
-        ]
+            and (
+                self.hosts.is_live(record.incarnation)
+                or self.exchange.has_heard(record.incarnation)
+            )
+        }
+
+    def _remove_host(self, incarnation: str) -> None:
+        self.load_view.remove_host(incarnation)
+        self.exchange.remove_host(incarnation)
 
     @property
     def ready(self) -> bool:
--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._datagrams import Datagrams, UdpDatagrams
+from ._datagrams import Datagrams, PeerAddress, UdpDatagrams
 from ._engines import EngineDirectory, EngineEntry
 from ._exchange import CrashNotices, LoadExchange
 from ._follower import Follower, TableCopy
@@ -52,6 +52,7 @@
     "HostTable",
     "LoadExchange",
     "LoadView",
+    "PeerAddress",
     "Reachability",
     "Refused",
     "RequestLimits",
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -27,6 +27,7 @@
 # A host that renewed its row within this time, two and a half heartbeats,
 # reaches the store.
 STORE_REACHED_S = 2.5
+MAX_REPORTED_HOSTS = 4_000  # above it, reports too old to count are dropped
 LIVENESS_TIMEOUT_S = 3.2  # three heartbeats, and the delivery of the last one
 
 
@@ -81,10 +82,20 @@
         The report is needed because a feed may deliver nothing for seconds
         without an error.
         """
+        if len(self._reported_s) >= MAX_REPORTED_HOSTS:
+            self._drop_old_reports()
         heartbeat_s = self._clock.now_s() - age_s
         previous_s = self._reported_s.get(incarnation, heartbeat_s)
         self._reported_s[incarnation] = max(previous_s, heartbeat_s)
 
+    def _drop_old_reports(self) -> None:
+        oldest_s = self._clock.now_s() - LIVENESS_TIMEOUT_S
+        self._reported_s = {
+            incarnation: renewed_s
+            for incarnation, renewed_s in self._reported_s.items()
+            if renewed_s >= oldest_s
+        }
+
     def store_recovered(self) -> None:
         """Give every listed host time to renew its row after an outage."""
         now_s = self._clock.now_s()
--- a/src/aspenbridge_bench/_host_profile.py
+++ b/src/aspenbridge_bench/_host_profile.py
@@ -24,6 +24,7 @@
     Peers,
     engine_rows,
     stream_events,
+    traffic,
 )
 
 from ._processes import LOOPBACK, wait_listening
@@ -39,8 +40,8 @@
 VIRTUAL_HOST = "a.example"
 ENGINES_PER_HOST = 2 / 3
 REQUESTS_PER_S = 3.0
-IDLE_REPORTS_PER_S = 1.0  # the repeated ones
-LOADED_REPORTS_PER_S = 7.0  # of each host, on a grown deployment's heavy day
+IDLE_CHANGES_PER_S = 1.0  # the repeated reports
+LOADED_CHANGES_PER_S = 7.0  # of each host, on a grown deployment's heavy day
 OK = 200
 WARM_UP_S = 4.0  # longer than a silent host is live
 SETTINGS = """
@@ -77,18 +78,18 @@
 
     name: str
     renewing: bool = True
-    reports_per_s: float = 0.0  # of each other host
+    changes_per_s: float = 0.0  # of the load of each other host
     requests_per_s: float = 0.0
 
 
 PHASES = (
     Phase("alone", renewing=False),
     Phase("rows renewed"),
-    Phase("idle fleet", reports_per_s=IDLE_REPORTS_PER_S),
-    Phase("reports of a loaded fleet", reports_per_s=LOADED_REPORTS_PER_S),
+    Phase("idle fleet", changes_per_s=IDLE_CHANGES_PER_S),
+    Phase("reports of a loaded fleet", changes_per_s=LOADED_CHANGES_PER_S),
     Phase(
         "requests",
-        reports_per_s=LOADED_REPORTS_PER_S,
+        changes_per_s=LOADED_CHANGES_PER_S,
         requests_per_s=REQUESTS_PER_S,
     ),
 )
@@ -206,7 +207,7 @@
     async def measure(self, phase: Phase, seconds: float) -> PhaseCost:
         """Run a phase for a number of seconds and return its cost."""
         self._peers.renewing = phase.renewing
-        self._peers.reports_per_s = phase.reports_per_s
+        self._peers.traffic = traffic(self._hosts - 1, phase.changes_per_s)
         callers = self._start(self._call(phase.requests_per_s))
         await asyncio.sleep(WARM_UP_S)
         calls, datagrams = Counter(self._store.calls), Counter(self._peers.counts)
--- a/src/aspenbridge_standins/entry_platform.py
+++ b/src/aspenbridge_standins/entry_platform.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import bisect
+import math
 import random
 import time
 from collections import Counter, defaultdict
@@ -19,7 +20,18 @@
 from aiohttp import web
 
 from aspenbridge.fleet import HOSTS_TABLE, HostRecord
-from aspenbridge.fleet._exchange import LoadReport
+from aspenbridge.fleet._exchange import (
+    MAX_HOLD_S,
+    MAX_PASSED_ON_BYTES,
+    LoadReport,
+    PassedOnReport,
+)
+from aspenbridge.fleet._fanout import (
+    COPIES,
+    DIRECT_PEERS,
+    direct_interval_s,
+    plan_fanout,
+)
 from aspenbridge.platform import _names as names
 from aspenbridge.store import encode_record
 from aspenbridge.store._records import TOKEN_BYTES
@@ -31,11 +43,15 @@
 KEPT_CHANGES = 2000  # of each table
 HEARTBEAT_S = 1.0
 TICK_S = 0.01
+DOMAINS = 3
 ENGINES_IN_REPORT = 4
+PASSED_ON_AGE_S = 0.1
+PASSED_ON_BYTES = 112  # of a report with so many engines
 EVENTS = 20
 EVENT_INTERVAL_S = 0.02
 
 Fields = dict[str, Any]
+Load = tuple[str, int, list[tuple[str, int, int]], int, float, float]
 
 
 class EntryStore:
@@ -135,6 +151,7 @@
     record: HostRecord
     counts: Counter[str]
     sequence: int = 0
+    engines: list[tuple[str, int, int]] = attrs.field(factory=list)
     transport: asyncio.DatagramTransport = attrs.field(init=False)
 
     def connection_made(self, transport: Any) -> None:
@@ -151,7 +168,7 @@
     The other hosts: they renew their rows and report their load to one host.
 
     :ivar renewing: whether they renew their rows each second.
-    :ivar reports_per_s: how many reports each of them makes in a second.
+    :ivar traffic: the reports that the measured host receives.
     :ivar counts: datagrams and bytes sent to and by the measured host.
     """
 
@@ -159,7 +176,7 @@
     target: tuple[str, int]
     engine_ids: list[str]
     renewing: bool = False
-    reports_per_s: float = 0.0
+    traffic: Traffic = attrs.field(factory=lambda: Traffic(0.0, 0.0))
     counts: Counter[str] = attrs.field(factory=Counter)
     _peers: list[_Peer] = attrs.field(factory=list)
     _random: random.Random = attrs.field(factory=lambda: random.Random(1))
@@ -174,7 +191,7 @@
                 incarnation=f"host-{number:03}-{number:012x}",
                 ip=ip,
                 port=port,
-                failure_domain=f"domain-{number % 3}",
+                failure_domain=f"domain-{number % DOMAINS}",
                 beat=0,
             )
             peer = _Peer(record, self.counts)
@@ -200,36 +217,84 @@
             now_s = time.monotonic()
             elapsed_s, last_s = now_s - last_s, now_s
             rows_due += self.renewing * len(self._peers) * elapsed_s / HEARTBEAT_S
-            reports_due += self.reports_per_s * len(self._peers) * elapsed_s
+            reports_due += self.traffic.messages_per_s * elapsed_s
             while rows_due >= 1:
                 rows_due -= 1
                 row_number += 1
                 self._renew(self._peers[row_number % len(self._peers)])
             while reports_due >= 1:
                 reports_due -= 1
-                self._report(self._random.choice(self._peers))
+                self._report(self.traffic)
 
     def _renew(self, peer: _Peer) -> None:
         peer.record = attrs.evolve(peer.record, beat=peer.record.beat + 1)
         row = encode_record(peer.record, bytes(TOKEN_BYTES))
         self.store.write(HOSTS_TABLE, peer.record.host, row)
 
-    def _report(self, peer: _Peer) -> None:
-        peer.sequence += 1
-        engines = self._random.sample(self.engine_ids, ENGINES_IN_REPORT)
-        report = LoadReport(
-            peer.record.incarnation,
-            peer.sequence,
-            [(engine, 1, 0) for engine in engines],
-            0,
-            0.0,
-            0.5,
-        )
+    def _report(self, traffic: Traffic) -> None:
+        """Send one report, as a near host does or as one of another domain."""
+        peer, near = self._random.choice(self._peers), self._random.random()
+        report = LoadReport(*self._load(peer, traffic))
+        if near < traffic.near_share:
+            others = self._random.choices(self._peers, k=traffic.passed_on)
+            passed_on = [
+                PassedOnReport(*self._load(other, traffic), PASSED_ON_AGE_S)
+                for other in others
+            ]
+            report = msgspec.structs.replace(report, passed_on=tuple(passed_on))
         data = msgspec.msgpack.encode(report)
         self.counts["received"] += 1
         self.counts["received_bytes"] += len(data)
         peer.transport.sendto(data, self.target)
 
+    def _load(self, peer: _Peer, traffic: Traffic) -> Load:
+        """Return a peer's report; it makes a new one at its usual rate."""
+        sequence = 1 + int(time.monotonic() * traffic.reports_per_s)
+        if sequence > peer.sequence or traffic.passed_on == 0:
+            peer.sequence = max(sequence, peer.sequence + 1)
+            sample = self._random.sample(self.engine_ids, ENGINES_IN_REPORT)
+            peer.engines = [(engine, 1, 0) for engine in sample]
+        return peer.record.incarnation, peer.sequence, peer.engines, 0, 0.0, 0.5
+
+
+@attrs.frozen
+class Traffic:
+    """
+    The reports that one host receives.
+
+    :ivar reports_per_s: how many reports each other host makes in a second.
+    :ivar near_share: the share of messages from the own failure domain.
+    :ivar passed_on: the reports of other hosts in each of these.
+    """
+
+    messages_per_s: float
+    reports_per_s: float
+    near_share: float = 0.0
+    passed_on: int = 0
+
+
+def traffic(peers: int, changes_per_s: float) -> Traffic:
+    """
+    Return what a host receives in a fleet.
+
+    :param peers: the number of other hosts.
+    :param changes_per_s: how often the load of each of them changes.
+    """
+    if not changes_per_s:
+        return Traffic(0.0, 0.0)
+    if peers <= DIRECT_PEERS:
+        interval_s = direct_interval_s(peers)
+        rate = min(changes_per_s, 1 / interval_s if interval_s else changes_per_s)
+        return Traffic(peers * rate, rate)
+    fanout = plan_fanout(peers + 1, DOMAINS)
+    rate = min(changes_per_s, 1 / fanout.interval_s)
+    near_per_s = fanout.near * max(rate, 1 / MAX_HOLD_S)
+    far_per_s = fanout.far * (DOMAINS - 1) * rate
+    most = MAX_PASSED_ON_BYTES // PASSED_ON_BYTES
+    passed_on = min(most, math.ceil(COPIES * peers * rate / near_per_s))
+    messages_per_s = near_per_s + far_per_s
+    return Traffic(messages_per_s, rate, near_per_s / messages_per_s, passed_on)
+
 
 def engine_rows(
     engine_ids: Iterable[str], address: str, failure_domain: str, service: str
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
 from aspenbridge.fleet import CrashNotices, LoadExchange, LoadView
-from aspenbridge.fleet._exchange import MAX_LEAVING_ENGINES, LoadReport
+from aspenbridge.fleet._exchange import MAX_LEAVING_ENGINES, LoadReport, PassedOnReport
 from tests.support.entry_fleet import MemoryDatagrams
 from tests.support.virtual_loop import run_virtual
 
@@ -30,20 +32,31 @@
 
 def make_exchange(clock, datagrams):
     return LoadExchange(
-        "h0", ADDRESS, LoadView(clock), lambda: [PEER], datagrams, clock
+        "h0",
+        ADDRESS,
+        "a-1",
+        LoadView(clock),
+        lambda: {PEER: "a-1"},
+        datagrams,
+        clock,
+        random.Random(1),
     )
 
 
-def test_hosts_of_builds_with_and_without_leaving_engines_read_each_others_reports():
+def test_hosts_of_builds_with_and_without_newer_fields_read_each_others_reports():
     older = msgspec.msgpack.encode(OlderReport(*FIELDS, NOTICES))
-    newer = msgspec.msgpack.encode(LoadReport(*FIELDS, NOTICES, LEAVING))
+    passed_on = (PassedOnReport("h2", 7, [("e1", 1, 0)], 0, 0.0, 0.5, 0.1),)
+    newer = msgspec.msgpack.encode(
+        LoadReport(*FIELDS, NOTICES, LEAVING, True, passed_on)
+    )
     read = msgspec.msgpack.decode(older, type=LoadReport)
     assert read == LoadReport(*FIELDS, NOTICES)
-    assert read.leaving == ()
+    assert (read.leaving, read.pass_on, read.passed_on) == ((), False, ())
     assert msgspec.msgpack.decode(newer, type=OlderReport) == OlderReport(
         *FIELDS, NOTICES
     )
-    assert msgspec.msgpack.decode(newer, type=LoadReport).leaving == LEAVING
+    read = msgspec.msgpack.decode(newer, type=LoadReport)
+    assert (read.leaving, read.pass_on, read.passed_on) == (LEAVING, True, passed_on)
 
 
 def test_exchange_applies_reports_of_older_builds():
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 import msgspec
@@ -384,10 +385,17 @@
 def test_load_report_of_nested_arrays_without_end_is_dropped():
     async def check(clock):
         exchange = LoadExchange(
-            "h0", ADDRESS, LoadView(clock), lambda: [], MemoryDatagrams(), clock
+            "h0",
+            ADDRESS,
+            "a-1",
+            LoadView(clock),
+            dict,
+            MemoryDatagrams(),
+            clock,
+            random.Random(1),
         )
         heard = []
-        exchange.on_report = lambda: heard.append("report")
+        exchange.on_heartbeat = lambda host, age_s: heard.append("report")
         fields = LoadReport("h1", 1, [], 0, 0.0, 0.0)
         encoded = msgspec.msgpack.encode(fields)
         nested = bytes([encoded[0] + 1]) + encoded[1:] + b"\x91" * 60_000
