--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import Refused, place_online
+from aspenbridge.fleet import Refused
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Set
     from random import Random
 
     from aspenbridge.fleet import EngineEntry, EngineView, Route
@@ -41,19 +41,22 @@
             only if there is no other.
         :param waited_s: how long the caller has already waited.
         """
-        candidates = self._view.candidates(service, exclude=tried)
-        if not candidates and tried:
-            candidates = self._view.candidates(service)
         wait_budget_s = max(0.0, route.latency_goal_s * QUEUE_SHARE - waited_s)
-        placed = place_online(candidates, wait_budget_s)
+        placed = self._view.place(service, wait_budget_s, exclude=tried)
+        if isinstance(placed, Refused) and tried and not placed.engines:
+            placed = self._view.place(service, wait_budget_s)
         if isinstance(placed, Refused):
             spread = self._random.uniform(1.0, RETRY_SPREAD)
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
 
+    def place_among(self, service: str, engine_ids: Set[str]) -> EngineEntry | None:
+        """Return one of some engines that has a free slot, if any."""
+        return self._view.place_among(service, engine_ids)
+
     def place_elsewhere(
         self, service: str, exclude: Collection[str]
     ) -> EngineEntry | None:
         """Return an engine with a free slot that is not excluded, if any."""
-        placed = place_online(self._view.candidates(service, exclude=exclude), 0.0)
+        placed = self._view.place(service, 0.0, exclude=exclude)
         return None if isinstance(placed, Refused) else placed
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -23,6 +23,7 @@
 
     from aspenbridge.fleet import (
         Configuration,
+        EngineEntry,
         EngineHealth,
         LoadView,
         Route,
@@ -150,18 +151,29 @@
 
     async def _begin_attempt(self, progress: Progress) -> Attempt | str:
         """Send the request to an engine, or fail it and return the outcome."""
-        placed = self._placement.place(
-            progress.service,
-            progress.route,
-            progress.tried,
-            self._clock.now_s() - progress.received_s,
-        )
+        if self._remaining_s(progress) <= 0:
+            return await self._fail(progress, Refused(RETRY_AFTER_S))
+        placed = self._place(progress)
         if isinstance(placed, Refused):
             return await self._fail(progress, placed)
         if not await self._quarantine.begin_run(progress.fingerprint):
             return await self._fail_quarantined(progress)
         return self._attempts.start(progress, placed)
 
+    def _place(self, progress: Progress) -> EngineEntry | Refused:
+        placed: EngineEntry | Refused = Refused(RETRY_AFTER_S)
+        if progress.new_engines_left > 0:
+            placed = self._placement.place(
+                progress.service,
+                progress.route,
+                progress.tried,
+                self._clock.now_s() - progress.received_s,
+            )
+        if isinstance(placed, Refused):
+            again = self._placement.place_among(progress.service, progress.left_silent)
+            placed = again or placed
+        return placed
+
     def _may_retry(self, progress: Progress) -> bool:
         """
         Return whether to try again after a failed attempt.
@@ -170,8 +182,10 @@
         engine can have run it. ``may_switch_engine`` applies during an
         attempt: it requires a repeatable request and another attempt left.
         """
-        remaining_s = progress.call.deadline_s - self._clock.now_s()
-        return progress.may_send_again and remaining_s > MIN_ATTEMPT_S
+        return progress.may_send_again and self._remaining_s(progress) > MIN_ATTEMPT_S
+
+    def _remaining_s(self, progress: Progress) -> float:
+        return progress.call.deadline_s - self._clock.now_s()
 
     async def _fail_quarantined(self, progress: Progress) -> str:
         retry_after_s = self._quarantine.retry_after_s(progress.fingerprint)
@@ -202,15 +216,20 @@
             return "answered"
         if progress.may_have_run:
             detail = "the engine may have run the request"
-            await progress.writer.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
+            await progress.refuse(Problem(ResultCode.OUTCOME_UNKNOWN, detail))
             return "unknown"
-        overloaded = Problem(
+        await progress.refuse(problem or self._not_run_problem(progress, refused))
+        return "refused"
+
+    def _not_run_problem(self, progress: Progress, refused: Refused) -> Problem:
+        if self._remaining_s(progress) <= 0:
+            detail = "the deadline passed before an engine ran the request"
+            return Problem(ResultCode.DEADLINE_BEFORE_RUN, detail)
+        return Problem(
             ResultCode.OVERLOADED,
             "no engine can serve in time",
             retry_after_s=refused.retry_after_s,
         )
-        await progress.writer.refuse(problem or overloaded)
-        return "refused"
 
     async def _relay_answer(self, progress: Progress, attempt: Attempt) -> None:
         """
@@ -283,6 +302,7 @@
             configuration=version,
             outcome=outcome,
             status=progress.status,
+            code=progress.problem and int(progress.problem.code),
             streams=progress.answer and progress.answer.streams,
             body_end=progress.answer and progress.answer.body_end.value,
             events=progress.events_sent,
