--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from ._datagrams import Datagrams, UdpDatagrams
+from ._datagrams import Datagrams, PeerAddress, UdpDatagrams
 from ._engines import EngineDirectory, EngineEntry
 from ._exchange import CrashNotices, LoadExchange
 from ._follower import Follower, TableCopy
 from ._health import EngineHealth
-from ._hosts import HOSTS_TABLE, Heartbeat, HostRecord, HostTable, rank
+from ._hosts import (
+    HOSTS_TABLE,
+    READ_INTERVAL_S,
+    Heartbeat,
+    HostRecord,
+    HostTable,
+    rank,
+)
 from ._load import NO_BACKLOG, EngineLoad, LoadView
 from ._placement import Candidate, Refused, place_online
 from ._preemption import items_to_preempt
@@ -27,6 +34,7 @@
     "FRESH_LIMIT_S",
     "HOSTS_TABLE",
     "NO_BACKLOG",
+    "READ_INTERVAL_S",
     "Backlog",
     "CallKind",
     "Candidate",
@@ -44,6 +52,7 @@
     "HostTable",
     "LoadExchange",
     "LoadView",
+    "PeerAddress",
     "Reachability",
     "Refused",
     "RequestLimits",
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping, Set
 
     from ._engines import EngineDirectory, EngineEntry
     from ._health import EngineHealth
