Wait for a place when an engine breaks off and all others are full

Cause: a request that may run again and whose engine broke off was placed as one that has waited since its arrival, so that only a free slot would do, and when there was none its stream was cut (or it got 502) with seconds left.

It now queues as a new request does, and looks again each 0.1 s until its deadline or, for a stream, until callers abandon it. A request that has not run is refused at once, as before. A server error in hand is passed on. Logged as place_wait_ms. An engine asked again must still be of the request's service.

--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -147,7 +147,7 @@
                 progress.service, {*progress.broken_at, attempt.engine.id}
             )
         if placed is None and attempt.head is None:
-            placed = self._placement.place_among(progress.left_silent)
+            placed = self._placement.place_among(progress.service, progress.left_silent)
         return None if placed is None else self._attempts.start(progress, placed)
 
     async def _settle(
--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -50,9 +50,12 @@
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
 
-    def place_among(self, engine_ids: Collection[str]) -> EngineEntry | None:
+    def place_among(
+        self, service: str, engine_ids: Collection[str]
+    ) -> EngineEntry | None:
         """Return one of some engines that may get a request now, if any."""
-        return next(iter(self._view.usable(sorted(engine_ids))), None)
+        usable = self._view.usable(sorted(engine_ids))
+        return next((entry for entry in usable if entry.service == service), None)
 
     def place_elsewhere(
         self, service: str, exclude: Collection[str]
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -14,7 +14,13 @@
 from ._attempt import Attempt, HandedOverError
 from ._attempts import Attempts
 from ._events import EventSplitter
-from ._failover import MIN_ATTEMPT_S, SERVER_ERROR, Failover, status_error
+from ._failover import (
+    MIN_ATTEMPT_S,
+    PLACEMENT_INTERVAL_S,
+    SERVER_ERROR,
+    Failover,
+    status_error,
+)
 from ._reading import read_events, read_whole
 from ._request import Progress
 
@@ -153,24 +159,50 @@
         """Send the request to an engine, or fail it and return the outcome."""
         if self._remaining_s(progress) <= 0:
             return await self._fail(progress, Refused(RETRY_AFTER_S))
-        placed = self._place(progress)
+        placed = await self._await_place(progress)
         if isinstance(placed, Refused):
             return await self._fail(progress, placed)
         if not await self._quarantine.begin_run(progress.fingerprint):
             return await self._fail_quarantined(progress)
         return self._attempts.start(progress, placed)
 
+    async def _await_place(self, progress: Progress) -> EngineEntry | Refused:
+        """
+        Return an engine, or a refusal if none has a place.
+
+        A request that may have run has an answer to lose, and waits for a
+        place; one that has not run is refused at once.
+        """
+        placed = self._place(progress)
+        while isinstance(placed, Refused) and self._may_wait(progress):
+            await self._clock.sleep_until(self._clock.now_s() + PLACEMENT_INTERVAL_S)
+            progress.place_wait_s += PLACEMENT_INTERVAL_S
+            placed = self._place(progress)
+        return placed
+
+    def _may_wait(self, progress: Progress) -> bool:
+        if not progress.may_have_run:
+            return False
+        if progress.failed_answer is not None and not progress.begun:
+            return False
+        wait_s = self._remaining_s(progress) - MIN_ATTEMPT_S
+        if progress.route.kind is CallKind.STREAMING:
+            wait_s = min(wait_s, progress.abandoned_s - self._clock.now_s())
+        return wait_s > PLACEMENT_INTERVAL_S
+
     def _place(self, progress: Progress) -> EngineEntry | Refused:
         placed: EngineEntry | Refused = Refused(RETRY_AFTER_S)
+        # One that may have run queues as a new one does, not after them all.
+        waited_s = self._clock.now_s() - progress.received_s
         if progress.new_engines_left > 0:
             placed = self._placement.place(
                 progress.service,
                 progress.route,
                 progress.tried,
-                self._clock.now_s() - progress.received_s,
+                0.0 if progress.may_have_run else waited_s,
             )
         if isinstance(placed, Refused):
-            again = self._placement.place_among(progress.left_silent)
+            again = self._placement.place_among(progress.service, progress.left_silent)
             placed = again or placed
         return placed
 
@@ -255,8 +287,9 @@
     ) -> None:
         progress.events.restart()
         async for events in read_events(head, chunks, progress.events):
+            progress.last_event_s = self._clock.now_s()
             if progress.first_event_s is None:
-                progress.first_event_s = self._clock.now_s()
+                progress.first_event_s = progress.last_event_s
             if not progress.begun:
                 await progress.begin(head)
             data = b"".join(event.raw for event in events)
@@ -315,6 +348,7 @@
             retry_after_ms=progress.refused
             and round(progress.refused.retry_after_s * 1000),
             sends=progress.failed_sends + (outcome == "answered"),
+            place_wait_ms=round(progress.place_wait_s * 1000),
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
         )
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -14,6 +14,12 @@
     from ._events import EventSplitter
 
 
+# Callers abandon a stream at the longest of these gaps without data.
+ABANDONED_GAP_S = 2.0
+ABANDONED_LATENCY_GOALS = 4
+ABANDONED_GAP_GOALS = 8
+
+
 @attrs.frozen
 class CallerRequest:
     """A request as its caller sent it, with its whole body."""
@@ -82,9 +88,21 @@
     events_sent: int = 0  # of all attempts
     bytes_sent: int = 0
     first_event_s: float | None = None
+    last_event_s: float | None = None  # when data were last sent to the caller
+    place_wait_s: float = 0.0  # for a place, after an attempt that failed
     refused: Refused | None = None  # set when the request has failed
     problem: Problem | None = None  # what the caller was told in that case
 
+    @property
+    def abandoned_s(self) -> float:
+        """When the caller of a stream that gets no more data abandons it."""
+        gap_s = max(
+            ABANDONED_GAP_S,
+            ABANDONED_LATENCY_GOALS * self.route.latency_goal_s,
+            ABANDONED_GAP_GOALS * self.route.event_gap_goal_s,
+        )
+        return (self.last_event_s or self.received_s) + gap_s
+
     @property
     def begun(self) -> bool:
         """Whether the head of an answer was sent to the caller."""
--- a/tests/relay/test_silent_engines.py
+++ b/tests/relay/test_silent_engines.py
@@ -187,6 +187,38 @@
     with_fleet(check)
 
 
+BREAKS = [Fault(break_after=4), Fault(outcome=CallOutcome.BROKEN, delay_s=0.05)]
+
+
+@pytest.mark.parametrize("fault", BREAKS)
+def test_stream_that_breaks_off_waits_for_a_place_while_all_others_are_full(fault):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [fault]
+        fill(fleet, *fleet.entries, online=16)
+        fleet.hosts["h0"].load_view.add("e0", online=-16)
+        request = asyncio.create_task(fleet.relay("h0", make_request()))
+        await asyncio.sleep(1.5)
+        fleet.hosts["h0"].load_view.add("e1", online=-16)
+        reply = await request
+        assert (reply.body, reply.finished) == (stream_of(10), True)
+
+    with_fleet(check)
+
+
+@pytest.mark.parametrize("fault", BREAKS)
+def test_wait_for_a_place_ends_when_callers_abandon_the_stream(fault):
+    async def check(fleet):
+        fleet.engines.faults["r1"] = [fault]
+        fill(fleet, *fleet.entries, online=16)
+        fleet.hosts["h0"].load_view.add("e0", online=-16)
+        started_s = fleet.clock.now_s()
+        reply = await fleet.relay("h0", make_request())
+        assert reply.aborted or reply.status == 502
+        assert 1.8 <= fleet.clock.now_s() - started_s <= 2.5
+
+    with_fleet(check)
+
+
 def test_silence_without_end_ends_the_answer_at_the_routes_limit():
     async def check(fleet):
         fleet.engines.faults["r1"] = [Fault(pause_at=4, pause_s=60.0)]
