--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -61,6 +61,14 @@
             return attrs.evolve(placed, engines=engines)
         return placed
 
+    def place_among(self, service: str, engine_ids: Set[str]) -> EngineEntry | None:
+        """Return one of some engines that has a free slot, if any."""
+        if not engine_ids:
+            return None
+        usable = sorted(engine_ids - self._health.paused())
+        placed = place_online(self._index.candidates(service, usable), 0.0)
+        return None if isinstance(placed, Refused) else placed
+
     def free_slots(self, services: Collection[str]) -> dict[str, int]:
         """
         Return the number of free slots for batch items, by engine.
--- a/src/aspenbridge/relay/_placement.py
+++ b/src/aspenbridge/relay/_placement.py
@@ -7,7 +7,7 @@
 from aspenbridge.fleet import Refused
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Set
     from random import Random
 
     from aspenbridge.fleet import EngineEntry, EngineView, Route
@@ -50,19 +50,9 @@
             return Refused(placed.retry_after_s * spread, placed.engines)
         return placed
 
-    def place_among(
-        self, service: str, engine_ids: Collection[str]
-    ) -> EngineEntry | None:
+    def place_among(self, service: str, engine_ids: Set[str]) -> EngineEntry | None:
         """Return one of some engines that has a free slot, if any."""
-        if not engine_ids:
-            return None
-        candidates = [
-            candidate
-            for candidate in self._view.candidates(service)
-            if candidate.engine.id in engine_ids
-        ]
-        placed = place_online(candidates, 0.0)
-        return None if isinstance(placed, Refused) else placed
+        return self._view.place_among(service, engine_ids)
 
     def place_elsewhere(
         self, service: str, exclude: Collection[str]
