--- a/src/aspenbridge/jobs/_running.py
+++ b/src/aspenbridge/jobs/_running.py
@@ -115,6 +115,8 @@
                 self._load_view.own_load(engine_id),
                 self._load_view.loads_by_host(engine_id),
             )
+            if not count:
+                continue  # the other hosts stop theirs
             for run in self._preemption_candidates(engine_id)[:count]:
                 metrics.ITEM_YIELDS.inc()
                 run.log(
