Answer callers that end only their sending side

aiohttp closes a connection when its caller sends no more, and cancels the request. A caller that shuts down its side after a whole request, as HTTP allows, got no answer at all; around a stop of the host it counts as cut off.

Such a connection is now kept while requests on it are unanswered, and probed with interim responses: a caller that has left altogether resets it, one that is there acknowledges the bytes.

--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -4,9 +4,14 @@
 
 import asyncio
 from collections import deque
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
+
+from ._departures import DepartureWatch
+
+if TYPE_CHECKING:
+    from aiohttp import StreamReader
 
 CONNECTION = "Connection"
 CLOSE = "close"
@@ -24,10 +29,16 @@
     A connection that closes only when it has answered what it has read.
 
     aiohttp's own one drops the requests behind a response after which it
-    closes.
+    closes, and all requests of a caller that ends its side of the connection.
     """
 
-    __slots__ = ("_arrivals_s", "close_announced")
+    __slots__ = (
+        "_arrivals_s",
+        "_departure_watch",
+        "_finished_responses",
+        "_last_request",
+        "close_announced",
+    )
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
@@ -35,6 +46,11 @@
         self.close_announced = False
         # When the heads came that are not handled yet, by the loop's clock.
         self._arrivals_s: deque[float] = deque()
+        self._finished_responses = 0
+        # The head that was read last, and the body behind it.
+        self._last_request: tuple[object, StreamReader] | None = None
+        # Set once the caller has ended its side of the connection.
+        self._departure_watch: DepartureWatch | None = None
 
     def data_received(self, data: bytes) -> None:
         """Read data; note when each head of a request is complete."""
@@ -42,6 +58,45 @@
         super().data_received(data)
         arrived = self._request_count - known
         self._arrivals_s.extend([self._loop.time()] * arrived)
+        if arrived and self._messages:
+            self._last_request = self._messages[-1]
+
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """
+        Keep the connection for responses to requests that were read whole.
+
+        :return: whether the event loop leaves it open.
+        """
+        if self._departure_watch is not None:
+            return True
+        if self.transport is None or self._last_request is None or self._all_answered:
+            return False
+        if not self._last_request[1].is_eof():
+            return False
+        self._departure_watch = DepartureWatch(
+            self.transport, self._loop, self._may_probe
+        )
+        return True
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the request that is handled."""
+        if self._departure_watch is not None:
+            self._departure_watch.stop()
+        super().connection_lost(exc)
+
+    @property
+    def _all_answered(self) -> bool:
+        return self._finished_responses == self._request_count
+
+    def _may_probe(self) -> bool:
+        """Whether an interim response would stand between two responses."""
+        assert self._last_request is not None
+        request = self._current_request
+        if getattr(self._last_request[0], "version", None) != HttpVersion11:
+            return False
+        if request is None:
+            return not self._request_in_progress
+        return request.writer.output_size == 0
 
     def take_age_s(self) -> float:
         """Return for how long the request that is now handled has waited."""
@@ -75,6 +130,9 @@
             self.close_announced = True
             if not self._messages:
                 self.close()
+        self._finished_responses += 1
+        if self._departure_watch is not None and self._all_answered:
+            self.close()
         return finished
 
 
--- a/tests/support/raw_callers.py
+++ b/tests/support/raw_callers.py
@@ -12,6 +12,7 @@
 READ_PAUSE_S = 0.6  # before a slow reader begins
 CONTINUE_LIMIT_S = 3.0  # for the interim response that a caller waits for
 BODY = b"question"
+INTERIM = b"HTTP/1.1 1"
 
 
 class NoContinueError(AssertionError):
@@ -44,9 +45,15 @@
 
 
 async def read_response(reader) -> Reply:
-    """Read one response; status 0 if the connection ended before its head."""
+    """
+    Read one response, and skip interim ones before it.
+
+    It has status 0 if the connection ended before its head.
+    """
+    head = INTERIM
     try:
-        head = await reader.readuntil(b"\r\n\r\n")
+        while head.startswith(INTERIM):
+            head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError) as error:
         partial = getattr(error, "partial", b"")
         return Reply(0, partial, complete=False, headers={})
