Soak: wrong numbers, engines that crash together, 502 for applied writes

New kinds of callers and faults in the existing plans and tables: 3% of all requests carry a number that is none or a deadline that has passed; the store may apply a write, answer it with 502 and go away, and its open feeds end with it; all engines of one service fall silent; all engines but one crash within 0.2 s. A crashed engine now refuses connections, as a process that ended does; its link reset them before, which counts as a crash of each engine that was only asked. New checks in all plans: no 500 of our own, a 400 shows the wrong value, no refusal for crashes (3005) of a request that crashes no engine.

Found: 500s by a merge in the making, and refusals of innocent requests, kept in the plan bursts and in KNOWN-RED.txt.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -52,10 +52,8 @@
     )
     for seed in range(options.seed, options.seed + options.runs):
         oracle = run_seed(attrs.evolve(run, seed=seed), options.logs)
-        _print(
-            f"seed {seed}: {oracle.fault_counts.total()} faults,"
-            f" {oracle.violations[:2]}"
-        )
+        kinds = Counter(text.split(":")[0] for text in oracle.violations)
+        _print(f"seed {seed}: {oracle.fault_counts.total()} faults, {dict(kinds)}")
         faults += oracle.fault_counts
         responses += oracle.response_counts
         counted += oracle.answers.counted
--- a/tests/soak/_answers.py
+++ b/tests/soak/_answers.py
@@ -91,7 +91,8 @@
         self.counted += 1
         limit_s = min(limit_s for _, limit_s in routes)
         took_s = request.ended_s - request.begun_s
-        if request.whole and request.status in ANSWERED:
+        answered = request.status in ANSWERED or bool(request.wrong_headers)
+        if request.whole and answered:
             late = request.prefix == CALM_PREFIX and took_s > CALM_LIMIT_S
             return "calm request" if late else ""
         if request.ended_s > request.sent_s + limit_s + HELD_S:
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -10,7 +10,13 @@
 import aiohttp
 
 from ._answers import CALM_PREFIX
-from ._connections import CallerConnection, SentRequest, Style
+from ._connections import (
+    DEADLINE_HEADER,
+    WRONG_HEADERS,
+    CallerConnection,
+    SentRequest,
+    Style,
+)
 from ._engines import ATTEMPT_ID_HEADER, LARGE_NAME
 from ._oracle import SentJob
 
@@ -24,8 +30,9 @@
 SUBMIT_ATTEMPTS = 6
 REQUESTS_PER_CONNECTION = 10  # at most
 CALM_INTERVAL_S = 0.25  # between two calm requests to a host
+WRONG_SHARE = 0.03  # of all requests
 READ_WAIT_MS = 500  # how long a host may wait for results before it responds
-HEADERS = {"Host": "a.example", "X-Aspenbridge-Deadline-Ms": str(DEADLINE_MS)}
+HEADERS = {"Host": "a.example", DEADLINE_HEADER: str(DEADLINE_MS)}
 CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -71,9 +78,15 @@
             await self._use_connection(host, Style.PLAIN, CALM_PREFIX)
             await asyncio.sleep(CALM_INTERVAL_S)
 
-    async def send_crashing_request(self, path: str) -> None:
-        """Send a request that crashes engines, under a new id."""
-        await self._use_connection(self._random_host(), Style.PLAIN, "/free/", path)
+    async def send_again(self, path: str) -> bool:
+        """
+        Send a request with a certain path under a new id.
+
+        :return: whether it got a whole answer of an engine.
+        """
+        host = self._random_host()
+        await self._use_connection(host, Style.PLAIN, "/free/", path)
+        return path in self._oracle.answered_paths
 
     async def _use_connection(
         self,
@@ -112,8 +125,12 @@
         if prefix == "/once/":
             self._oracle.run_once_ids.add(request_id)
         self._oracle.record_sent(request_id, host.name)
-        path = path or prefix + LARGE_NAME * (style is Style.SLOW) + request_id
-        return SentRequest(request_id, path, prefix, host.name, style)
+        request = SentRequest(request_id, path, prefix, host.name, style)
+        if not path:
+            request.path = prefix + LARGE_NAME * (style is Style.SLOW) + request_id
+            if prefix != CALM_PREFIX and self._random.random() < WRONG_SHARE:
+                request.wrong_headers = self._random.choice(WRONG_HEADERS)
+        return request
 
     async def _exchange(
         self,
@@ -172,6 +189,7 @@
                 | {ATTEMPT_ID_HEADER: job.job_id, "Connection": "close"},
                 timeout=aiohttp.ClientTimeout(total=DEADLINE_MS / 1000),
             ) as response:
+                self._oracle.check_status(job.job_id, response.status, {})
                 await response.read()
                 return response.status
         except CONNECTION_ERRORS:
@@ -203,6 +221,7 @@
                 body = await response.read()
         except CONNECTION_ERRORS:
             return False
+        self._oracle.check_status(job.job_id, response.status, {})
         if response.status == 404:
             self._oracle.add_violation(
                 "nothing is lost", f"{job.job_id} at {host.name}: 404"
--- a/tests/soak/_connections.py
+++ b/tests/soak/_connections.py
@@ -38,6 +38,16 @@
     PAIR = "two in a row"
 
 
+DEADLINE_HEADER = "X-Aspenbridge-Deadline-Ms"
+# Headers of requests that are wrong, or whose deadline has passed.
+WRONG_HEADERS = [
+    {name: value}
+    for name in (DEADLINE_HEADER, "Last-Event-Id")
+    for value in ("-1", "1e999", "\u00b2", "9" * 5000)
+]
+WRONG_HEADERS.append({DEADLINE_HEADER: "0"})
+
+
 @attrs.define
 class SentRequest:
     """
@@ -50,6 +60,7 @@
     :ivar whole: whether the answer is complete.
     :ivar behind_close: whether the answer before it on its connection
         announced that the connection would be closed.
+    :ivar wrong_headers: one of ``WRONG_HEADERS``, or none.
     """
 
     request_id: str
@@ -63,6 +74,7 @@
     status: int = 0
     whole: bool = False
     behind_close: bool = False
+    wrong_headers: Mapping[str, str] = attrs.field(factory=dict)
     headers: Mapping[str, str] = attrs.field(factory=dict, repr=False)
     body: bytes = attrs.field(default=b"", repr=False)
 
@@ -117,12 +129,13 @@
         request.begun_s = now_s()
         data = request.path.encode()
         version = "1.0" if self._style is Style.OLD else "1.1"
-        lines = [
-            f"POST {request.path} HTTP/{version}",
-            "Host: a.example",
-            f"X-Aspenbridge-Attempt-Id: {request.request_id}",
-            f"X-Aspenbridge-Deadline-Ms: {self._deadline_ms}",
-        ]
+        fields = {
+            "Host": "a.example",
+            "X-Aspenbridge-Attempt-Id": request.request_id,
+            DEADLINE_HEADER: str(self._deadline_ms),
+        } | request.wrong_headers
+        lines = [f"POST {request.path} HTTP/{version}"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
         if self._style is Style.CHUNKS:
             lines.append("Transfer-Encoding: chunked")
             parts = [b"%x\r\n%b\r\n" % (len(x), x) for x in _halves(data)]
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -9,6 +9,7 @@
 from tests.support.platform_standins import STALE_READS_S
 
 from ._answers import Disturbance
+from ._callers import DEADLINE_MS
 from ._engines import CRASHING_PREFIX, LEAVING_HEADER, EngineFaults
 from ._hosts import DRAIN_S
 from ._links import LinkState
@@ -28,15 +29,20 @@
 SILENT_FEEDS_S = 4.0
 # Every host applies a new configuration and gets requests for it in this time.
 CONFIGURATION_APPLIED_S = 1.0
-# The longest drawn duration of a fault; pauses of hosts and faults of links to
-# the store last up to 1.5 times as long. It is longer than the time after
-# which a host without heartbeats counts as lost.
+# The longest drawn duration of a fault; pauses of hosts, outages of the store
+# and faults of links to it last up to 1.5 times as long. It is longer than the
+# time after which a host without heartbeats counts as lost.
 MAX_FAULT_S = 5.0
+LAST_WRITE_S = 1.0  # how long a store that goes away waits for a write
 CRASHING_S = (8.0, 20.0)  # how long a request that crashes engines is resent
 CRASHED_S = (1.0, 3.0)  # how long a crashed engine is down
+BURST_S = 0.2  # in which engines crash that do so together
+RESEND_INTERVAL_S = (0.05, 0.3)  # of a request without a whole answer
+INNOCENT_REQUESTS = 4  # sent as engines crash together
 SERIES = (3, 6)  # changes in a series of configurations or signals
 SERIES_INTERVAL_S = (0.02, 0.6)
 ENDLESS = "engine sends without end"
+TOGETHER = "engines crash together"  # breaks a promise, see KNOWN-RED.txt
 PLANNED = (
     "host stopped",
     "hosts reloaded",
@@ -45,11 +51,18 @@
     "engine leaves",
     "engines pause",
 )
-# The kinds of faults of a run; an empty plan has all.
+# The kinds of faults of a run; an empty plan has all but ``TOGETHER``.
 PLANS: dict[str, tuple[str, ...]] = {
     "all": (),
     "planned": PLANNED,
     "endless": (ENDLESS,),
+    "bursts": (
+        TOGETHER,
+        "engines pause",
+        "configurations changed",
+        "hosts reloaded",
+    ),
+    "store": ("store away", "store slow", "store loses answers"),
     "leaving": ("engine leaves", "engine leaves, store away", "engines pause"),
 }
 
@@ -92,6 +105,7 @@
             ("engine errs", self._engine_faulty),
             ("engine ends answers early", self._engine_ends_answers_early),
             ("engine crashed", self._engine_crashes),
+            (TOGETHER, self._engines_crash_together),
             ("engine drained", self._engine_drains),
             ("request crashes engines", self._request_crashes_engines),
             ("configurations changed", self._change_configurations),
@@ -101,7 +115,11 @@
             (ENDLESS, self._engine_endless),
         ]
         plan = PLANS[self._run.options.plan]
-        kinds = [kind for kind in kinds if not plan or kind[0] in plan]
+        kinds = [
+            kind
+            for kind in kinds
+            if kind[0] in plan or (not plan and kind[0] != TOGETHER)
+        ]
         first = [kind for kind in kinds if kind[0] == self._run.options.first_fault]
         while now_s() < until_s:
             name, fault = first.pop() if first else self._random.choice(kinds)
@@ -187,8 +205,13 @@
             await asyncio.sleep(self._random.uniform(*SERIES_INTERVAL_S))
 
     async def _store_unavailable(self) -> None:
-        duration_s = self._draw_duration_s()
-        self._add_stale_period(duration_s)
+        """Have the store refuse calls, perhaps from an applied write on."""
+        duration_s = self._draw_duration_s() * 1.5
+        self._add_stale_period(duration_s + LAST_WRITE_S)
+        if self._random.random() < 0.5:
+            self._run.store.fails_with_next_new_row = True
+            await asyncio.sleep(LAST_WRITE_S)
+        self._run.store.fails_with_next_new_row = False
         self._run.store.unavailable = True
         await asyncio.sleep(duration_s)
         self._run.store.unavailable = False
@@ -259,13 +282,13 @@
 
     async def _engine_ends_answers_early(self) -> None:
         """Have all engines end half of their answers in drawn ways."""
-        await self._set_faults(EngineFaults(draw_end=0.5), everywhere=True)
+        await self._set_faults(EngineFaults(draw_end=0.5), self._run.engines)
 
     async def _engine_crashes(self) -> None:
-        """Reset an engine's connections for good, and start another engine."""
+        """Have an engine go down for good, and start another engine."""
         engine = self._random.choice(self._run.engines)
         self._run.engines.remove(engine)
-        engine.link.set(LinkState.RESET)
+        engine.link.set(LinkState.DOWN)
         await asyncio.sleep(0.5)
         self._run.store.write("servers", engine.name, None)
         await self._run.add_engine(engine.service)
@@ -278,15 +301,33 @@
         while now_s() < until_s:
             copies = self._random.choice((1, 1, 2))
             await asyncio.gather(
-                *(self._run.callers.send_crashing_request(path) for _ in range(copies))
+                *(self._run.callers.send_again(path) for _ in range(copies))
             )
             await asyncio.sleep(self._random.uniform(0.1, 1.0))
 
+    async def _engines_crash_together(self) -> None:
+        """Crash all engines but one under requests that are sent again."""
+        number = self.counts[TOGETHER]
+        paths = [f"/free/innocent-{number}-{n}" for n in range(INNOCENT_REQUESTS)]
+        tasks = [asyncio.create_task(self._send_until_answered(p)) for p in paths]
+        engines = list(self._run.engines)
+        for engine in self._random.sample(engines, len(engines) - 1):
+            await asyncio.sleep(self._random.uniform(0.0, BURST_S / len(engines)))
+            self._crash_engine(engine, "")
+        await asyncio.gather(*tasks)
+
+    async def _send_until_answered(self, path: str) -> None:
+        """Send a request again within its deadline, as clients do."""
+        until_s = now_s() + DEADLINE_MS / 1000
+        while now_s() < until_s and not await self._run.callers.send_again(path):
+            await asyncio.sleep(self._random.uniform(*RESEND_INTERVAL_S))
+
     def _crash_engine(self, engine: EngineStandIn, path: str) -> None:
-        """Reset an engine's connections; it returns, or another one comes."""
-        if engine.link.state is not LinkState.RESET:
-            self._run.oracle.crashed_s.setdefault(path, []).append(now_s())
-            engine.link.set(LinkState.RESET)
+        """Have an engine go down; it returns, or another one comes."""
+        if engine.link.state is not LinkState.DOWN:
+            if path:
+                self._run.oracle.crashed_s.setdefault(path, []).append(now_s())
+            engine.link.set(LinkState.DOWN)
             self._start(self._engine_returns(engine), "engine returns")
 
     async def _engine_returns(self, engine: EngineStandIn) -> None:
@@ -331,18 +372,22 @@
         return engine
 
     async def _engines_pause(self) -> None:
-        """Have one engine or all be silent for a while in their answers."""
-        faults = EngineFaults(pause=self._random.uniform(0.3, 1.0))
-        await self._set_faults(faults, everywhere=self._random.random() < 0.5)
+        """Have an engine, a service or all be silent in their answers."""
+        share = self._random.choice((self._random.uniform(0.3, 1.0), 1.0))
+        engines = self._run.engines
+        one = self._random.choice(engines)
+        service = [engine for engine in engines if engine.service == one.service]
+        paused = self._random.choice(([one], service, engines))
+        await self._set_faults(EngineFaults(pause=share), paused)
 
     async def _engine_endless(self) -> None:
         await self._set_faults(EngineFaults(endless=0.3))
 
     async def _set_faults(
-        self, faults: EngineFaults, *, everywhere: bool = False
+        self, faults: EngineFaults, engines: list[EngineStandIn] | None = None
     ) -> None:
-        engines = list(self._run.engines)
-        engines = engines if everywhere else self._random.sample(engines, 1)
+        """Have engines, by default a drawn one, be faulty for a while."""
+        engines = list(engines or [self._random.choice(self._run.engines)])
         for engine in engines:
             engine.faults = faults
         await asyncio.sleep(self._draw_duration_s())
--- a/tests/soak/_links.py
+++ b/tests/soak/_links.py
@@ -24,6 +24,7 @@
     RESET = "reset"  # aborts open and new connections
     DROP_ALL = "drop all"  # receives bytes and forwards none
     DROP_RESPONSES = "drop responses"  # forwards requests, but no responses
+    DOWN = "down"  # aborts open connections and refuses new ones
 
 
 class Link:
@@ -33,6 +34,8 @@
         self._ip = ip
         self._server = server_ip, server_port
         self._listener: asyncio.Server | None = None
+        self._port = 0
+        self._reopening: asyncio.Task[None] | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._serving: set[asyncio.Task[None]] = set()
         self._resets: dict[int, bool] = {}  # by port of the link towards the server
@@ -50,14 +53,17 @@
     @property
     def address(self) -> str:
         """The IP address and port that clients connect to."""
-        assert self._listener is not None
-        port = self._listener.sockets[0].getsockname()[1]
-        return f"{self._ip}:{port}"
+        return f"{self._ip}:{self._port}"
 
     async def __aenter__(self) -> Self:
-        self._listener = await asyncio.start_server(self._serve, self._ip, 0)
+        await self._listen()
         return self
 
+    async def _listen(self) -> None:
+        listener = await asyncio.start_server(self._serve, self._ip, self._port)
+        self._port = listener.sockets[0].getsockname()[1]
+        self._listener = listener
+
     async def __aexit__(self, *error: object) -> None:
         assert self._listener is not None
         self._listener.close()
@@ -65,10 +71,15 @@
         await asyncio.gather(*self._serving, return_exceptions=True)
 
     def set(self, state: LinkState) -> None:
-        """Change the state; a reset also aborts the open connections."""
-        self.state = state
-        if state is LinkState.RESET:
+        """Change the state; some also abort the open connections."""
+        before, self.state = self.state, state
+        if state in (LinkState.RESET, LinkState.DOWN):
             self._abort()
+        if state is LinkState.DOWN and before is not state:
+            assert self._listener is not None
+            self._listener.close()
+        elif before is LinkState.DOWN and state is not before:
+            self._reopening = asyncio.create_task(self._listen())
 
     def _abort(self) -> None:
         for writer in list(self._writers):
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
+from aspenbridge.result_codes import ResultCode
+
 from ._answers import AnswerChecks
-from ._engines import LEAVING_HEADER, SERVER_STAMP_HEADER, expected_events
+from ._engines import (
+    CRASHING_PREFIX,
+    LEAVING_HEADER,
+    SERVER_STAMP_HEADER,
+    expected_events,
+)
 from ._hosts import DRAIN_S
 
 if TYPE_CHECKING:
@@ -22,6 +30,7 @@
 MAX_CRASHES = 3  # after which a request is stopped
 CONTACT_S = 4.0  # until all hosts know of a crash
 MEMORY_BYTES = 32 * 1024 * 1024  # that a host may need beyond its calm need
+SHOWN_CHARACTERS = 10  # of a wrong value, at least, that its refusal shows
 MAX_LATE_SENDS = 3  # later than CONTACT_S after the last crash allowed
 
 
@@ -62,6 +71,7 @@
     :ivar newest_served: the newest configuration version that each host
         incarnation has served.
     :ivar jobs: the submitted jobs by id, accepted or not.
+    :ivar answered_paths: the paths of requests that got a whole answer.
     :ivar drain_started_s: when the drain of each engine started.
     :ivar crashed_s: when engines crashed, by the path of the request.
     :ivar host_by_request: the name of the host that each request was sent to.
@@ -77,6 +87,7 @@
     refused_ids: set[str] = attrs.field(factory=set)
     jobs: dict[str, SentJob] = attrs.field(factory=dict)
     newest_served: dict[str, int] = attrs.field(factory=dict)
+    answered_paths: set[str] = attrs.field(factory=set)
     drain_started_s: dict[str, float] = attrs.field(factory=dict)
     crashed_s: dict[str, list[float]] = attrs.field(factory=dict)
     host_by_request: dict[str, str] = attrs.field(factory=dict)
@@ -106,9 +117,13 @@
     def record_answer(self, request: SentRequest) -> None:
         """Record and check what the caller of a request received."""
         self.answers.requests.append(request)
+        self.check_status(request.path, request.status, request.headers)
+        if request.whole and request.status in (400, 503):
+            self._check_refusal(request, json.loads(request.body))
         if request.whole and request.status == 200:
             self.response_counts["whole"] += 1
             path, events = request.path, request.events
+            self.answered_paths.add(path)
             if events != expected_events(path, path.encode()):
                 self.add_violation("whole answers", f"{path} got {str(events)[:80]}")
         elif request.whole and request.status in (429, 503):
@@ -117,6 +132,21 @@
         elif not request.whole:
             self.response_counts["no whole answer"] += 1
 
+    def check_status(self, name: str, status: int, headers: Mapping[str, str]) -> None:
+        """Check that an answer is not a failure of a host itself."""
+        if status == 500 and SERVER_STAMP_HEADER not in headers:
+            self.add_violation("no 500 of our own", name)
+
+    def _check_refusal(self, request: SentRequest, problem: dict[str, Any]) -> None:
+        """Check that a wrong value is named and no innocent one blamed."""
+        values = request.wrong_headers.values()
+        named = all(value[:SHOWN_CHARACTERS] in problem["error"] for value in values)
+        if request.status == 400 and not (values and named):
+            self.add_violation("wrong values", f"{request} got {problem}")
+        innocent = not request.path.startswith(CRASHING_PREFIX)
+        if innocent and problem["code"] == ResultCode.REQUEST_QUARANTINED:
+            self.add_violation("innocent requests", f"{request.path} got {problem}")
+
     def check_all(self, hosts: list[HostProcess]) -> None:
         """Check what can be judged only when a run has ended."""
         self.check_runs()
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -19,11 +19,12 @@
 from aspenbridge.entry import _copies
 from aspenbridge.fleet import EngineDirectory
 from aspenbridge.jobs import _repository
-from aspenbridge.platform import _engine_calls, _ingress
+from aspenbridge.platform import _engine_calls, _ingress, _store
 from aspenbridge.platform.__main__ import run
 from aspenbridge.ports import AnswerHead, AttemptError, CallOutcome
 from aspenbridge.quarantine._ledger import CrashLedger
 from aspenbridge.relay import Relay, _events, _reading, _request
+from aspenbridge.relay._placement import OnlinePlacement
 from aspenbridge.store import Changes, Stored
 
 
@@ -134,6 +135,19 @@
     connection._check_overhead = lambda self: None  # type: ignore[method-assign]
 
 
+def _without_lost_writes() -> None:
+    _store.NOT_APPLIED_STATUSES = (502, 503, 429)
+
+
+def _without_number_checks() -> None:
+    _ingress.whole_number = lambda name, text: int(text)
+    _ingress.duration_s = lambda name, text: float(text) / 1000
+
+
+def _without_asking_again() -> None:
+    OnlinePlacement.place_among = lambda *_: None  # type: ignore[method-assign]
+
+
 def _without_size_limits() -> None:
     _events.MAX_EVENT_BYTES = _reading.MAX_WHOLE_BODY_BYTES = sys.maxsize
 
@@ -151,6 +165,9 @@
     "patience": _without_patience,
     "leaving marks": _without_leaving_marks,
     "overhead limit": _without_overhead_limit,
+    "number checks": _without_number_checks,
+    "asking again": _without_asking_again,
+    "lost writes": _without_lost_writes,
     "size limits": _without_size_limits,
     "callers' drain": _without_callers_drain,
 }
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -85,8 +85,12 @@
         self.version = 0
         self.unavailable = False
         self.delay_s = 0.003
-        # The share of writes that are applied without a response.
+        # The share of writes that are applied without a response, half of
+        # them with status 502 of a gateway.
         self.lost_response_share = 0.0
+        # The next transaction that creates a row is applied and gets status
+        # 502, and the store is unavailable from then on.
+        self.fails_with_next_new_row = False
         # Until this time the change feeds report no changes, without an error.
         self.feeds_silent_until_s = 0.0
         self.random = None
@@ -181,7 +185,13 @@
         for entry in fields.get("remove", ()):
             self._write_row(entry, None)
         self._wake_feeds()
+        new_rows = any(check["ver"] == 0 for check in fields.get("expectedRev", ()))
+        if new_rows and self.fails_with_next_new_row:
+            self.fails_with_next_new_row, self.unavailable = False, True
+            return web.Response(status=502)
         if self.random is not None and self.random.random() < self.lost_response_share:
+            if self.random.random() < 0.5:
+                return web.Response(status=502)
             assert request.transport is not None
             request.transport.abort()
         return web.json_response({"ver": self.version})
@@ -208,6 +218,8 @@
         after = int(query["after"])
         until_s = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
+            if self.unavailable:
+                return web.Response(status=503)
             if after < self._history_starts_after and after != self._stale_version:
                 return web.json_response({}, status=410)
             changes = [r for r in self.history if r["ver"] > after]
