Take a caller for gone where the kernel counts no acknowledged bytes

A kernel whose state of a connection is shorter than the field that is read would have failed the handler of the connection's end (found by reading). The soak's guard for patience with silent engines named a method that had moved to another class, so that hosts without it did not start; it names it again.

--- a/src/aspenbridge/platform/_departures.py
+++ b/src/aspenbridge/platform/_departures.py
@@ -36,12 +36,14 @@
 
     @classmethod
     def of(cls, transport: asyncio.BaseTransport) -> ConnectionState:
-        """Ask the kernel; a connection without a socket counts as reset."""
+        """Ask the kernel; a connection it does not know counts as reset."""
         sock = transport.get_extra_info("socket")
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
         except OSError:  # the event loop has closed it
             return cls(True, 0)
+        if len(info) < TCP_INFO_BYTES:
+            return cls(True, 0)  # a kernel that counts no acknowledged bytes
         return cls(info[0] == TCP_CLOSED, ACKNOWLEDGED_BYTES.unpack(info)[0])
 
 
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -23,7 +23,8 @@
 from aspenbridge.platform.__main__ import run
 from aspenbridge.ports import AnswerHead, AttemptError, CallOutcome
 from aspenbridge.quarantine._ledger import CrashLedger
-from aspenbridge.relay import Relay, _events, _reading, _request
+from aspenbridge.relay import _events, _reading, _request
+from aspenbridge.relay._failover import Failover
 from aspenbridge.relay._placement import OnlinePlacement
 from aspenbridge.store import Changes, Stored
 
@@ -104,10 +105,10 @@
 
 
 def _without_patience() -> None:
-    original: Any = Relay._part
+    original: Any = Failover._part
 
     async def part(
-        self: Relay, progress: Any, attempt: Any, part: Any, silence_limit_s: float
+        self: Failover, progress: Any, attempt: Any, part: Any, silence_limit_s: float
     ) -> Any:
         if progress.may_switch_engine:
             await asyncio.wait({part}, timeout=silence_limit_s)
@@ -116,7 +117,7 @@
                 raise AttemptError(CallOutcome.BROKEN, "engine is silent")
         return await original(self, progress, attempt, part, silence_limit_s)
 
-    Relay._part = part  # type: ignore[method-assign]
+    Failover._part = part  # type: ignore[method-assign]
 
 
 def _without_callers_drain() -> None:
