Wait before the third send of a request that lost two engines at once

Cause: a request whose engine crashed was sent again at once, also after the second one, so that engines that crash together took it along one after the other within milliseconds. Callers saw a cut stream, and resends 503 with code 3005: the request counted as the cause.

It now waits 0.3 s before it is sent again once two connections have ended under it; engines of one burst are known to be gone by then. A request that does crash engines is still stopped after three.

Fails before: test_innocent_request_is_not_blamed_for_engines_that_crash_together with gaps of 0.03 and 0.06 s (0.1 s passed). Two sends of a route with two attempts are as before.

--- a/src/aspenbridge/relay/_attempts.py
+++ b/src/aspenbridge/relay/_attempts.py
@@ -72,6 +72,7 @@
             self._health.record_refusal(engine.id)
         if error.outcome is CallOutcome.BROKEN:
             progress.may_have_run = True
+            progress.lost_connections += error.connection_lost
             self._quarantine.record_broken_run(
                 progress.fingerprint, engine, connection_lost=error.connection_lost
             )
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -43,6 +43,10 @@
 # The retry delay of a request whose attempts have failed; the engines that
 # refused it have a free slot by then.
 RETRY_AFTER_S = 0.2
+# A request that has lost so many engines by the end of its connections waits
+# before it is sent again, for as long as engines that crash together take.
+QUICK_LOSSES = 2
+BURST_S = 0.3
 
 
 class Relay:
@@ -127,6 +131,8 @@
                 return "answered"
             if not self._may_retry(progress):
                 return await self._fail(progress, Refused(RETRY_AFTER_S))
+            if progress.lost_connections >= QUICK_LOSSES:
+                await self._wait_out_burst(progress)
 
     async def _answer(self, progress: Progress, attempt: Attempt) -> bool:
         """
@@ -206,6 +212,16 @@
             placed = again or placed
         return placed
 
+    async def _wait_out_burst(self, progress: Progress) -> None:
+        """
+        Wait until engines that crash together are known to be gone.
+
+        Without the wait a request meets one after the other in a moment, uses
+        up its attempts and looks like the cause of their crashes.
+        """
+        latest_s = progress.call.deadline_s - MIN_ATTEMPT_S
+        await self._clock.sleep_until(min(self._clock.now_s() + BURST_S, latest_s))
+
     def _may_retry(self, progress: Progress) -> bool:
         """
         Return whether to try again after a failed attempt.
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -72,6 +72,7 @@
     fingerprint: str  # the same for all resends of the request
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
+    lost_connections: int = 0  # those of them that ended with their connection
     may_have_run: bool = False  # whether an engine may have run the request
     tried: set[str] = attrs.field(factory=set)  # engines that failed the request
     # Those of them that may have run it; the others turned it away.
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -473,3 +473,27 @@
             assert (await fleet.relay(host, request)).finished
 
     with_fleet(check)
+
+
+@pytest.mark.parametrize("gap_s", [0.03, 0.06, 0.1])
+def test_innocent_request_is_not_blamed_for_engines_that_crash_together(gap_s):
+    """Guards against three sends in a moment, each to an engine that ends."""
+
+    async def check(fleet):
+        routes = [make_route(max_attempts=4)]
+        fleet.configurations[b"2"] = make_configuration(2, routes)
+        fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.5)
+        request = make_request("r1", body=b"innocent")
+        task = asyncio.create_task(fleet.relay("h0", request))
+        # Whichever engine has the request ends, three times within a moment.
+        for _ in range(3):
+            await asyncio.sleep(gap_s)
+            for run in [run for run in fleet.engines.runs if run.ended_s is None]:
+                fleet.engines.crash(run.engine)
+        reply = await task
+        assert (reply.status, reply.finished) == (200, True)
+        again = await fleet.relay("h1", make_request("r2", body=b"innocent"))
+        assert again.status == 200
+
+    with_fleet(check)
