--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -50,14 +50,24 @@
     :param backlogs: the waiting items by host, this host included.
     :param free: the number of free slots by engine.
     """
-    slots = _most_free_first(free)
-    start = 0
-    for host in sorted(backlogs, key=lambda name: (backlogs[name].due_wall_s, name)):
-        end = start + backlogs[host].items
-        if host == own_host:
-            return list(slots[start:end])
-        start = end
-    return []
+    own = backlogs.get(own_host)
+    if own is None:
+        return []
+    start = items_ahead((own.due_wall_s, own_host), backlogs)
+    return list(_most_free_first(free)[start : start + own.items])
+
+
+def items_ahead(turn: tuple[float, str], backlogs: Mapping[str, Backlog]) -> int:
+    """
+    Return the number of items that get their slots before those of a host.
+
+    :param turn: the due time of the host's backlog, and the host.
+    """
+    return sum(
+        backlog.items
+        for host, backlog in backlogs.items()
+        if (backlog.due_wall_s, host) < turn
+    )
 
 
 def _most_free_first(free: Mapping[str, int]) -> Sequence[str]:
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping, Set
 
     from ._engines import EngineDirectory, EngineEntry
     from ._health import EngineHealth
@@ -72,6 +72,14 @@
         """
         return self._index.free_slots(services)
 
+    def free_slot_count(self, services: Collection[str]) -> int:
+        """Return the number of free slots for batch items."""
+        return self._index.free_slot_count(services)
+
+    def overfull(self) -> Set[str]:
+        """Return the ids of the engines with more requests than slots."""
+        return self._index.overfull()
+
     def usable(self, engine_ids: Iterable[str]) -> list[EngineEntry]:
         """Return those of the engines that may get a request now."""
         paused = self._health.paused()
--- a/src/aspenbridge/jobs/_running.py
+++ b/src/aspenbridge/jobs/_running.py
@@ -64,6 +64,9 @@
         self._clock = clock
         self._runs: dict[asyncio.Task[None], RunningItem] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._runs)
+
     def add(self, run: RunningItem) -> None:
         """Track a run that has started."""
         self._runs[run.task] = run
@@ -98,7 +101,11 @@
 
     def preempt_excess_items(self) -> None:
         """Stop items on engines that have more requests than slots."""
-        for engine_id in {run.engine_id for run in self._runs.values()}:
+        if not self._runs:
+            return
+        overfull = self._view.overfull()
+        engine_ids = {run.engine_id for run in self._runs.values()}
+        for engine_id in engine_ids & overfull:
             engine = self._view.engine(engine_id)
             if engine is None:
                 continue
@@ -108,6 +115,8 @@
                 self._load_view.own_load(engine_id),
                 self._load_view.loads_by_host(engine_id),
             )
+            if not count:
+                continue  # the other hosts stop theirs
             for run in self._preemption_candidates(engine_id)[:count]:
                 metrics.ITEM_YIELDS.inc()
                 run.log(
