Cut an HTTP/1.0 stream whose host is killed before all has left

uvloop's transport is no asyncio.WriteTransport, so the write buffer was not set to 0: the end of the body counted as written while up to 64 KiB waited in the process, and the connection was set to close in an orderly way. If the process was killed then, an HTTP/1.0 caller took the shortened stream for whole.

fails before: test_stream_by_http_1_0_is_cut_if_the_host_is_killed_before_all_has_left (the reply was short and looked complete).

--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 import struct
 from typing import TYPE_CHECKING, TypeVar
@@ -92,7 +91,7 @@
         the end of the body is written only after all of the body has left.
         """
         transport = self._request.transport
-        if isinstance(transport, asyncio.WriteTransport):
+        if transport is not None:
             transport.set_write_buffer_limits(high=0)
         self._set_linger(RESET_ON_CLOSE)
 
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -239,6 +239,7 @@
 
 
 BIG_EVENTS = 60_000  # more bytes than the buffers between host and caller hold
+KERNEL_BUFFER_BYTES = 4096
 BROKEN_OFF = {"sent_bytes": len(stream_of(2)) + 9}
 
 
@@ -314,6 +315,30 @@
     with_host(check)
 
 
+def test_stream_by_http_1_0_is_cut_if_the_host_is_killed_before_all_has_left():
+    """Guards against an orderly close by the kernel without the last part."""
+
+    async def check(host):
+        body = stream_of(5000)  # fits into the write buffer of the process
+        with await host.connect() as sock:
+            await asyncio.sleep(0.1)
+            (connection,) = host.ingress._caller_server.connections
+            transport = connection.transport
+            # The kernel keeps little, so that the rest waits in the process.
+            for end in (sock, transport.get_extra_info("socket")):
+                for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                    end.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+            await host.send(sock, "once", [Answer(body)], version="1.0")
+            await asyncio.sleep(0.3)
+            assert transport.get_write_buffer_size() > 0
+            # As when the process is killed, what it has not written is lost.
+            transport.abort()
+            reply = await read_reply(sock)
+        assert not reply.complete
+
+    with_host(check)
+
+
 def test_request_whose_body_is_cut_off_reaches_no_engine():
     async def check(host):
         for headers in (("Content-Length: 9",), ("Transfer-Encoding: chunked",)):
