--- a/src/aspenbridge/fleet/_engine_index.py
+++ b/src/aspenbridge/fleet/_engine_index.py
@@ -104,11 +104,6 @@
         *_, engine = min(keys.values())
         return engine.candidate(), len(keys)
 
-    def candidates(self, service: str, engine_ids: Collection[str]) -> list[Candidate]:
-        """Return those of some engines that serve a service."""
-        keys = self._service(service).keys
-        return [keys[name][-1].candidate() for name in engine_ids if name in keys]
-
     def free_slots(self, services: Collection[str]) -> dict[str, int]:
         """Return the free slots for batch items by engine, without zeros."""
         free: dict[str, int] = {}
--- a/src/aspenbridge_bench/_fleet_cost.py
+++ b/src/aspenbridge_bench/_fleet_cost.py
@@ -353,7 +353,6 @@
 
     async def receive() -> None:
         fleet.receive(next(reports))
-        fleet.host.exchange.on_report()
         await _settle()
 
     async def receive_nothing() -> None:
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -19,11 +19,13 @@
 from aspenbridge.entry import _copies
 from aspenbridge.fleet import EngineDirectory
 from aspenbridge.jobs import _repository
-from aspenbridge.platform import _engine_calls, _ingress
+from aspenbridge.platform import _engine_calls, _ingress, _store
 from aspenbridge.platform.__main__ import run
 from aspenbridge.ports import AnswerHead, AttemptError, CallOutcome
 from aspenbridge.quarantine._ledger import CrashLedger
-from aspenbridge.relay import Relay, _events, _reading, _request
+from aspenbridge.relay import _events, _reading, _request
+from aspenbridge.relay._failover import Failover
+from aspenbridge.relay._placement import OnlinePlacement
 from aspenbridge.store import Changes, Stored
 
 
@@ -103,10 +105,10 @@
 
 
 def _without_patience() -> None:
-    original: Any = Relay._part
+    original: Any = Failover._part
 
     async def part(
-        self: Relay, progress: Any, attempt: Any, part: Any, silence_limit_s: float
+        self: Failover, progress: Any, attempt: Any, part: Any, silence_limit_s: float
     ) -> Any:
         if progress.may_switch_engine:
             await asyncio.wait({part}, timeout=silence_limit_s)
@@ -115,7 +117,7 @@
                 raise AttemptError(CallOutcome.BROKEN, "engine is silent")
         return await original(self, progress, attempt, part, silence_limit_s)
 
-    Relay._part = part  # type: ignore[method-assign]
+    Failover._part = part  # type: ignore[method-assign]
 
 
 def _without_callers_drain() -> None:
@@ -134,6 +136,19 @@
     connection._check_overhead = lambda self: None  # type: ignore[method-assign]
 
 
+def _without_lost_writes() -> None:
+    _store.NOT_APPLIED_STATUSES = (502, 503, 429)
+
+
+def _without_number_checks() -> None:
+    _ingress.whole_number = lambda name, text: int(text)
+    _ingress.duration_s = lambda name, text: float(text) / 1000
+
+
+def _without_asking_again() -> None:
+    OnlinePlacement.place_among = lambda *_: None  # type: ignore[method-assign]
+
+
 def _without_size_limits() -> None:
     _events.MAX_EVENT_BYTES = _reading.MAX_WHOLE_BODY_BYTES = sys.maxsize
 
@@ -151,6 +166,9 @@
     "patience": _without_patience,
     "leaving marks": _without_leaving_marks,
     "overhead limit": _without_overhead_limit,
+    "number checks": _without_number_checks,
+    "asking again": _without_asking_again,
+    "lost writes": _without_lost_writes,
     "size limits": _without_size_limits,
     "callers' drain": _without_callers_drain,
 }
