--- a/tests/support/report_fleet.py
+++ b/tests/support/report_fleet.py
@@ -72,6 +72,7 @@
         self.domains = {address: domain_of(address) for address in addresses}
         self.exchanges = {}
         self.busy = True
+        self._sent_s = {}  # by incarnation and sequence
         self._stack = AsyncExitStack()
         self._tasks = []
 
@@ -88,6 +89,7 @@
                 random.Random(address[1]),
             )
             exchange.heartbeat_age_s = lambda: 0.0
+            exchange._report = self._record_sending(exchange._report)
             await self._stack.enter_async_context(exchange)
             self.exchanges[address] = exchange
             self._tasks.append(asyncio.create_task(self._run(exchange)))
@@ -117,12 +119,22 @@
         finally:
             repeats.cancel()
 
+    def _record_sending(self, make_report):
+        def recorded():
+            report = make_report()
+            self._sent_s[report.host, report.sequence] = self.clock.now_s()
+            return report
+
+        return recorded
+
     def ages_s(self):
         """Return how old what hosts know of each other is, in order."""
         now_s = self.clock.now_s()
         names = {exchange._host for exchange in self.exchanges.values()}
         return sorted(
-            now_s - heard.sent_s if (heard := exchange._heard.get(name)) else 99.0
+            now_s - self._sent_s[name, heard.report.sequence]
+            if (heard := exchange._heard.get(name))
+            else 99.0
             for exchange in self.exchanges.values()
             for name in names - {exchange._host}
         )
