--- a/tests/soak/_connections.py
+++ b/tests/soak/_connections.py
@@ -36,6 +36,7 @@
     OLD = "HTTP/1.0"
     SLOW = "slow reader"
     PAIR = "two in a row"
+    HALF_CLOSED = "closes its sending side"
 
 
 DEADLINE_HEADER = "X-Aspenbridge-Deadline-Ms"
@@ -157,6 +158,8 @@
                 self._writer.write(piece)
         else:
             self._writer.write(head + data)
+        if self._style is Style.HALF_CLOSED:
+            self._writer.write_eof()
         await self._writer.drain()
         request.sent_s = now_s()
 
@@ -174,7 +177,8 @@
         while await self._read_head(request) == 100:
             continue
         headers = request.headers
-        if self._style is Style.OLD or headers.get("connection") == "close":
+        last = self._style in (Style.OLD, Style.HALF_CLOSED)
+        if last or headers.get("connection") == "close":
             self.usable = False
         if "content-length" in headers:
             length = int(headers["content-length"])
