Refuse a header that is no text before an engine is asked

A header with bytes that are not UTF-8 can't be sent on: the HTTP client raises an error, which counted as an attempt that may have run (502; read, not run over a real connection). It is refused with 400 and its name now.

Fails before: test_header_that_is_no_text_is_refused_before_an_engine_is_asked (two cases, 200 from engines in memory).

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -23,7 +23,13 @@
     read_body,
 )
 from ._job_endpoints import JobEndpoints
-from ._parameters import ParameterError, check_target, duration_s, whole_number
+from ._parameters import (
+    ParameterError,
+    check_header,
+    check_target,
+    duration_s,
+    whole_number,
+)
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
 if TYPE_CHECKING:
@@ -285,6 +291,11 @@
         if time_budget_ms is None
         else duration_s(names.TIME_BUDGET_MS, time_budget_ms)
     )
+    resume_after_id = (
+        None if resume_after is None else whole_number(names.RESUME_AFTER, resume_after)
+    )
+    for name, value in headers.items():
+        check_header(name, value)
     return CallerRequest(
         request_id=headers.get(names.REQUEST_ID, ""),
         method=request.method,
@@ -294,9 +305,5 @@
         body=body,
         received_s=received_s,
         deadline_s=received_s + time_budget_s,
-        resume_after=(
-            None
-            if resume_after is None
-            else whole_number(names.RESUME_AFTER, resume_after)
-        ),
+        resume_after=resume_after_id,
     )
--- a/src/aspenbridge/platform/_parameters.py
+++ b/src/aspenbridge/platform/_parameters.py
@@ -74,6 +74,18 @@
     return check_job_id("job id", unquote(path))
 
 
+def check_header(name: str, text: str) -> None:
+    """
+    Check the value of a header that is passed on unchanged.
+
+    :raises ParameterError: when it can't be, since it is no text.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise ParameterError(name, text, "text in UTF-8") from error
+
+
 def check_target(target: str) -> None:
     """
     Check the path and query of a request that is passed on unchanged.
--- a/tests/platform/test_caller_input.py
+++ b/tests/platform/test_caller_input.py
@@ -81,6 +81,13 @@
     )
 
 
+@pytest.mark.parametrize("path", ["/online/x", "/once/x"])
+def test_header_that_is_no_text_is_refused_before_an_engine_is_asked(path):
+    """Guards against a 502, which says that the request may have run."""
+    field = {"X-Other": b"\xff"}
+    assert not refusals([("X-Other", b"\xff", request("POST", path, field))])
+
+
 def test_query_that_is_no_position_is_refused_with_its_name_and_value():
     assert not refusals(
         (
