Keep what another writer wrote behind a commit whose reply was lost

Cause: a retried commit that finds its token in any row counted as success, with the versions of all rows as they are now. The owner of a job lists results in rows of their own and in the head; when its reply was lost and another host then ended or claimed the job, the owner took the version of that write for its own, and its next write replaced the head.

What callers saw: a job whose end was acknowledged was open again and ran on, if the owner's feed missed the end for as long. After a claim both hosts would have listed results (not run, the same path).

--- a/src/aspenbridge/store/_store.py
+++ b/src/aspenbridge/store/_store.py
@@ -86,7 +86,8 @@
         Commit changes atomically; retry while the service is unavailable.
 
         A retry that conflicts with its own earlier write counts as success if
-        the changes put a row; deleted rows have no token to recognise.
+        the changes put a row; deleted rows have no token to recognise. It is a
+        conflict if another writer has changed a checked row since.
 
         :param deadline_s: time on the monotonic clock after which no retry
             starts; by default ``COMMIT_TIMEOUT_S`` from now.
@@ -123,14 +124,18 @@
         """
         Return success if the conflict is with an earlier try of this commit.
 
-        That is so if one of the written rows has the token of this commit.
+        That is so if one of the written rows has the token of this commit, and
+        so have all that it checks. The new version of a checked row is the
+        condition of the caller's next write, so it must be of its own write.
         """
+        checked = {check.key for check in transaction.checks}
         keys = [put.key for put in transaction.puts]
         result = await self._table.read(keys)
         if isinstance(result, Failure):
             return Failure(Unavailable("conflict not resolved", maybe_applied=True))
         rows = [row for row in result.unwrap() if row is not None]
-        if any(token_of(row.value) == token for row in rows):
+        own = {row.key for row in rows if token_of(row.value) == token}
+        if own and checked.intersection(keys) <= own:
             return Success(Committed({row.key: row.version for row in rows}))
         return Failure(conflict)
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -399,6 +399,27 @@
     with_fleet(check)
 
 
+def test_ended_job_stays_ended_though_its_owner_missed_a_reply_and_the_end():
+    """Guards against an owner that takes the end for its own write."""
+
+    async def check(fleet):
+        fleet.engines.event_s = 0.5
+        await submit(fleet, "h0", make_job(items=30))
+        await asyncio.sleep(1.0)
+        store = fleet.store
+        store.lossy_table, store.replies_to_lose = "job_results", 1
+        while store.replies_to_lose:
+            await asyncio.sleep(0.001)
+        store.feeds_stalled_until_s = fleet.clock.now_s() + 6.0
+        assert await fleet.hosts["h1"].job_service.end("j1") == Success(None)
+        await asyncio.sleep(8.0)
+        (row,) = (r for k, r in store.rows_by_key.items() if k.table == "job_heads")
+        assert b'"state":"ended"' in row.value.replace(b" ", b"")
+        assert all(run.ended_s is not None for run in fleet.engines.runs)
+
+    with_fleet(check)
+
+
 def test_items_of_a_removed_route_fail_permanently():
     async def check(fleet):
         fleet.engines.event_s = 0.3
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -18,6 +18,7 @@
 from tests.support.virtual_loop import run_virtual
 
 KEY = RowKey("things", "one")
+OTHER_KEY = RowKey("things", "two")
 
 
 @attrs.frozen
@@ -29,11 +30,14 @@
     """Applies every transaction but loses the first reply."""
 
     reply_lost = False
+    next_transaction = None  # of another writer, behind the lost reply
 
     async def transact(self, transaction):
         result = await super().transact(transaction)
         if not self.reply_lost:
             self.reply_lost = True
+            if self.next_transaction is not None:
+                await super().transact(self.next_transaction)
             return Failure(Unavailable("reply lost", maybe_applied=True))
         return result
 
@@ -51,6 +55,20 @@
     assert stored.record == SizeRecord(1)
 
 
+def test_commit_reports_a_conflict_when_another_writer_changed_its_row_since() -> None:
+    """Guards against taking another writer's version for its own."""
+
+    async def scenario(clock):
+        table = FirstReplyLost()
+        ended = Changes().put(KEY, SizeRecord(3)).transaction(b"t" * 8)
+        table.next_transaction = ended
+        store = Store(table, clock, random.Random(1))
+        changes = Changes().absent(KEY).put(KEY, SizeRecord(1))
+        return await store.commit(changes.put(OTHER_KEY, SizeRecord(2)))
+
+    assert isinstance(run_virtual(scenario).failure(), Conflict)
+
+
 def test_commit_reports_a_conflict_when_another_writer_was_first() -> None:
     async def scenario(clock):
         table = MemoryTable()
