--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -33,9 +33,9 @@
 MAX_JOB_ITEMS = 200
 MAX_TOKENS = 2**53  # JSON numbers are exact up to it
 # An item is sent as a request, so its parts must be such as HTTP can carry.
-ITEM_PATH_PATTERN = r"^/[!\"$-~]*$"
-HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$"
-HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*$"
+ITEM_PATH_PATTERN = r"^/[!\"$-~]*\Z"
+HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z"
+HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
 
 
 class MessageError(ValueError):
--- a/src/aspenbridge/platform/_parameters.py
+++ b/src/aspenbridge/platform/_parameters.py
@@ -11,7 +11,7 @@
 # The store's keys have 200 bytes, five of which name a position within a job.
 MAX_ID_CHARACTERS = 195
 # An id is the value of a header, whose ends are stripped.
-ID_PATTERN = rf"^(?=[ -~]{{1,{MAX_ID_CHARACTERS}}}$)[!-~]([ -~]*[!-~])?$"
+ID_PATTERN = rf"^(?=[ -~]{{1,{MAX_ID_CHARACTERS}}}\Z)[!-~]([ -~]*[!-~])?\Z"
 ID = re.compile(ID_PATTERN)
 MAX_SHOWN_CHARACTERS = 60
 
--- a/tests/platform/test_caller_input.py
+++ b/tests/platform/test_caller_input.py
@@ -132,10 +132,13 @@
 NO_ITEMS = [
     *(item(**{field: odd}) for field in item() for odd in (None, True, 1.5, [], {})),
     *(item(**{field: ...}) for field in ("id", "path", "body")),
-    *(item(id=odd) for odd in ("", "a\r\nb", "é", " a", "x" * 300, 5)),
-    *(item(path=odd) for odd in ("", "x", "@10.0.0.1/x", "/a b", "/a\r\nb", "/a#b")),
-    *(item(headers={odd: "a"}) for odd in ("", "a b", "a:", "é", "a\r\nb")),
-    *(item(headers={"a": odd}) for odd in ("a\r\nb", "\0", None, [], {})),
+    *(item(id=odd) for odd in ("", "a\r\nb", "a\n", "é", " a", "x" * 300, 5)),
+    *(
+        item(path=odd)
+        for odd in ("", "x", "@10.0.0.1/x", "/a b", "/a\r\nb", "/a\n", "/a#b")
+    ),
+    *(item(headers={odd: "a"}) for odd in ("", "a b", "a:", "é", "a\r\nb", "a\n")),
+    *(item(headers={"a": odd}) for odd in ("a\r\nb", "a\n", "\0", None, [], {})),
     *(item(body=odd) for odd in ("Y", "YQ", "-_-_", "é", "Y Q==", 5)),
     *(item(tokens=odd) for odd in (-1, "3", 10**30)),
 ]
