--- a/src/aspenbridge/fleet/_engines.py
+++ b/src/aspenbridge/fleet/_engines.py
@@ -73,8 +73,9 @@
             del self._leaving_ms[entry.id]
         elif leaving_ms is not None:
             entry = attrs.evolve(entry, draining=True)
-        self._entries[entry.id] = entry
-        self._revision += 1
+        if entry != self._entries.get(entry.id):
+            self._entries[entry.id] = entry
+            self._revision += 1
         self._expires_s.pop(entry.id, None)
 
     def mark_leaving(self, engine_id: str, started_ms: int) -> bool:
