Pass on a load report that is larger than the room for such reports

The newest report to be passed on took up the room also when it did not fit, and then none was passed on and the round was not repeated (found by the review: nothing taken and six left). One that is too large now goes alone.

The test of the plan could not fail, since it multiplied by the number that the plan divides by. It now checks that a round reaches all hosts often enough and comes twice while a report is valid; what hosts receive is measured by test_changes_reach_all_hosts_of_a_busy_fleet_within_the_bounds, as before.

--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -358,8 +358,10 @@
                 last.beat_age_s,
                 age_s,
             )
-            free_bytes -= len(self._encoder.encode(report))
-            if free_bytes >= 0:
+            size_bytes = len(self._encoder.encode(report))
+            # One that is larger than all goes alone.
+            if size_bytes <= free_bytes or not taken:
+                free_bytes -= size_bytes
                 taken.append(report)
             else:
                 self._to_pass_on[host] = heard
--- a/tests/fleet/test_report_spread.py
+++ b/tests/fleet/test_report_spread.py
@@ -10,6 +10,7 @@
 from aspenbridge.fleet import CrashNotices, HostTable
 from aspenbridge.fleet._exchange import MAX_HOSTS, LoadReport, PassedOnReport
 from aspenbridge.fleet._fanout import (
+    COPIES,
     DIRECT_PEERS,
     MAX_MESSAGES_PER_S,
     direct_interval_s,
@@ -36,12 +37,14 @@
 
 @pytest.mark.parametrize("domains", [1, 3, 11])
 @pytest.mark.parametrize("hosts", [69, 300, 1000])
-def test_host_of_a_large_fleet_receives_a_bounded_number_of_messages(hosts, domains):
+def test_reports_of_a_large_fleet_reach_all_and_are_repeated_while_valid(
+    hosts, domains
+):
     fanout = plan_fanout(hosts, domains)
-    per_round = fanout.near + (domains - 1) * fanout.far
-    assert per_round / fanout.interval_s <= MAX_MESSAGES_PER_S * 1.001
+    assert fanout.near * fanout.far >= COPIES * hosts / domains
+    assert 2 * fanout.interval_s < REPORT_LIFETIME_S
     if hosts <= DIRECT_PEERS:
-        assert (hosts - 1) / direct_interval_s(hosts - 1) <= MAX_MESSAGES_PER_S * 1.001
+        assert 2 * direct_interval_s(hosts - 1) < REPORT_LIFETIME_S
 
 
 @pytest.mark.parametrize("hosts", [9, 69, LARGE_FLEET])
