--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from aspenbridge.fleet import CrashNotices, LoadExchange, LoadView
-from aspenbridge.fleet._exchange import MAX_LEAVING_ENGINES, LoadReport, PassedOnReport
+from aspenbridge.fleet._exchange import (
+    MAX_LEAVING_ENGINES,
+    LoadReport,
+    PassedOnReport,
+    _Heard,
+)
 from tests.support.entry_fleet import MemoryDatagrams
 from tests.support.virtual_loop import run_virtual
 
@@ -96,3 +101,15 @@
     [report] = [msgspec.msgpack.decode(data, type=LoadReport) for data in sent]
     assert list(report.leaving) == engines[-MAX_LEAVING_ENGINES:]
     assert len(sent[0]) < 1500
+
+
+def test_report_larger_than_the_room_for_passed_on_ones_does_not_keep_out_others():
+    async def check(clock):
+        exchange = make_exchange(clock, MemoryDatagrams())
+        engines = [(f"i-{n:08x}", 1, 1) for n in range(100)]
+        for host, loads, sent_s in (("small", [], 1.0), ("large", engines, 0.5)):
+            report = LoadReport(host, 1, loads, 0, 0.0, 0.0)
+            exchange._to_pass_on[host] = _Heard(report, clock.now_s() - sent_s)
+        return [[r.host for r in exchange._take_to_pass_on()] for _ in range(3)]
+
+    assert run_virtual(check) == [["large"], ["small"], []]
