Give an engine that is asked again an answer in the test of half-closed callers

The scripted engine ended all its connections when its answers were used up: with a request whose two engines are silent for 0.9 s is sent a third time. What is checked is as before.

--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -38,7 +38,8 @@
     async def check():
         async with HostUnderTest(routes=ROUTES) as host:
             events = {"events": 4} if streams else {"body": WHOLE}
-            answers = [Answer(**events, content_type=kind, **silence)] * 2
+            # One engine may be asked again after both were silent.
+            answers = [Answer(**events, content_type=kind, **silence)] * 3
             ids = [host.add_script(answers) for _ in range(2)]
             async with connection(host.callers) as (reader, writer):
                 for request_id in ids:
