Leave more room for the stop of an engine's work after its caller left

A caller that takes nothing counts as gone after 0.3 s, 0.35 s before: with looks each 0.05 s only 0.1 s was left of the half second on a busy host.

--- a/src/aspenbridge/platform/_departures.py
+++ b/src/aspenbridge/platform/_departures.py
@@ -21,7 +21,7 @@
 PROBES_S = (0.0, 0.1, 0.2)
 # What a caller is sent must be acknowledged so soon; engines must have stopped
 # half a second after it left.
-ACKNOWLEDGE_LIMIT_S = 0.35
+ACKNOWLEDGE_LIMIT_S = 0.3
 TCP_CLOSED = 7  # the state of a connection that was reset
 TCP_INFO_BYTES = 128
 ACKNOWLEDGED_BYTES = struct.Struct("=120xQ")  # its field among the kernel's
