Have a scripted engine end only the connection that its script does not know

A request sent more often than its script has answers raised an error that cancelled all connections of the stand-in, so that other requests failed. That a busy machine did the same is suspected.

--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -153,6 +153,8 @@
             self.resumed_after.setdefault(request_id, []).append(after)
             engine = fields.get("X-Aspenbridge-Expect-Instance", "")
             self.asked.setdefault(request_id, []).append(engine)
+            if not self.scripts[request_id]:
+                return  # an error here would end the other connections, too
             answer = self.scripts[request_id].pop(0)
             *parts, (silence_s, data) = answer.parts(request_id, after)
             loop = asyncio.get_running_loop()
