--- a/src/aspenbridge/fleet/_fanout.py
+++ b/src/aspenbridge/fleet/_fanout.py
@@ -26,10 +26,10 @@
 # Up to this many peers get each report directly; those of a host are then
 # 0.75 s apart, so that two are sent while one is valid.
 DIRECT_PEERS = 150
-# That reach a host in a fleet that is not small, on the mean.
+# The reports that a host receives on the mean in a fleet that is not small.
 MAX_MESSAGES_PER_S = 200.0
-# How often a report is passed on to each host on the mean; a host misses about
-# one of twelve, and gets the next one.
+# How often a report reaches each host on the mean, so that a lost datagram
+# rarely keeps it from one.
 COPIES = 2.5
 
 
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -114,7 +114,7 @@
             while not part.done():
                 if self._remaining_s(progress) <= 0:
                     if part is attempt.opening:
-                        # It ends by itself, and knows whether it was sent.
+                        # The opening ends by itself, and tells if it was sent.
                         await asyncio.wait({part})
                         break
                     raise _silent_error()
