Limit the tokens that may wait on a batch route, exactly over all hosts

Cause: the limit of a batch route (maxCount) was read by nothing.

Change: a head names its route and holds the tokens of its unlisted items, so what waits is the sum over the open heads that every host follows anyway. On a limited route the head is written in one transaction with the admission row of the route, on condition that the row is as this host last saw it; the row arrives in the order of the heads, so whoever knows its version knows all heads accepted with it. A host that came second waits for its copy and decides again. A job that does not fit gets 429 (code 3007) at once, with the time in which as many tokens as are missing were freed lately; a job beyond the limit by itself gets no such time. An accepted job costs no call more than without a limit, a refused one none while the host's copy is at most 0.25 s old, else one read: another host may have accepted the job, whose answer was lost. An invalid limit makes the configuration invalid; the error names route and value, and the configuration in force stays.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any, Self
 
+from aspenbridge.admission import CountedQuota
 from aspenbridge.fleet import (
     HOSTS_TABLE,
     READ_INTERVAL_S,
@@ -22,6 +23,7 @@
 )
 from aspenbridge.jobs import (
     HEADS_TABLE,
+    JobAdmission,
     JobClaims,
     JobDirectory,
     JobRepository,
@@ -185,7 +187,14 @@
             random,
             lambda: self.configuration.current,
         )
-        self._job_directory.on_change = self.worker.head_changed
+        self._admission = JobAdmission(
+            self._job_directory,
+            CountedQuota(clock, random),
+            head_follower,
+            store,
+            clock,
+        )
+        self._job_directory.on_change = self._head_changed
         self.load_view.on_change = self.worker.load_changed
         self._engine_copy.on_change = self._engines_changed
         self.configuration.on_change = self.worker.wake
@@ -209,6 +218,7 @@
         )
         self.job_service = JobService(
             self._job_directory,
+            self._admission,
             head_follower,
             self.reachability,
             store,
@@ -220,6 +230,10 @@
             lambda: self.configuration.version,
         )
 
+    def _head_changed(self, job_id: str) -> None:
+        self._admission.head_changed(job_id)
+        self.worker.head_changed(job_id)
+
     def _engines_changed(self) -> None:
         self._health.keep_only(self._engine_directory.ids())
         self.worker.wake()
--- a/src/aspenbridge/fleet/_routes.py
+++ b/src/aspenbridge/fleet/_routes.py
@@ -54,6 +54,7 @@
     priority: int
     completion_goal_s: float  # from acceptance to the due time of a batch job
     retention_s: float  # from acceptance to the expiry of a batch job
+    max_waiting_tokens: int = 0  # of all batch jobs on the route; 0 for no limit
 
     @property
     def repeatable(self) -> bool:
--- a/src/aspenbridge/jobs/__init__.py
+++ b/src/aspenbridge/jobs/__init__.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from ._admission import JobAdmission
 from ._claims import JobClaims, should_claim
 from ._directory import JobDirectory
 from ._messages import ItemResult, JobSubmission, ResultPage, SubmittedItem
@@ -20,6 +21,7 @@
 __all__ = [
     "HEADS_TABLE",
     "ItemResult",
+    "JobAdmission",
     "JobClaims",
     "JobDirectory",
     "JobRepository",
--- a/src/aspenbridge/jobs/_directory.py
+++ b/src/aspenbridge/jobs/_directory.py
@@ -3,25 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from aspenbridge.store import Stored, decode_record
 
-from ._records import JobHead, JobState
+from ._records import ADMISSION_PART, JobHead, JobState, admission_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from aspenbridge.ports import Row, RowChange
+    from aspenbridge.ports import Row, RowChange, RowKey
+
+Key = TypeVar("Key")
 
 
 class JobDirectory:
-    """Newest known head of each job; notifies listeners of changes."""
+    """
+    Newest known head of each job; notifies listeners of changes.
+
+    Also knows the version of each admission row up to which it holds all heads
+    that were accepted with the row.
+    """
 
     def __init__(self) -> None:
         self._heads: dict[str, Stored[JobHead]] = {}
         self._open: dict[str, Stored[JobHead]] = {}  # of jobs that are run
         self._waiters: dict[str, set[asyncio.Event]] = {}
+        self._admission_versions: dict[RowKey, int] = {}
+        self._admission_waiters: dict[RowKey, set[asyncio.Event]] = {}
         self.on_change: Callable[[str], None] = lambda job_id: None
 
     def __iter__(self) -> Iterator[Stored[JobHead]]:
@@ -49,20 +58,36 @@
         self._notify(job_id)
 
     def replace(self, rows: tuple[Row, ...]) -> None:
-        """Apply the whole table; heads of jobs that it lacks are dropped."""
-        table_ids = {row.key.key for row in rows}
+        """
+        Apply the whole table; heads of jobs that it lacks are dropped.
+
+        That may drop a head which this host wrote while the table was read, so
+        the versions of admission rows become those of the table, too.
+        """
+        heads = [row for row in rows if row.key.part != ADMISSION_PART]
+        self._admission_versions = {
+            row.key: row.version for row in rows if row.key.part == ADMISSION_PART
+        }
+        table_ids = {row.key.key for row in heads}
         for job_id in [
             known_id for known_id in self._heads if known_id not in table_ids
         ]:
             self._remove(job_id)
-        for row in rows:
+        for row in heads:
             self.apply_head(
                 Stored(row.key, decode_record(row.value, JobHead), row.version)
             )
+        for key in list(self._admission_waiters):
+            _wake(self._admission_waiters, key)
 
     def apply_change(self, change: RowChange) -> None:
         """Apply one change of the table."""
-        if change.value is not None:
+        if change.key.part == ADMISSION_PART:
+            if change.value is None:
+                self._admission_versions.pop(change.key, None)
+            else:
+                self.apply_admission(change.key, change.version)
+        elif change.value is not None:
             head = decode_record(change.value, JobHead)
             self.apply_head(Stored(change.key, head, change.version))
         elif change.key.key in self._heads:
@@ -70,18 +95,30 @@
 
     async def wait_change(self, job_id: str, limit_s: float) -> None:
         """Wait until the head of a job changes, for at most ``limit_s``."""
-        event = asyncio.Event()
-        self._waiters.setdefault(job_id, set()).add(event)
-        try:
-            async with asyncio.timeout(limit_s):
-                await event.wait()
-        except TimeoutError:
-            return
-        finally:
-            waiters = self._waiters[job_id]
-            waiters.discard(event)
-            if not waiters:
-                del self._waiters[job_id]
+        await _wait(self._waiters, job_id, limit_s)
+
+    def admission_version(self, route: str) -> int:
+        """Return the version of a route's admission row; 0 if it has none."""
+        return self._admission_versions.get(admission_key(route), 0)
+
+    def apply_admission(self, key: RowKey, version: int) -> None:
+        """Apply the version of an admission row; its heads are applied."""
+        if version > self._admission_versions.get(key, 0):
+            self._admission_versions[key] = version
+            _wake(self._admission_waiters, key)
+
+    async def wait_admission(self, key: RowKey, version: int, limit_s: float) -> bool:
+        """
+        Wait until an admission row is known by this version or a newer one.
+
+        :return: False if it is not after ``limit_s``.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + limit_s
+        while self._admission_versions.get(key, 0) < version:
+            if not await _wait(self._admission_waiters, key, deadline_s - loop.time()):
+                return False
+        return True
 
     def _remove(self, job_id: str) -> None:
         del self._heads[job_id]
@@ -89,6 +126,28 @@
         self._notify(job_id)
 
     def _notify(self, job_id: str) -> None:
-        for event in self._waiters.get(job_id, ()):
-            event.set()
+        _wake(self._waiters, job_id)
         self.on_change(job_id)
+
+
+async def _wait(
+    waiters: dict[Key, set[asyncio.Event]], key: Key, limit_s: float
+) -> bool:
+    """Wait to be woken under a key; return False after ``limit_s``."""
+    event = asyncio.Event()
+    waiters.setdefault(key, set()).add(event)
+    try:
+        async with asyncio.timeout(limit_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    finally:
+        waiters[key].discard(event)
+        if not waiters[key]:
+            del waiters[key]
+    return True
+
+
+def _wake(waiters: dict[Key, set[asyncio.Event]], key: Key) -> None:
+    for event in waiters.get(key, ()):
+        event.set()
--- a/src/aspenbridge/jobs/_messages.py
+++ b/src/aspenbridge/jobs/_messages.py
@@ -14,13 +14,15 @@
     One request of a batch job.
 
     ``id`` is also the id of the request to an engine. ``target`` holds path
-    and query.
+    and query. ``tokens`` counts the prompt and the most that may be generated;
+    it is 0 in objects of builds that did not store it.
     """
 
     id: str
     target: str
     headers: Headers
     body: bytes
+    tokens: int = 0
 
 
 @attrs.frozen
@@ -31,6 +33,11 @@
     host: str
     items: tuple[SubmittedItem, ...]
 
+    @property
+    def tokens(self) -> int:
+        """The tokens of all items."""
+        return sum(item.tokens for item in self.items)
+
 
 @attrs.frozen
 class ItemResult:
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -13,7 +13,7 @@
 from ._item_run import ITEM_METHOD
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from aspenbridge.store import Stored
 
@@ -122,6 +122,13 @@
             for item in self.items
         )
 
+    def waiting_tokens(self, listed: Collection[int]) -> int:
+        """Return the tokens of the items without those that are listed."""
+        done = set(listed)
+        return sum(
+            item.tokens for index, item in enumerate(self.items) if index not in done
+        )
+
     def apply_head(self, stored: Stored[JobHead]) -> None:
         """
         Continue from a head that was read again.
--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -12,6 +12,9 @@
 HEADS_TABLE = "job_heads"
 RESULTS_TABLE = "job_results"
 PROGRESS_TABLE = "job_progress"
+# The part of the table of heads that holds the admission rows. Followers read
+# the unnamed part first, so a copy has all heads that such a row stands for.
+ADMISSION_PART = ""
 # The number of parts of each table; a part is a partition of the table in the
 # store. All rows of a job are in one part, since a transaction writes rows of
 # one part only. More parts allow more writes (200 a second for each), but a
@@ -41,7 +44,9 @@
     the incarnation of the host that runs the items, or empty. ``total`` is the
     number of items. ``listed`` holds the index of the item at each position of
     the results. ``configuration`` is the version under which the job was
-    accepted; 0 in rows of builds without it.
+    accepted; 0 in rows of builds without it. ``route`` is the name of the
+    route that the job came by, and ``waiting_tokens`` the tokens of the items
+    that are not listed; both are empty in rows of builds without them.
     """
 
     id: str
@@ -54,6 +59,19 @@
     expires_wall_s: float
     listed: tuple[int, ...] = ()
     configuration: int = 0
+    route: str = ""
+    waiting_tokens: int = 0
+
+
+@attrs.frozen
+class AdmissionRecord:
+    """
+    The job that was accepted last on a route whose waiting tokens are limited.
+
+    The version of the row counts; what it holds only helps to trace a job.
+    """
+
+    job_id: str
 
 
 @attrs.frozen
@@ -96,6 +114,11 @@
     return RowKey(HEADS_TABLE, job_id, part_of(job_id))
 
 
+def admission_key(route: str) -> RowKey:
+    """Return the key of the admission row of a route."""
+    return RowKey(HEADS_TABLE, route, ADMISSION_PART)
+
+
 def result_key(job_id: str, position: int) -> RowKey:
     """Return the key of the result at a position."""
     return RowKey(RESULTS_TABLE, f"{job_id}/{position:04d}", part_of(job_id))
--- a/src/aspenbridge/jobs/_repository.py
+++ b/src/aspenbridge/jobs/_repository.py
@@ -123,7 +123,12 @@
                 changes.delete(progress_key(head.id, finished.state.index))
         listed = (*head.listed, *(finished.state.index for finished in batch))
         state = JobState.COMPLETE if len(listed) == head.total else JobState.OPEN
-        head = attrs.evolve(head, listed=listed, state=state)
+        head = attrs.evolve(
+            head,
+            listed=listed,
+            state=state,
+            waiting_tokens=job.waiting_tokens(listed),
+        )
         if await self._write_head(
             job, changes, head, self._clock.now_s() + COMMIT_LIMIT_S
         ):
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -7,12 +7,14 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from aspenbridge.admission import AdmissionDecision, Verdict
 from aspenbridge.fleet import FRESH_LIMIT_S
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes, Stored, decode_record
 
+from ._admission import NotAccepted
 from ._messages import ItemResult, ResultPage, encode_items
 from ._records import (
     JobHead,
@@ -31,10 +33,10 @@
     from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
     from aspenbridge.store import Store
 
+    from ._admission import JobAdmission
     from ._directory import JobDirectory
     from ._messages import JobSubmission, SubmittedItem
 
-ACCEPT_LIMIT_S = 2.5  # leaves a caller time to try another host by its deadline
 END_LIMIT_S = 2.0
 STORE_RETRY_S = 0.5
 OTHER_HOST_RETRY_S = 0.02  # short, since the retry goes to another host
@@ -62,6 +64,7 @@
     def __init__(
         self,
         directory: JobDirectory,
+        admission: JobAdmission,
         follower: Follower,
         reachability: Reachability,
         store: Store,
@@ -73,6 +76,7 @@
         configuration_version: Callable[[], int],
     ) -> None:
         self._directory = directory
+        self._admission = admission
         self._follower = follower
         self._reachability = reachability
         self._store = store
@@ -89,12 +93,19 @@
         """
         Accept a job; a repeated submission succeeds and has no effect.
 
-        Items are stored before the head, so every head has its items.
+        Items are stored before the head, so every head has its items. A job
+        that does not fit into the tokens that may wait on the route is refused
+        before that.
         """
         if self._directory.get(submission.id) is not None:
             return Success(None)
         if not self._reachability.reaches_store:
             return self._not_accepted(submission.id, STORE_UNREACHABLE)
+        fits = await self._admission.refuse_early(
+            submission.id, route, submission.tokens
+        )
+        if isinstance(fits, Failure):
+            return self._not_accepted(submission.id, fits.failure())
         stored = await self._objects.put(
             items_object(submission.id), encode_items(submission.items)
         )
@@ -104,16 +115,10 @@
             not_applied = Unavailable(reason, maybe_applied=False)
             return self._not_accepted(submission.id, not_applied)
         head = self._new_head(submission, route)
-        key = head_key(head.id)
-        committed = await self._store.commit(
-            Changes().absent(key).put(key, head),
-            deadline_s=self._clock.now_s() + ACCEPT_LIMIT_S,
-        )
-        if isinstance(committed, Failure):
-            return self._not_committed(head.id, committed.failure())
-        accepted = Stored(key, head, committed.unwrap().versions[key])
-        self._directory.apply_head(accepted)
-        self._owned.add_job(accepted, submission.items)
+        accepted = await self._admission.accept(head, route.max_waiting_tokens)
+        if isinstance(accepted, Failure):
+            return self._not_accepted(head.id, accepted.failure())
+        self._owned.add_job(accepted.unwrap(), submission.items)
         metrics.JOBS.labels("accepted").inc()
         log_decision("job accepted", job=head.id, items=head.total, route=route.name)
         return Success(None)
@@ -130,18 +135,17 @@
             due_wall_s=now_s + route.completion_goal_s,
             expires_wall_s=now_s + route.retention_s,
             configuration=self._configuration_version(),
+            route=route.name,
+            waiting_tokens=submission.tokens,
         )
 
-    def _not_committed(
-        self, job_id: str, error: Conflict | Unavailable
-    ) -> Result[None, Problem]:
+    def _not_accepted(self, job_id: str, error: NotAccepted) -> Result[None, Problem]:
         if isinstance(error, Conflict):
             log_decision("job known", job=job_id)
             return Success(None)
-        return self._not_accepted(job_id, error)
-
-    def _not_accepted(self, job_id: str, error: Unavailable) -> Failure[Problem]:
         metrics.JOBS.labels("not accepted").inc()
+        if isinstance(error, AdmissionDecision):
+            return Failure(_route_full(error))
         log_decision(
             "job not accepted",
             job=job_id,
@@ -293,3 +297,18 @@
             error.reason,
             retry_after_s=OTHER_HOST_RETRY_S if other_host_may_serve else STORE_RETRY_S,
         )
+
+
+def _route_full(decision: AdmissionDecision) -> Problem:
+    """Return the refusal of a job, without what others have waiting."""
+    room = f"the {decision.limit_tokens} tokens that may wait"
+    detail = (
+        f"route {decision.route!r} is full: the job's {decision.job_tokens} tokens "
+        f"do not fit into {room} now"
+    )
+    if decision.verdict is Verdict.NEVER_FITS:
+        detail = (
+            f"the job has {decision.job_tokens} tokens, more than {room} on route "
+            f"{decision.route!r}"
+        )
+    return Problem(ResultCode.ROUTE_FULL, detail, retry_after_s=decision.retry_after_s)
--- a/src/aspenbridge/observability/_metrics.py
+++ b/src/aspenbridge/observability/_metrics.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 REGISTRY = CollectorRegistry()
 # From a network hop within a failure domain to the longest caller deadline.
@@ -38,6 +44,24 @@
 JOBS = Counter(
     "jobs", "Batch jobs by what this host did with them.", ["event"], registry=REGISTRY
 )
+ADMISSIONS = Counter(
+    "admissions",
+    "Decisions on batch jobs on routes with a limit of waiting tokens.",
+    ["decision"],
+    registry=REGISTRY,
+)
+WAITING_TOKENS = Gauge(
+    "waiting_tokens",
+    "Tokens that wait on a route in the whole fleet, at the last decision here.",
+    ["route"],
+    registry=REGISTRY,
+)
+WAITING_TOKENS_LIMIT = Gauge(
+    "waiting_tokens_limit",
+    "The most tokens that may wait on a route, at the last decision here.",
+    ["route"],
+    registry=REGISTRY,
+)
 QUARANTINE = Counter(
     "quarantine",
     "Requests under which engines crashed, by what became of them or the engine.",
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -25,6 +25,7 @@
     "streaming": CallKind.STREAMING,
     "batch": CallKind.BATCH,
 }
+ROUTE_TOKEN_LIMIT = "maxCount"
 ENGINE_READY = "ready"
 ENGINE_DRAINING = "draining"
 RESULT_COMPLETED = "completed"
@@ -80,9 +81,22 @@
         priority=int(fields.get("priority") or 0),
         completion_goal_s=(fields.get("completionTargetMs") or 0) / 1000,
         retention_s=float(fields.get("retainS") or DEFAULT_RETENTION_S),
+        max_waiting_tokens=_decode_token_limit(fields),
     )
 
 
+def _decode_token_limit(fields: dict[str, Any]) -> int:
+    limit = fields.get(ROUTE_TOKEN_LIMIT)
+    if limit is None:
+        return 0
+    if type(limit) is not int or not 0 <= limit <= MAX_TOKENS:
+        raise ValueError(
+            f"{ROUTE_TOKEN_LIMIT} of route {fields['name']!r} is {limit!r}, not a "
+            f"whole number of tokens from 0 to {MAX_TOKENS}"
+        )
+    return limit
+
+
 def decode_engine(engine_id: str, value: bytes) -> EngineEntry:
     """
     Decode the row by which an engine registers.
@@ -171,6 +185,7 @@
         target=item.path,
         headers=tuple((name, str(value)) for name, value in item.headers.items()),
         body=item.body,
+        tokens=item.tokens,
     )
 
 
--- a/src/aspenbridge/result_codes/_codes.py
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -37,6 +37,7 @@
     NO_ENGINE_ALLOWED = 3004
     REQUEST_QUARANTINED = 3005
     DEADLINE_BEFORE_RUN = 3006
+    ROUTE_FULL = 3007
     STORE_UNAVAILABLE = 4001
     OUTCOME_UNKNOWN = 4002
     BACKEND_FAILED = 4003
@@ -106,6 +107,11 @@
         503,
         "The deadline passed before an engine ran the request",
     ),
+    _row(
+        ResultCode.ROUTE_FULL,
+        429,
+        "As many tokens wait on the route as may wait there",
+    ),
     _row(ResultCode.STORE_UNAVAILABLE, 503, "The platform's store is down"),
     _row(
         ResultCode.OUTCOME_UNKNOWN,
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -81,6 +81,22 @@
     assert route.repeatable is repeatable
 
 
+@pytest.mark.parametrize(
+    ("fields", "limit_tokens"),
+    [({}, 0), ({"maxCount": None}, 0), ({"maxCount": 0}, 0), ({"maxCount": 7}, 7)],
+)
+def test_route_has_no_token_limit_unless_one_is_given(fields, limit_tokens):
+    assert configuration(**fields).routes[0].max_waiting_tokens == limit_tokens
+
+
+@pytest.mark.parametrize("value", [-1, 1.5, "7", True, [7], 2**60])
+def test_invalid_token_limit_is_rejected_with_its_value_and_route(value):
+    with pytest.raises(MessageError) as raised:
+        configuration(routeKind="batch", maxCount=value)
+    assert repr(value) in str(raised.value)
+    assert "r-1" in str(raised.value)
+
+
 def test_split_route_keeps_its_weights():
     split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     targets = configuration(split=split).routes[0].targets
@@ -138,6 +154,7 @@
     body = json.dumps({"requests": [item]}).encode()
     submission = decode_submission("j", "a.example", body)
     assert submission.items[0].target == "/a/1?b=c"
+    assert submission.items[0].tokens == submission.tokens == 5
     assert submission.items[0].headers == (("Some-Header", "1,2"),)
     assert submission.items[0].body == b"\x00\xff"
 
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -17,6 +17,7 @@
     "gapTargetMs",
     "completionTargetMs",
     "retainS",
+    "maxCount",
     "expectedRev",
     "setKeys",
     "tombstone",
