Reserve room for a job in one part of the store before its head is written

Cause: the head of a job and the admission row of its route were written in one transaction over two parts.

Change: a host first writes the job's tokens into the admission row, alone and under its version, then the items, then the head as before. One call to the store more for an accepted job on a limited route; none for a refused one while the copy is fresh.

The fuzz now also counts jobs that are being accepted when it judges whether a refused one fitted.

--- a/src/aspenbridge/admission/__init__.py
+++ b/src/aspenbridge/admission/__init__.py
@@ -7,6 +7,20 @@
 
 from __future__ import annotations
 
-from ._quota import AdmissionDecision, AdmissionQuota, CountedQuota, Verdict
+from ._quota import (
+    AdmissionDecision,
+    AdmissionQuota,
+    CountedQuota,
+    Reservation,
+    ReservationBook,
+    Verdict,
+)
 
-__all__ = ["AdmissionDecision", "AdmissionQuota", "CountedQuota", "Verdict"]
+__all__ = [
+    "AdmissionDecision",
+    "AdmissionQuota",
+    "CountedQuota",
+    "Reservation",
+    "ReservationBook",
+    "Verdict",
+]
--- a/src/aspenbridge/admission/_quota.py
+++ b/src/aspenbridge/admission/_quota.py
@@ -15,6 +15,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
     from aspenbridge.ports import Clock
@@ -22,6 +23,9 @@
 FREED_WINDOW_S = 5.0  # several items end within it on an engine that works
 MIN_RETRY_S = 0.5  # a job that returns earlier mostly meets the same count
 MAX_RETRY_S = 10.0  # a later return leaves no time to complete the job
+# Exceeds the time in which a host writes the head of a job, and that by which
+# the store may perform a write later.
+RESERVATION_S = 10.0
 RETRY_SPREAD = 0.5  # share by which callers' returns are drawn apart
 
 
@@ -56,6 +60,20 @@
         return self.verdict is Verdict.ADMITTED
 
 
+@attrs.frozen
+class Reservation:
+    """
+    Room for a job whose head may not be written yet.
+
+    ``mark`` is drawn for each reservation, so that one that is made anew for
+    the same job lasts anew.
+    """
+
+    job_id: str
+    tokens: int
+    mark: str
+
+
 class AdmissionQuota(Protocol):
     """Counts the tokens that wait on each route; decides on new jobs."""
 
@@ -69,15 +87,45 @@
         """Return the tokens that wait on a route."""
 
     def decide(
-        self, route: str, limit_tokens: int, job_tokens: int
+        self, route: str, limit_tokens: int, job_tokens: int, reserved_tokens: int = 0
     ) -> AdmissionDecision:
         """
         Decide on a job that is not counted yet.
 
         :param limit_tokens: the most tokens that may wait; 0 for no limit.
+        :param reserved_tokens: of other jobs that are not tracked yet.
         """
 
 
+class ReservationBook:
+    """
+    Tells which reservations of a route still hold.
+
+    One lapses some time after this host has first seen it, by its own steady
+    clock. Until then the job's head may still be written.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._seen_s: dict[str, dict[Reservation, float]] = {}  # by route
+
+    def update(self, route: str, reservations: Iterable[Reservation]) -> None:
+        """Take the reservations that a route has now."""
+        before, now_s = self._seen_s.get(route, {}), self._clock.now_s()
+        self._seen_s[route] = {
+            reservation: before.get(reservation, now_s) for reservation in reservations
+        }
+
+    def holding(self, route: str) -> list[Reservation]:
+        """Return the reservations of a route that have not lapsed."""
+        oldest_s = self._clock.now_s() - RESERVATION_S
+        return [
+            reservation
+            for reservation, seen_s in self._seen_s.get(route, {}).items()
+            if seen_s > oldest_s
+        ]
+
+
 class CountedQuota:
     """A quota that sums up the known jobs; satisfies ``AdmissionQuota``."""
 
@@ -107,14 +155,15 @@
         return self._waiting_tokens[route]
 
     def decide(
-        self, route: str, limit_tokens: int, job_tokens: int
+        self, route: str, limit_tokens: int, job_tokens: int, reserved_tokens: int = 0
     ) -> AdmissionDecision:
         """
         Decide on a job that is not counted yet.
 
         :param limit_tokens: the most tokens that may wait; 0 for no limit.
+        :param reserved_tokens: of other jobs that are not tracked yet.
         """
-        waiting_tokens = self._waiting_tokens[route]
+        waiting_tokens = self._waiting_tokens[route] + reserved_tokens
         missing_tokens = waiting_tokens + job_tokens - limit_tokens
         verdict, retry_after_s = Verdict.ADMITTED, None
         if limit_tokens and job_tokens > limit_tokens:
--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -120,7 +120,11 @@
         )
         engine_follower.on_recovery = engine_directory.store_recovered
         host_follower = Follower(
-            *feed_options, HOSTS_TABLE, self.hosts, interval_s=READ_INTERVAL_S
+            *feed_options,
+            HOSTS_TABLE,
+            self.hosts,
+            all_parts=True,
+            interval_s=READ_INTERVAL_S,
         )
         host_follower.on_recovery = self.hosts.store_recovered
         head_follower = Follower(
@@ -194,6 +198,7 @@
             head_follower,
             store,
             clock,
+            random,
         )
         self._job_directory.on_change = self._head_changed
         self.load_view.on_change = self.worker.load_changed
--- a/src/aspenbridge/jobs/_admission.py
+++ b/src/aspenbridge/jobs/_admission.py
@@ -1,30 +1,35 @@
 """
-Accepts batch jobs in one order for all hosts, within the limit of their route.
-
-The head of a job on a limited route is written together with the admission row
-of the route, on condition that this row is as this host last saw it. All heads
-accepted up to then are in this host's copy, since rows and changes of one
-table arrive in the order of their versions. So of two hosts that see room for
-one job, one writes; the other sees the new head before it decides again.
+Reserves room for batch jobs, in one order for all hosts.
+
+Before the head of a job is written on a route with a limit, its tokens are put
+into the admission row of the route, on condition that this row is as this host
+last saw it. What waits is the sum over the heads and over the reservations
+whose heads are not known yet. Rows and changes of one table arrive in the
+order of their versions, so a host knows the head of each job that the row has
+left out. Of two hosts that see room for one job, one writes the row; the other
+one sees that job before it decides again.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+import attrs
 from returns.result import Failure, Result, Success
 
-from aspenbridge.admission import AdmissionDecision
+from aspenbridge.admission import AdmissionDecision, Reservation, ReservationBook
 from aspenbridge.fleet import FRESH_LIMIT_S
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.store import Changes, Stored
 
-from ._records import AdmissionRecord, JobHead, JobState, admission_key, head_key
+from ._records import AdmissionRecord, JobHead, JobState, head_key
 
 if TYPE_CHECKING:
+    from random import Random
+
     from aspenbridge.admission import AdmissionQuota
-    from aspenbridge.fleet import Follower, Route
+    from aspenbridge.fleet import Follower
     from aspenbridge.ports import Clock
     from aspenbridge.store import Store
 
@@ -40,8 +45,18 @@
 NotAccepted = AdmissionDecision | Conflict | Unavailable
 
 
+@attrs.frozen
+class JobTokens:
+    """A job that asks for room on a route; a limit of 0 means no limit."""
+
+    job_id: str
+    route: str
+    tokens: int
+    limit_tokens: int
+
+
 class JobAdmission:
-    """Decides whether new jobs are accepted, and writes their heads."""
+    """Decides whether new jobs are accepted, and reserves room for them."""
 
     def __init__(
         self,
@@ -50,12 +65,16 @@
         follower: Follower,
         store: Store,
         clock: Clock,
+        random: Random,
     ) -> None:
         self._directory = directory
         self._quota = quota
+        self._book = ReservationBook(clock)
         self._follower = follower
         self._store = store
         self._clock = clock
+        self._random = random
+        directory.on_admission = self._book.update
 
     def head_changed(self, job_id: str) -> None:
         """Count a job anew whose head has changed or was removed."""
@@ -66,119 +85,114 @@
             head = stored.record
             self._quota.track(job_id, head.route, head.waiting_tokens)
 
-    async def refuse_early(
-        self, job_id: str, route: Route, job_tokens: int
+    async def reserve(
+        self, job: JobTokens, deadline_s: float
     ) -> Result[None, NotAccepted]:
         """
-        Refuse a job that does not fit, before anything is written for it.
+        Reserve room for a job; without a limit there is nothing to reserve.
 
-        Calls the store only if this host's copy is old: the job may then have
-        been accepted by another host, and must not be refused.
+        The head has to be written by ``deadline_s``, or not at all.
 
-        :return: a conflict for a job that is already accepted.
+        :param deadline_s: monotonic time, at most ``ACCEPT_LIMIT_S`` ahead.
+        :return: why there is no room: the decision against the job, a conflict
+            if it is already accepted, or the store's failure.
         """
-        decision = self._decide(route.name, route.max_waiting_tokens, job_tokens)
-        if decision.admitted:
+        if not job.limit_tokens:
             return Success(None)
-        if self._follower.age_s > FRESH_COUNT_S:
-            read = await self._store.get(head_key(job_id), JobHead)
-            if isinstance(read, Failure):
-                return read
-            stored = read.unwrap()
-            if stored is not None:
-                self._directory.apply_head(stored)
-                return Failure(Conflict({stored.key: None}))
-            if self._follower.age_s > FRESH_LIMIT_S:
-                return Failure(LATE_COUNT)
-        self._record(job_id, decision)
-        return Failure(decision)
-
-    async def accept(
-        self, head: JobHead, limit_tokens: int
-    ) -> Result[Stored[JobHead], NotAccepted]:
-        """
-        Write the head of a new job, if the job fits.
-
-        :param limit_tokens: the most tokens that may wait on the job's route;
-            0 for no limit.
-        :return: the head; or why it was not written: the decision against it,
-            a conflict if the job is already accepted, or the store's failure.
-        """
-        deadline_s = self._clock.now_s() + ACCEPT_LIMIT_S
-        key = head_key(head.id)
+        decision = self._decide(job)
+        if not decision.admitted:
+            return Failure(await self._confirm_refusal(job, decision))
         while True:
-            if self._directory.get(head.id) is not None:
-                return Failure(Conflict({key: None}))
-            # Without a pause, so that the version belongs to the decision.
-            decision = self._decide(head.route, limit_tokens, head.waiting_tokens)
-            self._record(head.id, decision)
-            if not decision.admitted:
-                return Failure(decision)
-            written = await self._write_head(head, limit_tokens, deadline_s)
+            written = await self._write_reservation(job, deadline_s)
             if isinstance(written, Success):
-                return written
+                return Success(None)
             error = written.failure()
-            if (
-                isinstance(error, Unavailable)
-                or not limit_tokens
-                or error.rows.get(key) is not None
-            ):
-                return Failure(error)
-            if not await self._learn_of_other_jobs(head.route, error, deadline_s):
-                return Failure(LATE_COUNT)
-
-    async def _write_head(
-        self, head: JobHead, limit_tokens: int, deadline_s: float
-    ) -> Result[Stored[JobHead], Conflict | Unavailable]:
-        """Write a head unless another job came first on a limited route."""
-        key, admission = head_key(head.id), admission_key(head.route)
-        changes = Changes().absent(key).put(key, head)
-        if limit_tokens:
-            seen_version = self._directory.admission_version(head.route)
-            changes.check(admission, seen_version)
-            changes.put(admission, AdmissionRecord(head.id))
-        committed = await self._store.commit(changes, deadline_s=deadline_s)
+            if isinstance(error, Unavailable):
+                # The reservation lapses, so the job itself was not accepted.
+                return Failure(attrs.evolve(error, maybe_applied=False))
+            fits = await self._decide_after(error, job, deadline_s)
+            if isinstance(fits, Failure):
+                return fits
+
+    async def _confirm_refusal(
+        self, job: JobTokens, decision: AdmissionDecision
+    ) -> NotAccepted:
+        """
+        Return the decision, unless this host's copy is too old to know.
+
+        Another host may have accepted the job since; it must not be refused.
+        """
+        if self._follower.age_s <= FRESH_COUNT_S:
+            return decision
+        read = await self._store.get(head_key(job.job_id), JobHead)
+        if isinstance(read, Failure):
+            error: Unavailable = read.failure()
+            return error
+        stored = read.unwrap()
+        if stored is not None:
+            self._directory.apply_head(stored)
+            return Conflict({stored.key: None})
+        return decision if self._follower.age_s <= FRESH_LIMIT_S else LATE_COUNT
+
+    async def _write_reservation(
+        self, job: JobTokens, deadline_s: float
+    ) -> Result[None, Conflict | Unavailable]:
+        """Write the admission row with the job, without those now known."""
+        before = self._directory.admission(job.route)
+        mark = self._random.randbytes(4).hex()
+        own = Reservation(job.job_id, job.tokens, mark)
+        record = AdmissionRecord((*self._other_reservations(job), own))
+        committed = await self._store.commit(
+            Changes().unchanged(before).put(before.key, record), deadline_s=deadline_s
+        )
         if isinstance(committed, Failure):
             return committed
-        versions = committed.unwrap().versions
-        stored = Stored(key, head, versions[key])
-        self._directory.apply_head(stored)
-        if limit_tokens:
-            self._directory.apply_admission(admission, versions[admission])
-        return Success(stored)
-
-    async def _learn_of_other_jobs(
-        self, route: str, conflict: Conflict, deadline_s: float
-    ) -> bool:
-        """Wait until this host knows the jobs that were accepted before."""
+        version = committed.unwrap().versions[before.key]
+        self._directory.apply_admission(Stored(before.key, record, version))
+        return Success(None)
+
+    async def _decide_after(
+        self, conflict: Conflict, job: JobTokens, deadline_s: float
+    ) -> Result[None, NotAccepted]:
+        """Decide again once this host knows the jobs that came before."""
         metrics.ADMISSIONS.labels("raced").inc()
-        admission = admission_key(route)
-        row = conflict.rows.get(admission)
-        return row is not None and await self._directory.wait_admission(
-            admission, row.version, deadline_s - self._clock.now_s()
+        row = next(iter(conflict.rows.values()), None)
+        limit_s = deadline_s - self._clock.now_s()
+        if row is None or not await self._directory.wait_admission(
+            job.route, row.version, limit_s
+        ):
+            return Failure(LATE_COUNT)
+        if self._directory.get(job.job_id) is not None:
+            return Failure(conflict)
+        decision = self._decide(job)
+        return Success(None) if decision.admitted else Failure(decision)
+
+    def _other_reservations(self, job: JobTokens) -> list[Reservation]:
+        """Return the reservations of other jobs whose heads are not known."""
+        return [
+            reservation
+            for reservation in self._book.holding(job.route)
+            if reservation.job_id != job.job_id
+            and self._directory.get(reservation.job_id) is None
+        ]
+
+    def _decide(self, job: JobTokens) -> AdmissionDecision:
+        reserved_tokens = sum(r.tokens for r in self._other_reservations(job))
+        decision = self._quota.decide(
+            job.route, job.limit_tokens, job.tokens, reserved_tokens
         )
-
-    def _decide(
-        self, route: str, limit_tokens: int, job_tokens: int
-    ) -> AdmissionDecision:
-        decision = self._quota.decide(route, limit_tokens, job_tokens)
-        metrics.WAITING_TOKENS.labels(route).set(decision.waiting_tokens)
-        metrics.WAITING_TOKENS_LIMIT.labels(route).set(limit_tokens)
-        return decision
-
-    def _record(self, job_id: str, decision: AdmissionDecision) -> None:
-        """Log and count a decision on a route with a limit."""
-        if not decision.limit_tokens:
-            return
+        metrics.WAITING_TOKENS.labels(job.route).set(decision.waiting_tokens)
+        metrics.WAITING_TOKENS_LIMIT.labels(job.route).set(job.limit_tokens)
         metrics.ADMISSIONS.labels(decision.verdict.value).inc()
         log_decision(
             "job admission",
-            job=job_id,
-            route=decision.route,
+            job=job.job_id,
+            route=job.route,
             decision=decision.verdict.value,
-            tokens=decision.job_tokens,
+            tokens=job.tokens,
             waiting_tokens=decision.waiting_tokens,
-            limit_tokens=decision.limit_tokens,
+            limit_tokens=job.limit_tokens,
             count_age_s=round(self._follower.age_s, 3),
             retry_after_s=decision.retry_after_s,
         )
+        return decision
--- a/src/aspenbridge/jobs/_directory.py
+++ b/src/aspenbridge/jobs/_directory.py
@@ -7,11 +7,18 @@
 
 from aspenbridge.store import Stored, decode_record
 
-from ._records import ADMISSION_PART, JobHead, JobState, admission_key
+from ._records import (
+    ADMISSION_PART,
+    AdmissionRecord,
+    JobHead,
+    JobState,
+    admission_key,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from aspenbridge.admission import Reservation
     from aspenbridge.ports import Row, RowChange, RowKey
 
 Key = TypeVar("Key")
@@ -21,17 +28,21 @@
     """
     Newest known head of each job; notifies listeners of changes.
 
-    Also knows the version of each admission row up to which it holds all heads
-    that were accepted with the row.
+    Also holds the admission rows. It has the head of each job that a row had
+    before the version that it has, and does not have any more.
     """
 
     def __init__(self) -> None:
         self._heads: dict[str, Stored[JobHead]] = {}
         self._open: dict[str, Stored[JobHead]] = {}  # of jobs that are run
         self._waiters: dict[str, set[asyncio.Event]] = {}
-        self._admission_versions: dict[RowKey, int] = {}
+        self._admissions: dict[RowKey, Stored[AdmissionRecord]] = {}
         self._admission_waiters: dict[RowKey, set[asyncio.Event]] = {}
         self.on_change: Callable[[str], None] = lambda job_id: None
+        # Called with a route and the reservations that its row has now.
+        self.on_admission: Callable[[str, tuple[Reservation, ...]], None] = (
+            lambda route, reservations: None
+        )
 
     def __iter__(self) -> Iterator[Stored[JobHead]]:
         return iter(list(self._heads.values()))
@@ -62,12 +73,13 @@
         Apply the whole table; heads of jobs that it lacks are dropped.
 
         That may drop a head which this host wrote while the table was read, so
-        the versions of admission rows become those of the table, too.
+        the admission rows become those of the table, too.
         """
         heads = [row for row in rows if row.key.part != ADMISSION_PART]
-        self._admission_versions = {
-            row.key: row.version for row in rows if row.key.part == ADMISSION_PART
-        }
+        self._admissions.clear()
+        for row in rows:
+            if row.key.part == ADMISSION_PART:
+                self.apply_admission(_stored_admission(row.key, row.value, row.version))
         table_ids = {row.key.key for row in heads}
         for job_id in [
             known_id for known_id in self._heads if known_id not in table_ids
@@ -84,9 +96,11 @@
         """Apply one change of the table."""
         if change.key.part == ADMISSION_PART:
             if change.value is None:
-                self._admission_versions.pop(change.key, None)
+                self._admissions.pop(change.key, None)
             else:
-                self.apply_admission(change.key, change.version)
+                self.apply_admission(
+                    _stored_admission(change.key, change.value, change.version)
+                )
         elif change.value is not None:
             head = decode_record(change.value, JobHead)
             self.apply_head(Stored(change.key, head, change.version))
@@ -97,25 +111,29 @@
         """Wait until the head of a job changes, for at most ``limit_s``."""
         await _wait(self._waiters, job_id, limit_s)
 
-    def admission_version(self, route: str) -> int:
-        """Return the version of a route's admission row; 0 if it has none."""
-        return self._admission_versions.get(admission_key(route), 0)
+    def admission(self, route: str) -> Stored[AdmissionRecord]:
+        """Return the admission row of a route; version 0 if it has none."""
+        key = admission_key(route)
+        return self._admissions.get(key, Stored(key, AdmissionRecord(()), 0))
 
-    def apply_admission(self, key: RowKey, version: int) -> None:
-        """Apply the version of an admission row; its heads are applied."""
-        if version > self._admission_versions.get(key, 0):
-            self._admission_versions[key] = version
-            _wake(self._admission_waiters, key)
+    def apply_admission(self, stored: Stored[AdmissionRecord]) -> None:
+        """Apply an admission row unless the same or a newer one is known."""
+        route = stored.key.key
+        if stored.version > self.admission(route).version:
+            self._admissions[stored.key] = stored
+            self.on_admission(route, stored.record.reservations)
+            _wake(self._admission_waiters, stored.key)
 
-    async def wait_admission(self, key: RowKey, version: int, limit_s: float) -> bool:
+    async def wait_admission(self, route: str, version: int, limit_s: float) -> bool:
         """
         Wait until an admission row is known by this version or a newer one.
 
         :return: False if it is not after ``limit_s``.
         """
+        key = admission_key(route)
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + limit_s
-        while self._admission_versions.get(key, 0) < version:
+        while self.admission(route).version < version:
             if not await _wait(self._admission_waiters, key, deadline_s - loop.time()):
                 return False
         return True
@@ -130,6 +148,12 @@
         self.on_change(job_id)
 
 
+def _stored_admission(
+    key: RowKey, value: bytes, version: int
+) -> Stored[AdmissionRecord]:
+    return Stored(key, decode_record(value, AdmissionRecord), version)
+
+
 async def _wait(
     waiters: dict[Key, set[asyncio.Event]], key: Key, limit_s: float
 ) -> bool:
--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -7,13 +7,14 @@
 import attrs
 import xxhash
 
+from aspenbridge.admission import Reservation
 from aspenbridge.ports import RowKey
 
 HEADS_TABLE = "job_heads"
 RESULTS_TABLE = "job_results"
 PROGRESS_TABLE = "job_progress"
 # The part of the table of heads that holds the admission rows. Followers read
-# the unnamed part first, so a copy has all heads that such a row stands for.
+# the unnamed part first, so their copies have the heads that a row leaves out.
 ADMISSION_PART = ""
 # The number of parts of each table; a part is a partition of the table in the
 # store. All rows of a job are in one part, since a transaction writes rows of
@@ -66,12 +67,12 @@
 @attrs.frozen
 class AdmissionRecord:
     """
-    The job that was accepted last on a route whose waiting tokens are limited.
+    The jobs that are being accepted on a route with a limit of waiting tokens.
 
-    The version of the row counts; what it holds only helps to trace a job.
+    A job is left out once whoever writes the row knows its head.
     """
 
-    job_id: str
+    reservations: tuple[Reservation, ...]
 
 
 @attrs.frozen
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -14,7 +14,7 @@
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes, Stored, decode_record
 
-from ._admission import NotAccepted
+from ._admission import ACCEPT_LIMIT_S, JobTokens, NotAccepted
 from ._messages import ItemResult, ResultPage, encode_items
 from ._records import (
     JobHead,
@@ -93,19 +93,23 @@
         """
         Accept a job; a repeated submission succeeds and has no effect.
 
-        Items are stored before the head, so every head has its items. A job
-        that does not fit into the tokens that may wait on the route is refused
-        before that.
+        Room on the route is reserved first, if the tokens that may wait there
+        are limited. Items are stored before the head, so every head has its
+        items.
         """
         if self._directory.get(submission.id) is not None:
             return Success(None)
         if not self._reachability.reaches_store:
             return self._not_accepted(submission.id, STORE_UNREACHABLE)
-        fits = await self._admission.refuse_early(
-            submission.id, route, submission.tokens
+        deadline_s = self._clock.now_s() + ACCEPT_LIMIT_S
+        reserved = await self._admission.reserve(
+            JobTokens(
+                submission.id, route.name, submission.tokens, route.max_waiting_tokens
+            ),
+            deadline_s,
         )
-        if isinstance(fits, Failure):
-            return self._not_accepted(submission.id, fits.failure())
+        if isinstance(reserved, Failure):
+            return self._not_accepted(submission.id, reserved.failure())
         stored = await self._objects.put(
             items_object(submission.id), encode_items(submission.items)
         )
@@ -115,7 +119,7 @@
             not_applied = Unavailable(reason, maybe_applied=False)
             return self._not_accepted(submission.id, not_applied)
         head = self._new_head(submission, route)
-        accepted = await self._admission.accept(head, route.max_waiting_tokens)
+        accepted = await self._write_head(head, deadline_s)
         if isinstance(accepted, Failure):
             return self._not_accepted(head.id, accepted.failure())
         self._owned.add_job(accepted.unwrap(), submission.items)
@@ -123,6 +127,22 @@
         log_decision("job accepted", job=head.id, items=head.total, route=route.name)
         return Success(None)
 
+    async def _write_head(
+        self, head: JobHead, deadline_s: float
+    ) -> Result[Stored[JobHead], Conflict | Unavailable]:
+        """Write the head of a new job, unless its time to do so is over."""
+        if self._clock.now_s() > deadline_s:
+            return Failure(Unavailable("the store is slow", maybe_applied=False))
+        key = head_key(head.id)
+        committed = await self._store.commit(
+            Changes().absent(key).put(key, head), deadline_s=deadline_s
+        )
+        if isinstance(committed, Failure):
+            return committed
+        accepted = Stored(key, head, committed.unwrap().versions[key])
+        self._directory.apply_head(accepted)
+        return Success(accepted)
+
     def _new_head(self, submission: JobSubmission, route: Route) -> JobHead:
         now_s = self._clock.wall_s()
         return JobHead(
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -81,7 +81,7 @@
         self, transaction: Transaction
     ) -> Result[Committed, Conflict | Unavailable]:
         """Apply all writes of a transaction, or none of them."""
-        body: dict[str, object] = {
+        body = {
             "expectedRev": [
                 _encode_key(check.key) | {"ver": check.version}
                 for check in transaction.checks
@@ -92,8 +92,6 @@
             ],
             "remove": [_encode_key(delete.key) for delete in transaction.deletes],
         }
-        if _spans_parts(transaction):
-            body["across"] = True
         result = await self._call_json(
             "POST",
             names.TRANSACT_PATH,
@@ -320,13 +318,6 @@
         return Failure(Unavailable(reason, maybe_applied=True))
 
 
-def _spans_parts(transaction: Transaction) -> bool:
-    keys = [check.key for check in transaction.checks]
-    keys += [put.key for put in transaction.puts]
-    keys += [delete.key for delete in transaction.deletes]
-    return len({key.part for key in keys}) > 1
-
-
 def _encode_key(key: RowKey) -> dict[str, Any]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
--- a/tests/fuzz/admission.py
+++ b/tests/fuzz/admission.py
@@ -16,6 +16,7 @@
 import attrs
 from returns.result import Success
 
+from aspenbridge.admission._quota import RESERVATION_S
 from aspenbridge.entry import EntryHost
 from aspenbridge.fleet import CallKind
 from aspenbridge.jobs import JobSubmission, SubmittedItem
@@ -36,9 +37,10 @@
 STEPS_S = (0.0, 0.002, 0.006, 0.05, 0.3, 1.0)
 APPLY_S = 3.0  # within which a host applies a new configuration
 SETTLE_S = 60.0
-# A refusal is examined only if nothing disturbed the fleet for so long, and
-# the job would have fitted for as long as the second time.
-CALM_S = 6.0
+# A refusal is examined only if nothing disturbed the fleet for so long, which
+# outlasts the reservation of a host that was killed, and the job would have
+# fitted for as long as the second time.
+CALM_S = RESERVATION_S + 1.0
 SETTLED_S = 1.0
 
 
@@ -51,6 +53,7 @@
     codes: list[ResultCode | None] = attrs.field(factory=list)  # None: accepted
     committed: bool = False  # whether the store holds its head
     end_asked: bool = False
+    calls: int = 0  # that have no answer yet
 
 
 class AdmissionOracle:
@@ -118,17 +121,24 @@
     def sample(self) -> None:
         """Note how many tokens wait now."""
         now_s = self._fleet.clock.now_s()
-        self._counts.append((now_s, self.waiting_tokens()))
+        asking = (
+            sum(job.tokens)
+            for job in self.jobs.values()
+            if job.calls and not job.committed
+        )
+        self._counts.append((now_s, self.waiting_tokens() + sum(asking)))
         while self._counts[0][0] < now_s - SETTLED_S:
             self._counts.popleft()
 
     def record_answer(self, job: KnownJob, code: ResultCode | None) -> None:
         """Check a refusal of a job that fitted for a while."""
         job.codes.append(code)
+        job.calls -= 1
         now_s = self._fleet.clock.now_s()
         calm = now_s - max(self.disturbed_s, self.limits[-1][0]) > CALM_S
         if code is not ResultCode.ROUTE_FULL or not calm:
             return
+        self.sample()
         most = max(count for _, count in self._counts)
         if job.committed:
             self.violations.append(f"{now_s:.3f}: accepted {job.id} was refused")
@@ -174,7 +184,7 @@
             + [self.set_limit, self.kill, self.isolate, self.lose_reply]
             + [self.stall_feeds, self.forget_history, self.fail_item, self.heal] * 2
         )
-        calm_share = self.random.choice((0.0, 0.7))
+        calm_share = self.random.choice((0.0, 0.7, 1.0))
         for _ in range(STEPS):
             calm = self.random.random() < calm_share
             action = self.random.choice(actions[:15] if calm else actions)
@@ -228,6 +238,8 @@
         configuration = host.configuration.current
         if configuration is None:
             return
+        job.calls += 1
+        self.oracle.sample()
         items = tuple(
             SubmittedItem(f"{job.id}-{n}", f"/batch/{n}", (), b"", tokens)
             for n, tokens in enumerate(job.tokens)
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -241,14 +241,14 @@
     return counts
 
 
-def test_limit_costs_no_call_for_a_refused_job_and_none_more_for_an_accepted_one():
+def test_limit_costs_no_call_for_a_refused_job_and_one_for_an_accepted_one():
     async def check(fleet):
         counts = count_calls(fleet.hosts["h0"].ports.table)
         assert await submit(fleet, "h0", "j1", 100) == Success(None)
-        assert counts == {"put": 1, "transact": 1}
+        assert counts == {"put": 1, "transact": 2}
         await asyncio.sleep(0.01)
         assert code_of(await submit(fleet, "h0", "j2", 1)) is ResultCode.ROUTE_FULL
-        assert counts == {"put": 1, "transact": 1}
+        assert counts == {"put": 1, "transact": 2}
 
     with_fleet(check, events=SLOW_EVENTS)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -79,17 +79,6 @@
     )
 
 
-def test_transaction_over_several_parts_says_so():
-    def transact_across(client):
-        puts = (Put(KEY, b"v"), Put(RowKey("t", "k", ""), b"w"))
-        return client.transact(Transaction(checks=(), puts=puts, deletes=()))
-
-    _, (_, _, body) = call_store(200, {"ver": 9, "nowMs": 1}, transact_across)
-    assert json.loads(body)["across"] is True
-    _, (_, _, body) = call_store(200, {"ver": 9, "nowMs": 1}, transact)
-    assert "across" not in json.loads(body)
-
-
 def test_transaction_has_the_stores_wire_format():
     result, (method, path, body) = call_store(200, {"ver": 9, "nowMs": 1}, transact)
     assert result.unwrap().versions == {KEY: 9}
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -95,15 +95,7 @@
                 *transaction.deletes,
             )
         }
-        # Only the admission row of a route shares a transaction with a head.
-        admission_parts = {
-            put.key.part
-            for put in transaction.puts
-            if put.key.table == "job_heads" and not put.key.part
-        }
-        assert len(parts - admission_parts) == 1, (
-            "a transaction writes rows of one part only"
-        )
+        assert len(parts) == 1, "a transaction writes rows of one part only"
         entries = (*transaction.checks, *transaction.puts, *transaction.deletes)
         assert len(entries) <= 100, "a transaction has at most 100 entries"
         size_bytes = sum(len(put.value) for put in transaction.puts) * 4 / 3
