Spread the rows of hosts over eight parts of the store

Cause: each host renews its row once a second in the unnamed part, and the store makes 200 writes a second in one part. At 195 hosts 195 of them were heartbeats; from 200 hosts on renewals would be late or refused, and live hosts would count as lost. Engine list, quarantine and admission rows share that part.

--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -21,6 +21,10 @@
 logger = logging.getLogger(__name__)
 HOSTS_TABLE = "hosts"
 HEARTBEAT_INTERVAL_S = 1.0
+# The number of parts of the table; a part is a partition in the store, which
+# takes 200 writes a second. More parts carry more hosts, but a host reads each
+# part once when it starts.
+PARTS = 8
 # Between two reads of the renewals of all hosts, so that the reads of a host
 # don't grow with their number. A lost host is noticed up to this much later.
 READ_INTERVAL_S = 0.5
@@ -156,7 +160,7 @@
         self._store = store
         self._clock = clock
         self._record = record
-        self._key = RowKey(HOSTS_TABLE, record.host)
+        self._key = host_key(record.host)
         self._written_s = float("-inf")
 
     @property
@@ -187,6 +191,12 @@
             logger.warning("host row was not removed: %s", removed.failure())
 
 
+def host_key(host: str) -> RowKey:
+    """Return the key of a host's row, in the part that a hash gives it."""
+    part = f"p{xxhash.xxh32_intdigest(host.encode()) % PARTS}"
+    return RowKey(HOSTS_TABLE, host, part)
+
+
 def rank(host: str, subject: str) -> int:
     """
     Return a host's rank for a subject, by rendezvous hashing.
