--- a/src/aspenbridge/jobs/_records.py
+++ b/src/aspenbridge/jobs/_records.py
@@ -7,11 +7,15 @@
 import attrs
 import xxhash
 
+from aspenbridge.admission import Reservation
 from aspenbridge.ports import RowKey
 
 HEADS_TABLE = "job_heads"
 RESULTS_TABLE = "job_results"
 PROGRESS_TABLE = "job_progress"
+# The part of the table of heads that holds the admission rows. Followers read
+# the unnamed part first, so their copies have the heads that a row leaves out.
+ADMISSION_PART = ""
 # The number of parts of each table; a part is a partition of the table in the
 # store. All rows of a job are in one part, since a transaction writes rows of
 # one part only. More parts allow more writes (200 a second for each), but a
@@ -41,7 +45,9 @@
     the incarnation of the host that runs the items, or empty. ``total`` is the
     number of items. ``listed`` holds the index of the item at each position of
     the results. ``configuration`` is the version under which the job was
-    accepted; 0 in rows of builds without it.
+    accepted; 0 in rows of builds without it. ``route`` is the name of the
+    route that the job came by, and ``waiting_tokens`` the tokens of the items
+    that are not listed; both are empty in rows of builds without them.
     """
 
     id: str
@@ -54,6 +60,19 @@
     expires_wall_s: float
     listed: tuple[int, ...] = ()
     configuration: int = 0
+    route: str = ""
+    waiting_tokens: int = 0
+
+
+@attrs.frozen
+class AdmissionRecord:
+    """
+    The jobs that are being accepted on a route with a limit of waiting tokens.
+
+    A job is left out once whoever writes the row knows its head.
+    """
+
+    reservations: tuple[Reservation, ...]
 
 
 @attrs.frozen
@@ -96,6 +115,11 @@
     return RowKey(HEADS_TABLE, job_id, part_of(job_id))
 
 
+def admission_key(route: str) -> RowKey:
+    """Return the key of the admission row of a route."""
+    return RowKey(HEADS_TABLE, route, ADMISSION_PART)
+
+
 def result_key(job_id: str, position: int) -> RowKey:
     """Return the key of the result at a position."""
     return RowKey(RESULTS_TABLE, f"{job_id}/{position:04d}", part_of(job_id))
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -7,12 +7,14 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from aspenbridge.admission import AdmissionDecision, Verdict
 from aspenbridge.fleet import FRESH_LIMIT_S
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.result_codes import Problem, ResultCode
 from aspenbridge.store import Changes, Stored, decode_record
 
+from ._admission import ACCEPT_LIMIT_S, JobTokens, NotAccepted
 from ._messages import ItemResult, ResultPage, encode_items
 from ._records import (
     JobHead,
@@ -31,10 +33,10 @@
     from aspenbridge.ports import ChangeFeed, Clock, ObjectStore
     from aspenbridge.store import Store
 
+    from ._admission import JobAdmission
     from ._directory import JobDirectory
     from ._messages import JobSubmission, SubmittedItem
 
-ACCEPT_LIMIT_S = 2.5  # leaves a caller time to try another host by its deadline
 END_LIMIT_S = 2.0
 STORE_RETRY_S = 0.5
 OTHER_HOST_RETRY_S = 0.02  # short, since the retry goes to another host
@@ -62,6 +64,7 @@
     def __init__(
         self,
         directory: JobDirectory,
+        admission: JobAdmission,
         follower: Follower,
         reachability: Reachability,
         store: Store,
@@ -73,6 +76,7 @@
         configuration_version: Callable[[], int],
     ) -> None:
         self._directory = directory
+        self._admission = admission
         self._follower = follower
         self._reachability = reachability
         self._store = store
@@ -89,12 +93,23 @@
         """
         Accept a job; a repeated submission succeeds and has no effect.
 
-        Items are stored before the head, so every head has its items.
+        Room on the route is reserved first, if the tokens that may wait there
+        are limited. Items are stored before the head, so every head has its
+        items.
         """
         if self._directory.get(submission.id) is not None:
             return Success(None)
         if not self._reachability.reaches_store:
             return self._not_accepted(submission.id, STORE_UNREACHABLE)
+        deadline_s = self._clock.now_s() + ACCEPT_LIMIT_S
+        reserved = await self._admission.reserve(
+            JobTokens(
+                submission.id, route.name, submission.tokens, route.max_waiting_tokens
+            ),
+            deadline_s,
+        )
+        if isinstance(reserved, Failure):
+            return self._not_accepted(submission.id, reserved.failure())
         stored = await self._objects.put(
             items_object(submission.id), encode_items(submission.items)
         )
@@ -104,19 +119,29 @@
             not_applied = Unavailable(reason, maybe_applied=False)
             return self._not_accepted(submission.id, not_applied)
         head = self._new_head(submission, route)
+        accepted = await self._write_head(head, deadline_s)
+        if isinstance(accepted, Failure):
+            return self._not_accepted(head.id, accepted.failure())
+        self._owned.add_job(accepted.unwrap(), submission.items)
+        metrics.JOBS.labels("accepted").inc()
+        log_decision("job accepted", job=head.id, items=head.total, route=route.name)
+        return Success(None)
+
+    async def _write_head(
+        self, head: JobHead, deadline_s: float
+    ) -> Result[Stored[JobHead], Conflict | Unavailable]:
+        """Write the head of a new job, unless its time to do so is over."""
+        if self._clock.now_s() > deadline_s:
+            return Failure(Unavailable("the store is slow", maybe_applied=False))
         key = head_key(head.id)
         committed = await self._store.commit(
-            Changes().absent(key).put(key, head),
-            deadline_s=self._clock.now_s() + ACCEPT_LIMIT_S,
+            Changes().absent(key).put(key, head), deadline_s=deadline_s
         )
         if isinstance(committed, Failure):
-            return self._not_committed(head.id, committed.failure())
+            return committed
         accepted = Stored(key, head, committed.unwrap().versions[key])
         self._directory.apply_head(accepted)
-        self._owned.add_job(accepted, submission.items)
-        metrics.JOBS.labels("accepted").inc()
-        log_decision("job accepted", job=head.id, items=head.total, route=route.name)
-        return Success(None)
+        return Success(accepted)
 
     def _new_head(self, submission: JobSubmission, route: Route) -> JobHead:
         now_s = self._clock.wall_s()
@@ -130,18 +155,17 @@
             due_wall_s=now_s + route.completion_goal_s,
             expires_wall_s=now_s + route.retention_s,
             configuration=self._configuration_version(),
+            route=route.name,
+            waiting_tokens=submission.tokens,
         )
 
-    def _not_committed(
-        self, job_id: str, error: Conflict | Unavailable
-    ) -> Result[None, Problem]:
+    def _not_accepted(self, job_id: str, error: NotAccepted) -> Result[None, Problem]:
         if isinstance(error, Conflict):
             log_decision("job known", job=job_id)
             return Success(None)
-        return self._not_accepted(job_id, error)
-
-    def _not_accepted(self, job_id: str, error: Unavailable) -> Failure[Problem]:
         metrics.JOBS.labels("not accepted").inc()
+        if isinstance(error, AdmissionDecision):
+            return Failure(_route_full(error))
         log_decision(
             "job not accepted",
             job=job_id,
@@ -293,3 +317,18 @@
             error.reason,
             retry_after_s=OTHER_HOST_RETRY_S if other_host_may_serve else STORE_RETRY_S,
         )
+
+
+def _route_full(decision: AdmissionDecision) -> Problem:
+    """Return the refusal of a job, without what others have waiting."""
+    room = f"the {decision.limit_tokens} tokens that may wait"
+    detail = (
+        f"route {decision.route!r} is full: the job's {decision.job_tokens} tokens "
+        f"do not fit into {room} now"
+    )
+    if decision.verdict is Verdict.NEVER_FITS:
+        detail = (
+            f"the job has {decision.job_tokens} tokens, more than {room} on route "
+            f"{decision.route!r}"
+        )
+    return Problem(ResultCode.ROUTE_FULL, detail, retry_after_s=decision.retry_after_s)
