--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -28,6 +28,7 @@
 
 DEADLINE_MS = 4000  # of each call, from when it is sent
 SUBMIT_ATTEMPTS = 6
+ITEM_TOKENS = 10
 REQUESTS_PER_CONNECTION = 10  # at most
 CALM_INTERVAL_S = 0.25  # between two calm requests to a host
 WRONG_SHARE = 0.03  # of all requests
@@ -56,6 +57,7 @@
         self._session = session
         self._number = 0
         self.versions: list[int] = []
+        self.limit_tokens = 0  # that may wait on the batch route; 0: no limit
 
     def _new_id(self, kind: str) -> str:
         self._number += 1
@@ -159,7 +161,7 @@
         for _ in range(self._random.randint(2, 5)):
             item_id = self._new_id("i")
             items[item_id] = f"/batch/{item_id}", item_id.encode()
-        job = SentJob(self._new_id("j"), items)
+        job = SentJob(self._new_id("j"), items, tokens=ITEM_TOKENS)
         self._oracle.jobs[job.job_id] = job
         requests = [
             {
@@ -167,7 +169,7 @@
                 "path": path,
                 "headers": {},
                 "body": base64.b64encode(body).decode(),
-                "tokens": 10,
+                "tokens": ITEM_TOKENS,
             }
             for item_id, (path, body) in items.items()
         ]
@@ -176,8 +178,11 @@
             statuses.append(await self._submit_once(job, requests))
             if statuses[-1] == 202:
                 job.accepted = True
+                if self.limit_tokens:
+                    self._oracle.check_waiting_tokens(self.limit_tokens)
                 return
             await asyncio.sleep(self._random.uniform(0.1, 0.6))
+        self._oracle.response_counts["jobs full"] += statuses[-1] == 429
         job.refused = all(status in (429, 503) for status in statuses)
 
     async def _submit_once(self, job: SentJob, requests: list[dict[str, Any]]) -> int:
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -51,6 +51,8 @@
     A request that an engine began to run.
 
     :ivar ended_s: when the engine ended its work on it; None before that.
+    :ivar finished: whether the engine made all of the answer.
+    :ivar failed: whether it answered 500.
     """
 
     request_id: str
@@ -59,6 +61,8 @@
     service: str
     started_s: float = attrs.field(factory=time.monotonic)
     ended_s: float | None = None
+    finished: bool = False
+    failed: bool = False
 
 
 @attrs.define
@@ -132,18 +136,19 @@
             async with self._slots:
                 run = EngineRun(request_id, request.path, self.name, self.service)
                 self.runs.append(run)
-                return await self._run(request, request_id, body)
+                return await self._run(request, request_id, body, run)
         finally:
             self._active -= 1
             if run is not None:
                 run.ended_s = time.monotonic()
 
     async def _run(
-        self, request: web.BaseRequest, request_id: str, body: bytes
+        self, request: web.BaseRequest, request_id: str, body: bytes, run: EngineRun
     ) -> web.StreamResponse:
         headers = {ATTEMPT_ID_HEADER: request_id, SERVER_STAMP_HEADER: self.name}
         headers |= self.marks
         if self._draw_fault(self.faults.fail):
+            run.failed = True
             return web.Response(status=500, headers=headers)
         if request.path.startswith(CRASHING_PREFIX):
             await asyncio.sleep(EVENT_INTERVAL_S)
@@ -157,12 +162,15 @@
             )
         first = int(request.headers.get("Last-Event-Id", -1)) + 1
         if self._draw_fault(self.faults.draw_end):
+            run.finished = True  # all may arrive, whatever end is drawn
             return await self._respond_with_drawn_end(
                 request, request_id, events, first
             )
         if self._draw_fault(self.faults.endless):
             return await self._respond_without_end(request, request_id)
-        return await self._stream(request, headers, events, first)
+        response = await self._stream(request, headers, events, first)
+        run.finished = response.status == 200
+        return response
 
     async def _stream(
         self,
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -54,6 +54,7 @@
 # The kinds of faults of a run; an empty plan has all but ``TOGETHER``.
 PLANS: dict[str, tuple[str, ...]] = {
     "all": (),
+    "quota": (),  # all kinds, with few tokens that may wait on the batch route
     "planned": PLANNED,
     "endless": (ENDLESS,),
     "bursts": (
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -27,6 +27,7 @@
     from ._engines import EngineRun
     from ._hosts import HostProcess
 
+MAX_ITEM_FAILURES = 3  # after which an item is given up
 MAX_CRASHES = 3  # after which a request is stopped
 CONTACT_S = 4.0  # until all hosts know of a crash
 MEMORY_BYTES = 32 * 1024 * 1024  # that a host may need beyond its calm need
@@ -40,6 +41,7 @@
 
     job_id: str
     items: dict[str, tuple[str, bytes]]  # path and body of each item
+    tokens: int = 0  # of each item
     accepted: bool = False
     refused: bool = False  # every attempt to submit it was refused
     results: dict[int, dict[str, Any]] = attrs.field(factory=dict)  # by position
@@ -103,6 +105,23 @@
         """Record a broken promise."""
         self.violations.append(f"{promise}: {detail}")
 
+    def check_waiting_tokens(self, limit_tokens: int) -> None:
+        """Check, as a job is accepted, that no more wait than may."""
+        runs_by_id: dict[str, list[EngineRun]] = {}
+        for run in self.runs:
+            runs_by_id.setdefault(run.request_id, []).append(run)
+        waiting = sum(
+            job.tokens
+            for job in self.jobs.values()
+            if job.accepted
+            for item_id in job.items
+            if not _is_over(runs_by_id.get(item_id, []))
+        )
+        if waiting > limit_tokens:
+            self.add_violation(
+                "limit of waiting tokens", f"{waiting} wait, {limit_tokens} may"
+            )
+
     def record_sent(self, request_id: str, host: str) -> None:
         """Record that a caller begins to send a request to a host."""
         self.host_by_request[request_id] = host
@@ -313,3 +332,9 @@
 def now_s() -> float:
     """Return the time on the clock that ``EngineRun.started_s`` uses."""
     return time.monotonic()
+
+
+def _is_over(runs: list[EngineRun]) -> bool:
+    """Whether an engine finished an item, or it failed too often."""
+    failures = sum(run.failed for run in runs)
+    return failures >= MAX_ITEM_FAILURES or any(run.finished for run in runs)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -36,6 +36,8 @@
 OWN_DELAY_S = 0.3  # by which the loop is late when the run counts as disturbed
 RESULT_READERS = 4
 JOB_INTERVAL_S = 1.2  # mean time between two submissions
+QUOTA_TOKENS = 60  # that may wait in the plan "quota": the items of two jobs
+QUOTA_JOB_INTERVAL_S = 0.25
 # How long the hosts may take to finish all jobs once the faults have ended.
 # Jobs are taken over within seconds then.
 SETTLE_LIMIT_S = 90.0
@@ -133,15 +135,22 @@
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
         self.callers = Callers(self.hosts, self.oracle, self.random, session)
+        self.callers.limit_tokens = self._limit_tokens
         self.callers.versions.append(self.version)
 
+    @property
+    def _limit_tokens(self) -> int:
+        return QUOTA_TOKENS if self.options.plan == "quota" else 0
+
     def _loops(self) -> list:
         callers = self.callers
         return [
             *(callers.use_connections_forever() for _ in range(ONLINE_CALLERS)),
             *(callers.send_calm_requests_forever(host) for host in self.hosts),
             self._watch_forever(),
-            callers.submit_jobs_forever(JOB_INTERVAL_S),
+            callers.submit_jobs_forever(
+                QUOTA_JOB_INTERVAL_S if self._limit_tokens else JOB_INTERVAL_S
+            ),
             *(callers.read_results_forever() for _ in range(RESULT_READERS)),
         ]
 
@@ -186,7 +195,14 @@
             self._online_route("once", "/once/", "non_idempotent"),
             self._online_route("seen", f"/v{self.version}/", "streaming"),
             _route("calm", CALM_PREFIX, "non_idempotent", service=CALM_SERVICE),
-            _route("batch", "/batch/", "batch", completionTargetMs=18000, retainS=600),
+            _route(
+                "batch",
+                "/batch/",
+                "batch",
+                completionTargetMs=18000,
+                retainS=600,
+                maxCount=self._limit_tokens,
+            ),
         ]
         by_prefix = {
             route["prefix"]: (
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,3 +41,10 @@
     assert oracle.violations == []
     assert oracle.fault_counts[kind] > 0
     assert oracle.response_counts["whole"] > 0
+
+
+def test_short_run_keeps_the_limit_of_waiting_tokens():
+    oracle = run_seed(Options(11, SECONDS, 3, plan="quota", subnet=SUBNET))
+    assert oracle.violations == []
+    assert oracle.response_counts["jobs full"] > 0
+    assert any(job.accepted and job.done for job in oracle.jobs.values())
