--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -14,10 +14,16 @@
 
 from aspenbridge.clock import SystemClock
 from aspenbridge.entry import Address, EntryHost
+from aspenbridge.fleet import CallKind
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform._ingress import Ingress
 from aspenbridge.ports import CallOutcome
-from tests.support.entry_fleet import EntryFleet, Fault
+from tests.support.entry_fleet import (
+    EntryFleet,
+    Fault,
+    make_configuration,
+    make_route,
+)
 
 HEADERS = {"Host": "a.example", "X-Aspenbridge-Deadline-Ms": "5000"}
 
@@ -130,6 +136,29 @@
     run_with_host(check)
 
 
+def test_job_that_does_not_fit_on_its_route_gets_429_and_when_to_come_back():
+    async def check(fleet, call, _):
+        route = make_route("batch", kind=CallKind.BATCH, max_waiting_tokens=30)
+        fleet.configurations[b"2"] = make_configuration(2, (route,))
+        fleet.store.write("op", "config", b"2")
+        fleet.engines.event_s = 1.0
+        await asyncio.sleep(0.2)
+        async with call("POST", "/batch/j1", "j1", job_body("a", "b")) as response:
+            assert response.status == 202
+        async with call("POST", "/batch/j2", "j2", job_body("c", "d")) as response:
+            assert response.status == 429
+            assert float(response.headers["Retry-After"]) > 0
+            problem = await response.json()
+            assert (problem["code"], problem["execution"]) == (3007, "not run")
+            assert "20 tokens do not fit" in problem["error"]
+        body = job_body("e", "f", "g", "h")
+        async with call("POST", "/batch/j3", "j3", body) as response:
+            assert response.status == 429
+            assert "Retry-After" not in response.headers
+
+    run_with_host(check)
+
+
 def test_job_is_submitted_read_by_position_and_ended():
     async def check(fleet, call, _):
         async with call("POST", "/batch/j1", "j1", job_body("a", "b")) as response:
