Send a job on in time when its host always loses the race for room

Cause: a host whose feed brought the other host's reservation before the store's answer went round without a look at its deadline, as long as others came first.

Change: no further try after the deadline. The test times out without it.

--- a/src/aspenbridge/jobs/_admission.py
+++ b/src/aspenbridge/jobs/_admission.py
@@ -176,9 +176,10 @@
         """Wait until this host knows the jobs that came before."""
         metrics.ADMISSIONS.labels("raced").inc()
         row = next(iter(conflict.rows.values()), None)
-        return row is not None and await self._directory.wait_admission(
-            route, row.version, deadline_s - self._clock.now_s()
-        )
+        limit_s = deadline_s - self._clock.now_s()
+        if row is None or limit_s <= 0:
+            return False
+        return await self._directory.wait_admission(route, row.version, limit_s)
 
     def _other_reservations(self, job: JobTokens) -> list[Reservation]:
         """Return the reservations of other jobs whose heads are not known."""
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -11,8 +11,9 @@
 from aspenbridge.fleet import CallKind
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._admission import ACCEPT_LIMIT_S
-from aspenbridge.jobs._records import HEADS_TABLE
+from aspenbridge.jobs._records import HEADS_TABLE, AdmissionRecord, admission_key
 from aspenbridge.result_codes import ResultCode
+from aspenbridge.store import Changes
 from tests.support.entry_fleet import EntryFleet, make_configuration, make_route
 from tests.support.virtual_loop import run_virtual
 
@@ -241,6 +242,29 @@
     return counts
 
 
+def test_host_that_always_comes_second_sends_the_job_on_in_time():
+    async def check(fleet):
+        client = fleet.hosts["h0"].ports.table
+        transact, key = client.transact, admission_key("batch")
+
+        async def transact_after_another_host(transaction):
+            if any(put.key == key for put in transaction.puts):
+                before = fleet.store.rows_by_key.get(key)
+                other = Changes().check(key, before.version if before else 0)
+                other.put(key, AdmissionRecord(()))
+                fleet.store.apply(other.transaction(bytes(16)))
+                await asyncio.sleep(0.02)  # the feed is faster than the answer
+            return await transact(transaction)
+
+        client.transact = transact_after_another_host
+        async with asyncio.timeout(ACCEPT_LIMIT_S + 0.5):
+            problem = (await submit(fleet, "h0", "j1", 60)).failure()
+        assert problem.code is ResultCode.STORE_UNAVAILABLE
+        assert await submit(fleet, "h1", "j1", 60) == Success(None)
+
+    with_fleet(check, events=SLOW_EVENTS)
+
+
 def test_limit_costs_no_call_for_a_refused_job_and_one_for_an_accepted_one():
     async def check(fleet):
         counts = count_calls(fleet.hosts["h0"].ports.table)
