Accept no job on a limited route before the table of heads was read

Cause: found by reading. A started host that had not read the table yet counted nothing; where the route had no admission row, as after a limit was introduced, its reservation met no conflict, and the job was accepted beyond the limit.

Change: until the table is read such a job gets 503 and goes to another host. The test fails without it (the job was accepted).

--- a/src/aspenbridge/jobs/_admission.py
+++ b/src/aspenbridge/jobs/_admission.py
@@ -96,6 +96,8 @@
         """
         if not job.limit_tokens:
             return None
+        if not self._follower.loaded.is_set():
+            return LATE_COUNT
         decision = self._decide(job)
         if decision.admitted:
             return None
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -242,6 +242,23 @@
     return counts
 
 
+def test_started_host_accepts_no_job_before_it_has_read_what_waits():
+    async def check(fleet):
+        assert await submit(fleet, "h0", "j1", 60) == Success(None)
+        set_limit(fleet, LIMIT_TOKENS)
+        await asyncio.sleep(0.5)
+        fleet.store.unreadable_tables = {HEADS_TABLE}
+        await fleet.start("h3")
+        await asyncio.sleep(2.0)
+        late = code_of(await submit(fleet, "h3", "j2", 60))
+        assert late is ResultCode.STORE_UNAVAILABLE
+        fleet.store.unreadable_tables = set()
+        await asyncio.sleep(2.0)
+        assert code_of(await submit(fleet, "h3", "j2", 60)) is ResultCode.ROUTE_FULL
+
+    with_fleet(check, limit_tokens=0, events=SLOW_EVENTS)
+
+
 def test_host_that_always_comes_second_sends_the_job_on_in_time():
     async def check(fleet):
         client = fleet.hosts["h0"].ports.table
