--- a/src/aspenbridge/jobs/_messages.py
+++ b/src/aspenbridge/jobs/_messages.py
@@ -15,7 +15,9 @@
 
     ``id`` is also the id of the request to an engine. ``target`` holds path
     and query. ``tokens`` counts the prompt and the most that may be generated;
-    it is 0 in objects of builds that did not store it.
+    it is 0 in objects of builds that did not store it. ``prompt_parts`` holds
+    the ids of the parts of the prompt that other requests may share, in their
+    order; it is empty in objects of builds that did not store it.
     """
 
     id: str
@@ -23,6 +25,7 @@
     headers: Headers
     body: bytes
     tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aspenbridge.observability import log_decision, metrics
+from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
 from aspenbridge.ports import CallOutcome
 
 from ._item_run import ItemOutcome, ItemRunResult, run_item
@@ -303,6 +303,7 @@
             body_end=run.body_end and run.body_end.value,
             events=len(state.events) - events_before,
             fingerprint=job.fingerprints[state.index],
+            prompt_parts=item.prompt_parts[:MAX_LOGGED_PARTS],
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
--- a/src/aspenbridge/observability/__init__.py
+++ b/src/aspenbridge/observability/__init__.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from . import _metrics as metrics
-from ._lines import LineHandler, configure_logging, log_decision
+from ._lines import MAX_LOGGED_PARTS, LineHandler, configure_logging, log_decision
 from ._metrics import metrics_text
 
 __all__ = [
+    "MAX_LOGGED_PARTS",
     "LineHandler",
     "configure_logging",
     "log_decision",
--- a/src/aspenbridge/observability/_lines.py
+++ b/src/aspenbridge/observability/_lines.py
@@ -18,6 +18,7 @@
 
 LINES_PER_S = 200  # ten times the rate of one host on its busiest day
 BURST_LINES = 400
+MAX_LOGGED_PARTS = 16  # of one prompt
 DECISION = "decision"  # the attribute of a log record that holds the inputs
 
 logger = logging.getLogger("aspenbridge.decisions")
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -18,6 +18,7 @@
 from aspenbridge.jobs import ItemResult, JobSubmission, ResultPage, SubmittedItem
 
 from ._parameters import ID_PATTERN, shown
+from ._prompts import shared_prompt_parts
 
 ROUTE_KINDS = {
     "idempotent": CallKind.IDEMPOTENT,
@@ -180,12 +181,14 @@
 
 
 def _submitted_item(item: _Item) -> SubmittedItem:
+    headers = tuple((name, str(value)) for name, value in item.headers.items())
     return SubmittedItem(
         id=item.id,
         target=item.path,
-        headers=tuple((name, str(value)) for name, value in item.headers.items()),
+        headers=headers,
         body=item.body,
         tokens=item.tokens,
+        prompt_parts=shared_prompt_parts(headers),
     )
 
 
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -30,6 +30,7 @@
     duration_s,
     whole_number,
 )
+from ._prompts import shared_prompt_parts
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
 if TYPE_CHECKING:
@@ -296,14 +297,16 @@
     )
     for name, value in headers.items():
         check_header(name, value)
+    header_fields = tuple(headers.items())
     return CallerRequest(
         request_id=headers.get(names.REQUEST_ID, ""),
         method=request.method,
         target=request.raw_path,
         host=headers.get("Host", ""),
-        headers=tuple(headers.items()),
+        headers=header_fields,
         body=body,
         received_s=received_s,
         deadline_s=received_s + time_budget_s,
         resume_after=resume_after_id,
+        prompt_parts=shared_prompt_parts(header_fields),
     )
--- a/src/aspenbridge/platform/_names.py
+++ b/src/aspenbridge/platform/_names.py
@@ -7,6 +7,7 @@
 REQUEST_ID = "X-Aspenbridge-Attempt-Id"  # a caller's retry has a new id
 TIME_BUDGET_MS = "X-Aspenbridge-Deadline-Ms"  # a duration, not a time
 RESUME_AFTER = "Last-Event-Id"
+PROMPT_PARTS = "X-Aspenbridge-Prefix-Hash"
 SERVER_STAMP = "X-Aspenbridge-Server-Stamp"
 EXPECTED_ENGINE = "X-Aspenbridge-Expect-Instance"
 NOT_EXECUTED = "X-Aspenbridge-Not-Executed"
--- a/src/aspenbridge/relay/_attempts.py
+++ b/src/aspenbridge/relay/_attempts.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from aspenbridge.observability import log_decision, metrics
+from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
 from aspenbridge.ports import CallOutcome
 
 from ._attempt import Attempt
@@ -90,6 +90,9 @@
             body_end=head and head.body_end.value,
             events=progress.events_sent,
             fingerprint=progress.fingerprint,
+            prompt_parts=progress.prompt_parts[:MAX_LOGGED_PARTS],
+            answer_events=attempt.events,
+            streamed_ms=round(attempt.streamed_s * 1000),
             sends=progress.failed_sends,
             asked_again=attempt.asked_again,
         )
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -102,6 +102,7 @@
             fingerprint=request_fingerprint(
                 request.method, host, request.target, request.body
             ),
+            prompt_parts=request.prompt_parts,
         )
         outcome = "cancelled"
         try:
@@ -299,16 +300,18 @@
         self._health.record_answer(attempt.engine.id)
         chunks = self._failover.chunks(progress, attempt)
         if answer.head.streams and answer.head.status < SERVER_ERROR:
-            await self._relay_events(progress, answer.head, chunks)
+            await self._relay_events(progress, attempt, chunks)
         else:
             await self._relay_whole(progress, answer.head, chunks)
 
     async def _relay_events(
-        self, progress: Progress, head: AnswerHead, chunks: AsyncIterator[bytes]
+        self, progress: Progress, attempt: Attempt, chunks: AsyncIterator[bytes]
     ) -> None:
+        head = attempt.answer.head
         progress.events.restart()
         async for events in read_events(head, chunks, progress.events):
             progress.last_event_s = self._clock.now_s()
+            attempt.add_events(len(events), progress.last_event_s)
             if progress.first_event_s is None:
                 progress.first_event_s = progress.last_event_s
             if not progress.begun:
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -33,6 +33,8 @@
     received_s: float
     deadline_s: float
     resume_after: int | None  # the id of the last event the caller has
+    # Ids of the parts of the prompt that other requests may share, in order.
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
@@ -70,6 +72,7 @@
     events: EventSplitter
     received_s: float
     fingerprint: str  # the same for all resends of the request
+    prompt_parts: tuple[str, ...] = ()  # as in ``CallerRequest``
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
     lost_connections: int = 0  # those of them that ended with their connection
