--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -286,6 +286,7 @@
     target: str = ""
     deadline_s: float = 0.0
     body: bytes = b""
+    parts: tuple[str, ...] = ()  # of the prompt that others may share
 
 
 @attrs.frozen
@@ -295,6 +296,16 @@
     engine: str
     at_s: float
     body: bytes
+    parts: frozenset[str] = frozenset()  # that caused it
+
+
+PARTS_HEADER = "parts"  # holds the shared parts of a prompt, for engines
+
+
+def parts_of(call) -> tuple[str, ...]:
+    """Return the shared parts of the prompt of a request or a call."""
+    text = dict(call.headers).get(PARTS_HEADER, "")
+    return tuple(text.split()) if text else ()
 
 
 class MemoryEngines:
@@ -307,6 +318,13 @@
         self.runs: list[Run] = []
         self.faults: dict[str, list[Fault]] = {}  # by request id; "*" for any request
         self.crashing_bodies: set[bytes] = set()  # they crash engines that run them
+        self.crashing_parts: set[str] = set()  # prompts with them crash engines
+        # How many events engines send of an answer that crashes them; None if
+        # they crash before its head.
+        self.crash_events: int | None = None
+        # What marks the end of answers. With ``CONNECTION`` one that crashes
+        # its engine ends in an orderly way.
+        self.body_end = BodyEnd.CHUNKS
         self.crash_after_s = EVENT_S  # from when such a request begins to run
         self.crashes_are_silent = False  # connections stay open without data
         self.abandoned_runs_go_on = False  # when a crashing request is cancelled
@@ -324,10 +342,12 @@
                 return self.faults[key].pop(0)
         return Fault()
 
-    def crash(self, engine_id: str, body: bytes = b"") -> None:
+    def crash(
+        self, engine_id: str, body: bytes = b"", parts: frozenset[str] = frozenset()
+    ) -> None:
         """Break all requests that run on an engine, which then is down."""
         now_s = asyncio.get_running_loop().time()
-        self.crashes.append(Crash(engine_id, now_s, body))
+        self.crashes.append(Crash(engine_id, now_s, body, parts))
         self.down.add(engine_id)
         self.on_crash(engine_id)
 
@@ -351,6 +371,7 @@
             target=call.target,
             deadline_s=call.deadline_s,
             body=call.body,
+            parts=parts_of(call),
         )
         self.runs.append(run)
         crash_count = self.crash_count(engine_id)
@@ -371,20 +392,22 @@
         except asyncio.CancelledError:
             answer.close()
             raise
-        if call.body in self.crashing_bodies:
+        guilty = self.crashing_parts.intersection(run.parts)
+        answer.crashing_parts = guilty
+        if call.body in self.crashing_bodies or (guilty and self.crash_events is None):
             try:
-                await self._run_crashing(engine_id, call.body, crash_count, limit_s)
+                await self._run_crashing(run, guilty, crash_count, limit_s)
                 answer.raise_if_crashed()
             finally:
                 answer.close()
         return answer
 
-    async def _run_crashing(self, engine_id, body, crash_count, limit_s):
+    async def _run_crashing(self, run, parts, crash_count, limit_s):
         """Crash an engine unless it has crashed meanwhile."""
 
         def crash():
-            if self.crash_count(engine_id) == crash_count:
-                self.crash(engine_id, body)
+            if self.crash_count(run.engine) == crash_count:
+                self.crash(run.engine, run.body, frozenset(parts))
 
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self.crash_after_s, crash)
@@ -410,13 +433,14 @@
         self._next_event = self._first_event
         self._due_s: float | None = None  # when the next event is due
         self._broken = False  # whether a part of an event was sent
+        self.crashing_parts: set[str] = set()  # of the prompt of this run
         self._failed_body = b"failed"
         status = fault.status or 200
         self.head = AnswerHead(
             status,
             (("Content-Type", "text/event-stream"),),
             status == 200,
-            BodyEnd.CHUNKS,
+            engines.body_end,
             engine_leaves=run.engine in engines.leaving,
         )
 
@@ -429,6 +453,11 @@
         number = self._next_event
         if number >= self._engines.events:
             return b""
+        if self.crashing_parts and number - self._first_event >= (
+            self._engines.crash_events or 0
+        ):
+            self._crash()
+            return b""
         if number == self._fault.trickle_at:
             await asyncio.sleep(self._engines.event_s)
             return b"x"
@@ -449,6 +478,14 @@
         self._next_event += 1
         return f"id: {number}\ndata: {self._engines.text}{number}\n\n".encode()
 
+    def _crash(self) -> None:
+        """Crash the engine; raise unless the connection looks whole."""
+        if self._engines.crash_count(self._run.engine) == self._crash_count:
+            parts = frozenset(self.crashing_parts)
+            self._engines.crash(self._run.engine, self._run.body, parts)
+        if self.head.body_end is not BodyEnd.CONNECTION:
+            self.raise_if_crashed()
+
     def raise_if_crashed(self) -> None:
         if self._engines.crash_count(self._run.engine) != self._crash_count:
             raise AttemptError(
@@ -529,6 +566,11 @@
     return attrs.evolve(entry, **changes)
 
 
+def part_fields(*parts) -> dict[str, tuple]:
+    """Return the fields of a request or item for the parts of its prompt."""
+    return {"headers": ((PARTS_HEADER, " ".join(parts)),), "prompt_parts": parts}
+
+
 def make_request(request_id="r1", path="/online/x", **changes) -> CallerRequest:
     request = CallerRequest(
         request_id=request_id,
