--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -188,6 +188,7 @@
             self.load_view,
             health,
             engine_caller,
+            self.quarantine,
             clock,
             random,
             lambda: self.configuration.current,
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -21,7 +21,7 @@
 from ._slot_assignment import Backlog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
     from random import Random
 
     from aspenbridge.ports import Clock
@@ -31,6 +31,9 @@
 
 logger = logging.getLogger(__name__)
 SEND_SPACING_S = 0.02  # a few engine steps; changes within it share one report
+# News that are announced share a report if they come together; a host that is
+# killed later than that does not take them along.
+ANNOUNCE_SPACING_S = 0.002
 REPEAT_INTERVAL_S = 1.0  # two reports are sent while one is valid
 # A host gets reports for this long after it sent one, even when the store does
 # not list it: it may be new, or unable to renew its row in an outage.
@@ -54,11 +57,22 @@
     Requests are given by their fingerprints and times by their age in seconds.
     ``crashes`` holds the fields of a ``CrashId``, a flag that only builds that
     quarantined batch items set, and whether the engine has ended for certain.
-    ``cleared`` holds the requests that have completed.
+    ``cleared`` holds the requests that have completed. A part of prompts has a
+    key in place of a fingerprint; ``positions`` holds its place in the prompt
+    for each of ``crashes``, and is empty in reports of builds without parts.
     """
 
     crashes: tuple[tuple[str, tuple[str, int, int], float, bool, bool], ...] = ()
     cleared: tuple[tuple[str, float], ...] = ()
+    positions: tuple[int, ...] = ()
+
+    def known_crashes(
+        self,
+    ) -> Iterator[tuple[str, tuple[str, int, int], float, bool, int]]:
+        """Yield key, crash, age, whether it is certain, and place of each."""
+        for number, (key, crash, age_s, _, confirmed) in enumerate(self.crashes):
+            known = number < len(self.positions)
+            yield key, crash, age_s, confirmed, self.positions[number] if known else 0
 
 
 class PassedOnReport(msgspec.Struct, frozen=True, array_like=True):
@@ -229,7 +243,7 @@
         """Send a report soon to all other hosts, also in a large fleet."""
         self._announcing = True
         self._changed = True
-        self._schedule_at(self._clock.now_s() + SEND_SPACING_S)
+        self._schedule_at(self._clock.now_s() + ANNOUNCE_SPACING_S)
 
     def _track(self, host: str) -> bool:
         """Whether reports of a host are applied, whose name may be made up."""
--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -8,9 +8,12 @@
 import attrs
 
 from aspenbridge.ports import AttemptError, CallOutcome, RelayedCall
+from aspenbridge.quarantine import EventArrivals
 from aspenbridge.relay import EmptyAnswerError, EventSplitter, read_chunks, read_events
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aspenbridge.fleet import EngineEntry
     from aspenbridge.ports import (
         BodyEnd,
@@ -66,6 +69,7 @@
     call_outcome: CallOutcome | None = None
     connection_lost: bool = False
     body_end: BodyEnd | None = None
+    arrivals: EventArrivals = attrs.field(factory=EventArrivals)
 
 
 async def run_item(
@@ -76,6 +80,7 @@
     item: SubmittedItem,
     state: ItemState,
     deadline_s: float,
+    on_events: Callable[[EventArrivals], None] = lambda arrivals: None,
 ) -> ItemRunResult:
     """
     Run an item from its last event on and add new events to its state.
@@ -83,7 +88,9 @@
     :param host: the virtual host of the item's route.
     :param state: is changed as events arrive, also if the run fails later.
     :param deadline_s: when the item expires, in monotonic seconds.
+    :param on_events: called when events of this run have arrived.
     """
+    arrivals = EventArrivals()
     call = RelayedCall(
         request_id=item.id,
         method=ITEM_METHOD,
@@ -101,7 +108,7 @@
         )
         body_end = answer.head.body_end
         try:
-            run = await _read_answer(answer, state, clock)
+            run = await _read_answer(answer, state, clock, arrivals, on_events)
         finally:
             answer.close()
     except AttemptError as error:
@@ -115,11 +122,15 @@
             error.outcome,
             error.connection_lost,
         )
-    return attrs.evolve(run, body_end=body_end)
+    return attrs.evolve(run, body_end=body_end, arrivals=arrivals)
 
 
 async def _read_answer(
-    answer: RelayedAnswer, state: ItemState, clock: Clock
+    answer: RelayedAnswer,
+    state: ItemState,
+    clock: Clock,
+    arrivals: EventArrivals,
+    on_events: Callable[[EventArrivals], None],
 ) -> ItemRunResult:
     """
     Read the events of an answer into the state of its item.
@@ -146,6 +157,8 @@
             state.drop_events()
             reason = f"events of the item have more than {MAX_ITEM_BYTES} bytes"
             raise AttemptError(CallOutcome.BROKEN, reason)
+        arrivals.add(len(events), clock.now_s())
+        on_events(arrivals)
         gap_deadline_s = clock.now_s() + EVENT_GAP_LIMIT_S
     return ItemRunResult(ItemOutcome.COMPLETE)
 
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from aspenbridge.quarantine import request_fingerprint
+from aspenbridge.quarantine import RunSubjects, request_fingerprint, run_subjects
 
 from ._item_run import ITEM_METHOD
 
@@ -37,6 +37,7 @@
     runs_without_progress: int = 0  # consecutive runs without a new event
     events_at_delay: int = 0  # number of events when the last retry was delayed
     not_before_s: float = 0.0  # monotonic time of the earliest next run
+    held: str | None = None  # the part of its prompt for which it waits, if any
     saved_events: int = 0  # number in the progress row that the store may have
     saved_failures: int = 0
 
@@ -122,6 +123,11 @@
             for item in self.items
         )
 
+    @cached_property
+    def subjects(self) -> tuple[RunSubjects, ...]:
+        """What a crash under each item may be blamed on, by index."""
+        return tuple(run_subjects("", item.prompt_parts) for item in self.items)
+
     def waiting_tokens(self, listed: Collection[int]) -> int:
         """Return the tokens of the items without those that are listed."""
         done = set(listed)
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
-from aspenbridge.ports import CallOutcome
+from aspenbridge.ports import BodyEnd, CallOutcome
 
 from ._item_run import ItemOutcome, ItemRunResult, run_item
 from ._order import DurationEstimator, next_ready_s, ready_items
@@ -32,6 +32,7 @@
         Route,
     )
     from aspenbridge.ports import Clock, EngineCaller
+    from aspenbridge.quarantine import Quarantine, RunSubjects
     from aspenbridge.store import Stored
 
     from ._directory import JobDirectory
@@ -58,6 +59,7 @@
         load_view: LoadView,
         health: EngineHealth,
         engine_caller: EngineCaller,
+        quarantine: Quarantine,
         clock: Clock,
         random: Random,
         configuration: Callable[[], Configuration | None],
@@ -69,6 +71,7 @@
         self._load_view = load_view
         self._health = health
         self._engine_caller = engine_caller
+        self._quarantine = quarantine
         self._clock = clock
         self._random = random
         self._configuration = configuration
@@ -244,11 +247,27 @@
             if wall_s > job.head.expires_wall_s + EXPIRY_SLACK_S:
                 self._fail_permanently(job, state, "the job has expired")
             elif route is not None:
-                waiting.append((job, state, route))
+                if not self._is_held(job, state):
+                    waiting.append((job, state, route))
             elif configuration.version >= job.head.configuration:
                 self._fail_permanently(job, state, "no route matches the item any more")
         return waiting
 
+    def _is_held(self, job: OwnedJob, state: ItemState) -> bool:
+        """
+        Whether an item waits, since a part of its prompt crashes engines.
+
+        It is owed and waits until a trial clears the part or its job expires.
+        """
+        subjects = job.subjects[state.index]
+        waits = self._quarantine.wait_s(subjects) > 0
+        held = self._quarantine.held_key(subjects) if waits else None
+        if held is not None and held != state.held:
+            item_id = job.items[state.index].id
+            log_decision("item held", job=job.head.id, request=item_id, held=held)
+        state.held = held
+        return waits
+
     def _fail_permanently(self, job: OwnedJob, state: ItemState, reason: str) -> None:
         job.start(state)
         self._finish_item(job, state, None, reason)
@@ -279,7 +298,9 @@
     async def _run_item(
         self, job: OwnedJob, state: ItemState, route: Route, engine: EngineEntry
     ) -> None:
-        item = job.items[state.index]
+        item, subjects = job.items[state.index], job.subjects[state.index]
+        if not await self._quarantine.begin_run(subjects):
+            return  # it waits again
         started_s, events_before = self._clock.now_s(), len(state.events)
         remaining_s = job.head.expires_wall_s - self._clock.wall_s()
         run = await run_item(
@@ -290,6 +311,7 @@
             item,
             state,
             self._clock.now_s() + remaining_s,
+            lambda arrivals: self._quarantine.record_events(subjects, arrivals),
         )
         metrics.ITEM_RUNS.labels(run.outcome.value).inc()
         log_decision(
@@ -307,6 +329,7 @@
             last_event=state.last_event_id,
         )
         self._update_engine_health(engine, run)
+        self._report_run(subjects, engine, run)
         if run.outcome is ItemOutcome.COMPLETE:
             events = len(state.events)
             run_s = self._clock.now_s() - started_s
@@ -325,6 +348,32 @@
         elif run.call_outcome is None:
             self._health.record_answer(engine.id)
 
+    def _report_run(
+        self, subjects: RunSubjects, engine: EngineEntry, run: ItemRunResult
+    ) -> None:
+        """Report what a run shows of the parts of its prompt."""
+        quarantine = self._quarantine
+        if run.call_outcome is None:
+            quarantine.record_completed(
+                subjects,
+                engine,
+                succeeded=run.outcome is ItemOutcome.COMPLETE
+                and run.arrivals.count > 0,
+                end_marked=run.body_end is not BodyEnd.CONNECTION,
+            )
+        elif run.call_outcome is CallOutcome.BROKEN:
+            quarantine.record_broken_run(
+                subjects,
+                engine,
+                connection_lost=run.connection_lost,
+                arrivals=run.arrivals,
+            )
+        else:
+            if run.call_outcome is CallOutcome.NOT_SENT:
+                quarantine.record_unreachable(engine)
+            reached = run.call_outcome is CallOutcome.REFUSED
+            quarantine.record_not_run(subjects, reached=reached)
+
     def _retry_or_fail(
         self, job: OwnedJob, state: ItemState, route: Route, run: ItemRunResult
     ) -> None:
--- a/src/aspenbridge/observability/_metrics.py
+++ b/src/aspenbridge/observability/_metrics.py
@@ -68,6 +68,11 @@
     ["event"],
     registry=REGISTRY,
 )
+PARTS_HELD = Gauge(
+    "quarantined_parts",
+    "Parts of prompts that are held back because engines crashed under them.",
+    registry=REGISTRY,
+)
 STORE_CALL_S = Histogram(
     "store_call_seconds",
     "Duration of calls to the store, except for requests for changes.",
--- a/src/aspenbridge/ports/__init__.py
+++ b/src/aspenbridge/ports/__init__.py
@@ -27,6 +27,7 @@
 from ._objects import ObjectStore
 from ._peers import PeerAddress, PeerHandler, PeerTransport, PeerUnreachableError
 from ._relayed import (
+    FIRST_NOT_SUCCESS,
     AnswerHead,
     AttemptError,
     BodyEnd,
@@ -52,6 +53,7 @@
 
 __all__ = [
     "ADAPTER_SEPARATOR",
+    "FIRST_NOT_SUCCESS",
     "AnswerHead",
     "AttemptError",
     "BodyEnd",
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -1,37 +1,50 @@
 """
-Counts the engine crashes under each request and decides what may run.
+Counts the engine crashes under requests and under the parts of their prompts.
 
 A connection that ends in the middle of a request is a crash until the list of
 engines shows that the engine lives. A run that breaks off in another way is a
 crash once the list shows that the engine has ended. Crashes are counted by
-starts of engines, so hosts that saw the same crash count it once. A request is
-quarantined after ``QUARANTINE_CRASHES``; trials let an innocent request clear
-itself.
+starts of engines, so hosts that saw the same crash count it once. The module
+``_verdicts`` decides who is held for them; trials let an innocent suspect
+clear itself.
 
-For load on which engines crash, of themselves or under a request that comes
-again at any host.
+For load on which engines crash, of themselves or under requests that come
+again at any host, or that share a part of their prompts.
 """
 
 from __future__ import annotations
 
+from bisect import insort
 from enum import Enum
+from itertools import pairwise
 from typing import TYPE_CHECKING, NamedTuple
 
 import attrs
 
+from ._subjects import is_part
+from ._verdicts import held_keys, may_be_held
+
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from aspenbridge.fleet import EngineEntry
 
-QUARANTINE_CRASHES = 3
 # How long a quarantined request waits for each of its trials.
 TRIAL_DELAYS_S = (15.0, 30.0)
-RETENTION_S = 3600.0  # from a request's last crash until it is forgotten
+# The same for a part. The first comes soon, since a sound part that is held
+# keeps many requests back; the last comes when engines have long been calm.
+PART_TRIAL_DELAYS_S = (3.0, 20.0, 3600.0)
+# From the last crash or trial of a request or a part until it is forgotten.
+RETENTION_S = 3600.0
+PART_RETENTION_S = 24 * 3600.0
 # An engine is down for longer than this after a crash, and all hosts see the
 # crash within it.
 SAME_CRASH_WINDOW_S = 1.0
-MAX_REQUESTS = 1000  # up to 2 MB of memory with five crashes each
+MAX_SUSPECTS = 2000  # up to 4 MB of memory with five crashes each
+# Connections that one host loses within this time may have been cut together,
+# so that they are one crash of a part until engines are known to have ended.
+MOMENT_S = 0.01
+MAX_STARTS = 4096  # of engines whose last crash is remembered
 # Clocks and delays of two hosts may put a crash this much after its clearing.
 CLEARING_SLACK_S = 0.2
 
@@ -61,13 +74,14 @@
 @attrs.define
 class Crash:
     """
-    A crash of an engine under a request.
+    A crash of an engine under a request or a part of its prompt.
 
     ``at_s`` is the monotonic time at which the run broke off. ``silent``: the
     connection did not end, but no data came in time or the caller left.
     ``confirmed`` tells whether the engine has ended for certain, ``stored``
     whether the store holds a row of the crash. ``write_at_s`` is when this
-    host writes the row, unless another host has by then.
+    host writes the row, unless another host has by then. ``position`` is the
+    place of the part in the prompt, from 0.
     """
 
     id: CrashId
@@ -76,6 +90,7 @@
     confirmed: bool = False
     stored: bool = False
     write_at_s: float = float("inf")
+    position: int = 0
 
     @property
     def counted(self) -> bool:
@@ -85,8 +100,9 @@
 
 @attrs.define
 class Suspect:
-    """The crashes under a request, and its trials."""
+    """The crashes under a request or a part of prompts, and its trials."""
 
+    is_part: bool = False
     crashes: dict[CrashId, Crash] = attrs.field(factory=dict)
     # When each trial began, by its number; the first one has number 1.
     trials: dict[int, float] = attrs.field(factory=dict)
@@ -101,19 +117,50 @@
     @property
     def count(self) -> int:
         """How many crashes count now."""
-        return sum(crash.counted for crash in self.crashes.values())
+        counted = [crash for crash in self.crashes.values() if crash.counted]
+        if not self.is_part:
+            return len(counted)
+        confirmed = sum(crash.confirmed for crash in counted)
+        return confirmed + _moments(c.at_s for c in counted if not c.confirmed)
+
+    @property
+    def crash_ids(self) -> frozenset[CrashId]:
+        """The crashes that count now."""
+        return frozenset(c.id for c in self.crashes.values() if c.counted)
+
+    @property
+    def position(self) -> int:
+        """The last place of a part in the prompts of its crashes."""
+        return max((crash.position for crash in self.crashes.values()), default=0)
 
     @property
-    def quarantined(self) -> bool:
-        """Whether the request runs in trials only."""
-        return self.count >= QUARANTINE_CRASHES
+    def retention_s(self) -> float:
+        """How long to remember it after its last crash or trial."""
+        return PART_RETENTION_S if self.is_part else RETENTION_S
+
+    @property
+    def trials_left(self) -> bool:
+        """Whether another trial may be claimed."""
+        delays_s = PART_TRIAL_DELAYS_S if self.is_part else TRIAL_DELAYS_S
+        if self.is_part and self.last_trial >= len(delays_s):
+            return False
+        return len(self.trials) < len(delays_s)
 
     def allowed_from_s(self) -> float:
-        """Return from when on the request may run."""
-        if not self.quarantined:
-            return float("-inf")
-        delays_s = (*TRIAL_DELAYS_S, RETENTION_S)
-        return self.last_s + delays_s[min(len(self.trials), len(TRIAL_DELAYS_S))]
+        """Return from when on a trial may run, if it is held."""
+        delays_s = PART_TRIAL_DELAYS_S if self.is_part else TRIAL_DELAYS_S
+        if not self.trials_left:
+            return self.last_s + self.retention_s
+        return self.last_s + delays_s[len(self.trials)]
+
+
+def _moments(times_s: Iterable[float]) -> int:
+    """Return how many moments some crashes have that may have one cause."""
+    ordered: list[float] = []
+    for at_s in times_s:
+        insort(ordered, at_s)
+    gaps = pairwise(ordered)
+    return bool(ordered) + sum(after - at > MOMENT_S for at, after in gaps)
 
 
 def judge_engine(
@@ -137,44 +184,59 @@
 
 
 class CrashLedger:
-    """The crashes that this host knows of, by request fingerprint."""
+    """The crashes that this host knows of, by request or part of a prompt."""
 
     def __init__(self) -> None:
         self._suspects: dict[str, Suspect] = {}
         self._cleared_s: dict[str, float] = {}
         self._evicted: list[tuple[str, Suspect]] = []
+        # The suspects that may be held; those that are, unless that has to be
+        # decided anew.
+        self._candidates: dict[str, Suspect] = {}
+        self._held: frozenset[str] | None = frozenset()
+        # Number and time of the last crash of each start of an engine.
+        self._last_crashes: dict[tuple[str, int], tuple[int, float]] = {}
 
     def __len__(self) -> int:
         return len(self._suspects)
 
     def crashes(self) -> Iterator[tuple[str, Crash]]:
-        """Iterate over all crashes with the fingerprints of their requests."""
-        for fingerprint, suspect in list(self._suspects.items()):
+        """Iterate over all crashes with the keys of their suspects."""
+        for key, suspect in list(self._suspects.items()):
             for crash in list(suspect.crashes.values()):
-                yield fingerprint, crash
+                yield key, crash
+
+    def held(self) -> frozenset[str]:
+        """Return the keys of the suspects that run in trials only."""
+        if self._held is None:
+            self._held = held_keys(self._candidates)
+        return self._held
+
+    def get(self, key: str) -> Suspect | None:
+        """Return what is known of a request or a part, if anything."""
+        return self._suspects.get(key)
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether an engine may have crashed under the request."""
-        return fingerprint in self._suspects
+    def is_suspect(self, key: str) -> bool:
+        """Whether an engine may have crashed under a request or a part."""
+        return key in self._suspects
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return how many engines have crashed under the request."""
-        suspect = self._suspects.get(fingerprint)
+    def crash_count(self, key: str) -> int:
+        """Return how many engines have crashed under a request or a part."""
+        suspect = self._suspects.get(key)
         return suspect.count if suspect else 0
 
-    def allowed_from_s(self, fingerprint: str) -> float:
-        """Return from when on a request may run; minus infinity for most."""
-        suspect = self._suspects.get(fingerprint)
-        return float("-inf") if suspect is None else suspect.allowed_from_s()
+    def may_be_held(self, key: str) -> bool:
+        """Whether a suspect has the crashes to be held, explained or not."""
+        return key in self._candidates
+
+    def allowed_from_s(self, key: str) -> float:
+        """Return from when on a suspect may run; minus infinity for most."""
+        if key not in self.held():
+            return float("-inf")
+        return self._suspects[key].allowed_from_s()
 
     def crash_id(
-        self,
-        fingerprint: str,
-        engine_id: str,
-        started_ms: int,
-        now_s: float,
-        *,
-        list_current: bool,
+        self, engine_id: str, started_ms: int, now_s: float, *, list_current: bool
     ) -> CrashId:
         """
         Return the id of a crash of an engine that this host sees now.
@@ -182,109 +244,127 @@
         :param list_current: whether the list of engines would show that the
             engine started again since an earlier crash.
         """
-        suspect = self._suspects.get(fingerprint)
-        earlier = [
-            crash
-            for crash in (suspect.crashes.values() if suspect else ())
-            if crash.id[:2] == (engine_id, started_ms)
-        ]
-        if not earlier:
+        last = self._last_crashes.get((engine_id, started_ms))
+        if last is None:
             return CrashId(engine_id, started_ms)
-        last = max(earlier, key=lambda crash: crash.id.number)
-        same = list_current or now_s - last.at_s < SAME_CRASH_WINDOW_S
-        return last.id if same else last.id._replace(number=last.id.number + 1)
+        number, at_s = last
+        same = list_current or now_s - at_s < SAME_CRASH_WINDOW_S
+        return CrashId(engine_id, started_ms, number if same else number + 1)
 
-    def record(self, fingerprint: str, crash: Crash) -> Crash | None:
+    def record(self, key: str, crash: Crash) -> Crash | None:
         """
         Add a crash, or what is new about one that is known.
 
-        :return: the crash as it is kept, or None if the request has been
+        :return: the crash as it is kept, or None if the suspect has been
             cleared since the crash.
         """
-        if crash.at_s <= self._cleared_s.get(fingerprint, float("-inf")):
+        if crash.at_s <= self._cleared_s.get(key, float("-inf")):
             return None
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(key)
         if suspect is None:
-            if len(self._suspects) >= MAX_REQUESTS:
+            if len(self._suspects) >= MAX_SUSPECTS:
                 self._drop_least_suspect()
-            suspect = self._suspects[fingerprint] = Suspect()
+            suspect = self._suspects[key] = Suspect(is_part(key))
         known = suspect.crashes.setdefault(crash.id, crash)
+        before = known.silent, known.confirmed, known.position
         known.silent = known.silent and crash.silent
         known.confirmed = known.confirmed or crash.confirmed
         known.stored = known.stored or crash.stored
+        known.position = max(known.position, crash.position)
+        after = known.silent, known.confirmed, known.position
+        if known is crash or before != after:
+            self._note_crash(crash)
+            self._weigh(key, suspect)
         return known
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Whether the request runs in trials only."""
-        suspect = self._suspects.get(fingerprint)
-        return suspect is not None and suspect.quarantined
-
-    def next_trial(self, fingerprint: str) -> int:
-        """Return the number of the next trial of a request."""
-        suspect = self._suspects.get(fingerprint)
+    def next_trial(self, key: str) -> int:
+        """Return the number of the next trial of a suspect."""
+        suspect = self._suspects.get(key)
         return suspect.last_trial + 1 if suspect else 1
 
-    def record_trial(self, fingerprint: str, number: int, began_s: float) -> None:
+    def record_trial(self, key: str, number: int, began_s: float) -> None:
         """Note that a trial of a suspect has begun at some host."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(key)
         if suspect is not None:
             suspect.trials.setdefault(number, began_s)
             suspect.last_trial = max(suspect.last_trial, number)
 
-    def remove_trial(self, fingerprint: str, number: int) -> None:
+    def remove_trial(self, key: str, number: int) -> None:
         """Forget a trial that no engine began."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(key)
         if suspect is not None:
             suspect.trials.pop(number, None)
 
-    def clear(self, fingerprint: str, now_s: float) -> Suspect | None:
-        """Forget and return what is known of a request that has completed."""
-        self._cleared_s[fingerprint] = now_s + CLEARING_SLACK_S
-        return self._suspects.pop(fingerprint, None)
+    def clear(self, key: str, now_s: float) -> Suspect | None:
+        """Forget and return what is known of a suspect that proved sound."""
+        self._cleared_s[key] = now_s + CLEARING_SLACK_S
+        return self._drop(key)
 
-    def remove(self, fingerprint: str, crash_id: CrashId) -> None:
-        """Forget one crash of a request."""
-        suspect = self._suspects.get(fingerprint)
+    def remove(self, key: str, crash_id: CrashId) -> None:
+        """Forget one crash of a suspect."""
+        suspect = self._suspects.get(key)
         if suspect is None:
             return
         suspect.crashes.pop(crash_id, None)
-        if not suspect.crashes:
-            del self._suspects[fingerprint]
+        if suspect.crashes:
+            self._weigh(key, suspect)
+        else:
+            self._drop(key)
 
     def expire(
         self, now_s: float, clearing_lifetime_s: float
     ) -> list[tuple[str, Suspect]]:
         """
-        Forget requests whose last crash is too old, and old clearings.
+        Forget suspects whose last crash is too old, and old clearings.
 
         :return: what was forgotten since the last call, also to make room for
-            others, with the fingerprints.
+            others, with the keys.
         """
         self._cleared_s = {
-            fingerprint: at_s
-            for fingerprint, at_s in self._cleared_s.items()
+            key: at_s
+            for key, at_s in self._cleared_s.items()
             if now_s - at_s <= clearing_lifetime_s
         }
         expired = [
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if now_s - suspect.last_s > RETENTION_S
+            key
+            for key, suspect in self._suspects.items()
+            if now_s - suspect.last_s > suspect.retention_s
         ]
-        for fingerprint in expired:
-            self._evict(fingerprint)
+        for key in expired:
+            self._evict(key)
         forgotten, self._evicted = self._evicted, []
         return forgotten
 
+    def _note_crash(self, crash: Crash) -> None:
+        """Remember the last crash of a start of an engine."""
+        start = crash.id.engine_id, crash.id.started_ms
+        last = self._last_crashes.pop(start, (-1, float("-inf")))
+        self._last_crashes[start] = max(last, (crash.id.number, crash.at_s))
+        if len(self._last_crashes) > MAX_STARTS:
+            del self._last_crashes[next(iter(self._last_crashes))]
+
+    def _weigh(self, key: str, suspect: Suspect) -> None:
+        """Have it decided anew who is held, if this suspect matters for it."""
+        if may_be_held(suspect):
+            self._candidates[key] = suspect
+            self._held = None
+        elif self._candidates.pop(key, None) is not None:
+            self._held = None
+
+    def _drop(self, key: str) -> Suspect | None:
+        if self._candidates.pop(key, None) is not None:
+            self._held = None
+        return self._suspects.pop(key, None)
+
     def _drop_least_suspect(self) -> None:
-        """Drop the request with the fewest, oldest crashes to make room."""
+        """Drop the suspect with the fewest, oldest crashes to make room."""
         least = min(
             self._suspects,
-            key=lambda name: (
-                self._suspects[name].count,
-                self._suspects[name].last_s,
-            ),
+            key=lambda key: (self._suspects[key].count, self._suspects[key].last_s),
         )
         self._evict(least)
 
-    def _evict(self, fingerprint: str) -> None:
-        self._evicted.append((fingerprint, self._suspects.pop(fingerprint)))
+    def _evict(self, key: str) -> None:
+        suspect = self._drop(key)
+        if suspect is not None:
+            self._evicted.append((key, suspect))
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -1,14 +1,16 @@
 """
-Holds back requests that crash engines, at all hosts together.
+Holds back requests and parts of prompts that crash engines, at all hosts.
 
 A host tells the others of a crash with its next load report, and writes a row
-once the engine has ended for certain. The rows outlive the hosts; the reports
-are faster and need no store. A trial needs a row that one host can create, so
-there is none while the store is away.
+once the engine has ended for certain, or at once if a suspect is held for it.
+The rows outlive the hosts; the reports are faster and need no store. A trial
+needs a row that one host can create, so there is none while the store is away.
 """
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,23 +28,28 @@
     Verdict,
     judge_engine,
 )
+from ._notices import choose_notices
+from ._orderly_ends import OrderlyEnds
 from ._records import CrashRecord, TrialRecord, crash_key, parse_key, trial_key
 from ._rows import CrashRows
+from ._subjects import is_part
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
     from random import Random
 
     from aspenbridge.fleet import EngineDirectory, EngineEntry, Follower, HostTable
     from aspenbridge.ports import Clock, Row, RowChange
     from aspenbridge.store import Store
 
+    from ._arrivals import EventArrivals
+    from ._subjects import RunSubjects
+
 UPDATE_INTERVAL_S = 0.5
 # How long a host repeats a notice; load reports go out each second.
 NOTICE_LIFETIME_S = 5.0
-MAX_NOTICES = 16  # of each kind in one report; together 1.3 kB
-# How often a host also tells what others saw and the store does not hold yet,
-# for hosts that have just started; one of them may be the one that saw it.
+# How often a host also tells what others saw and a host that has just started
+# or was cut off may not know; one of them may be the one that saw it.
 PASS_ON_INTERVAL_S = 1.0
 # A silent engine is removed from the list after this many heartbeats.
 SILENT_HEARTBEATS = 3
@@ -51,16 +58,18 @@
 # did has not done so by then. Random delays spread the writes of many hosts.
 OTHERS_WRITE_DELAY_S = (3.0, 6.0)
 CLAIM_RETRY_S = 2.0  # between two claims while the store is away
+MAX_LOGGED_CRASHES = 8  # of one suspect in a line
 
 
 class Quarantine:
     """
     Decides which requests may run, by what is known of their crashes.
 
-    Is this host's copy of the table of crashes, which a follower updates. The
-    relay reports each run: ``begin_run`` before it is sent, then
-    ``record_completed``, ``record_broken_run`` or ``record_not_run``. Batch
-    items are not held back: they are still owed after any number of crashes.
+    Is this host's copy of the table of crashes, which a follower updates. Who
+    sends a run reports it: ``begin_run`` before it is sent, then
+    ``record_completed``, ``record_broken_run`` or ``record_not_run``, and
+    ``record_events`` while it goes on. Batch items are held back for the parts
+    of their prompts only: they are still owed after any number of crashes.
     """
 
     def __init__(
@@ -83,204 +92,357 @@
         self._random = random
         self._silence_limit_s = SILENT_HEARTBEATS * engine_heartbeat_s + LIST_LAG_S
         self._ledger = CrashLedger()
+        self._known_held: frozenset[str] = frozenset()
+        self._orderly_ends = OrderlyEnds()
         # What this host saw itself and tells the others, newest last.
         self._seen: dict[tuple[str, CrashId], Crash] = {}
         self._cleared_s: dict[str, float] = {}
         self._passed_on_s = float("-inf")  # when it last told what others saw
         self._claims_from_s = float("-inf")  # when to claim the next trial
-        self._own_trials: dict[str, int] = {}  # that have not ended, by request
+        self._own_trials: dict[str, int] = {}  # that have not ended, by suspect
+        self._rows_due = asyncio.Event()  # rows are to be written at once
         self.on_news: Callable[[], None] = lambda: None
 
-    def admits(self, fingerprint: str) -> bool:
-        """Whether a request may be sent to an engine now."""
-        return self.retry_after_s(fingerprint) <= 0
+    def held_key(self, subjects: RunSubjects) -> str | None:
+        """Return the request or the part for which a run is held, if any."""
+        held = self._ledger.held()
+        if not held:
+            return None
+        return next((key for key in subjects.keys if key in held), None)
+
+    def wait_s(self, subjects: RunSubjects) -> float:
+        """Return how long a run has to wait for a trial; 0 for most."""
+        if not self._ledger.held():
+            return 0.0
+        return max(map(self.retry_after_s, subjects.keys), default=0.0)
 
-    def retry_after_s(self, fingerprint: str) -> float:
-        """Return how long a request has to wait; 0 for most."""
-        if not self._ledger.is_quarantined(fingerprint):
+    def retry_after_s(self, key: str) -> float:
+        """Return how long a request or a part has to wait; 0 for most."""
+        if not self.is_quarantined(key):
             return 0.0
-        from_s = max(self._ledger.allowed_from_s(fingerprint), self._claims_from_s)
+        from_s = max(self._ledger.allowed_from_s(key), self._claims_from_s)
         return max(0.0, from_s - self._clock.now_s())
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Whether a request runs in trials only."""
-        return self._ledger.is_quarantined(fingerprint)
+    def is_quarantined(self, key: str) -> bool:
+        """Whether a request or a part runs in trials only."""
+        return key in self._ledger.held()
 
-    async def begin_run(self, fingerprint: str) -> bool:
+    async def begin_run(self, subjects: RunSubjects) -> bool:
         """
-        Return whether a request may be sent at once.
+        Return whether a run may be sent at once.
 
-        A quarantined request may if this host gets the claim for a trial.
+        One that is held may if this host gets the claim for a trial. A trial
+        tells nothing about its subject if another one may be to blame.
         """
-        if not self._ledger.is_quarantined(fingerprint):
+        key = self.held_key(subjects)
+        if key is None:
             return True
-        if not self.admits(fingerprint):
+        others = (other for other in subjects.keys if other != key)
+        if any(map(self._ledger.may_be_held, others)):
             return False
-        number = self._ledger.next_trial(fingerprint)
+        if self.retry_after_s(key) > 0:
+            return False
+        number = self._ledger.next_trial(key)
         # Noted before the claim, so that this host claims it only once. After
         # a conflict the note stands for the trial of the other host.
-        self._ledger.record_trial(fingerprint, number, self._clock.now_s())
-        claimed = await self._rows.claim_trial(fingerprint, number)
+        self._ledger.record_trial(key, number, self._clock.now_s())
+        claimed = await self._rows.claim_trial(key, number)
         if not isinstance(claimed, Failure):
             metrics.QUARANTINE.labels("trial").inc()
-            self._own_trials[fingerprint] = number
+            self._own_trials[key] = number
         elif isinstance(claimed.failure(), Unavailable):
-            self._ledger.remove_trial(fingerprint, number)
+            self._ledger.remove_trial(key, number)
             self._claims_from_s = self._clock.now_s() + CLAIM_RETRY_S
-        own = fingerprint in self._own_trials
-        self._log("quarantine trial", fingerprint, number=number, claimed=own)
+        own = key in self._own_trials
+        self._log("quarantine trial", key, number=number, claimed=own)
         return own
 
-    def record_not_run(self, fingerprint: str) -> None:
-        """Record that no engine began a request that was sent."""
-        number = self._own_trials.pop(fingerprint, None)
-        if number is not None:
-            self._ledger.remove_trial(fingerprint, number)
-            self._rows.discard_row(trial_key(fingerprint, number))
+    def record_not_run(self, subjects: RunSubjects, *, reached: bool) -> None:
+        """
+        Record that no engine began a run.
+
+        :param reached: whether an engine got it and turned it away. A part may
+            reach engines only so often, so that this uses up its trial.
+        """
+        if not self._own_trials:
+            return
+        for key in subjects.keys:
+            number = self._own_trials.pop(key, None)
+            if number is not None and not (reached and is_part(key)):
+                self._ledger.remove_trial(key, number)
+                self._rows.discard_row(trial_key(key, number))
+
+    def record_unreachable(self, engine: EngineEntry) -> None:
+        """Record that an engine accepts no connection, as one that crashed."""
+        now_s = self._clock.now_s()
+        for ended in self._orderly_ends.take_unreachable(engine.id, now_s):
+            self._blame(ended.subjects.parts, ended.engine, ended.at_s)
+        self._update_held()
 
     def record_broken_run(
         self,
-        fingerprint: str,
+        subjects: RunSubjects,
         engine: EngineEntry,
         *,
         connection_lost: bool,
+        arrivals: EventArrivals,
     ) -> None:
         """
         Record that a request may have run without a whole answer.
 
         An engine that is leaving ends its runs as planned.
+
+        :param arrivals: the events of this run. If they show that its start
+            was sound, the engine did not crash for a part of the prompt.
         """
-        self._own_trials.pop(fingerprint, None)
+        self._forget_trials(subjects)
+        if arrivals.show_sound_start:
+            self._clear(subjects.parts, arrivals.last_s)
         entry = self._engines.get(engine.id)
         if entry is None or entry.draining:
             return
         now_s = self._clock.now_s()
-        crash_id = self._ledger.crash_id(
-            fingerprint,
-            engine.id,
-            engine.started_ms,
-            now_s,
-            list_current=self._engine_follower.age_s < FRESH_LIMIT_S,
-        )
-        crash = self._record(
-            fingerprint, Crash(crash_id, now_s, silent=not connection_lost)
-        )
-        if crash is not None:
-            self._seen[fingerprint, crash_id] = crash
-            if crash.counted:
-                self.on_news()
+        blamed = subjects.keys
+        if arrivals.show_sound_start:
+            blamed = tuple(key for key in blamed if not is_part(key))
+        self._blame(blamed, engine, now_s, silent=not connection_lost)
+        if connection_lost:
+            for ended in self._orderly_ends.take_lost(engine, now_s):
+                self._blame(ended.subjects.parts, engine, ended.at_s)
+        self._update_held()
+
+    def record_completed(
+        self,
+        subjects: RunSubjects,
+        engine: EngineEntry,
+        *,
+        succeeded: bool,
+        end_marked: bool,
+    ) -> None:
+        """
+        Clear the subjects of a run to which an engine gave a whole answer.
 
-    def record_completed(self, fingerprint: str) -> None:
-        """Clear a request to which an engine gave a whole answer."""
-        if not self._ledger.is_suspect(fingerprint):
+        :param succeeded: whether the answer is one that engines write, not a
+            failure.
+        :param end_marked: whether more than the end of its connection tells
+            that it is whole. A crash may end a connection in an orderly way;
+            the parts are then cleared only once the engine is known to live.
+        """
+        if self._own_trials:
+            self._forget_trials(subjects)
+        if subjects.request and self._ledger.is_suspect(subjects.request):
+            self._clear((subjects.request,), self._clock.now_s())
+        if not (succeeded and subjects.parts):
             return
-        self._own_trials.pop(fingerprint, None)
-        now_s = self._clock.now_s()
-        if self._ledger.crash_count(fingerprint):
-            self._log("crash suspicion cleared", fingerprint)
-            self._cleared_s[fingerprint] = now_s
-            self.on_news()
-        suspect = self._ledger.clear(fingerprint, now_s)
-        if suspect is not None:
-            self._rows.discard(fingerprint, suspect)
+        if end_marked:
+            self.record_sound(subjects)
+        else:
+            self._orderly_ends.add(subjects, engine, self._clock.now_s())
+
+    def record_sound(self, subjects: RunSubjects) -> None:
+        """Clear the parts of a prompt on which an engine has written."""
+        if self._ledger:
+            self._clear(
+                [key for key in subjects.parts if self._ledger.is_suspect(key)],
+                self._clock.now_s(),
+            )
+
+    def record_events(self, subjects: RunSubjects, arrivals: EventArrivals) -> None:
+        """Clear the parts of a prompt if its run has outlived its start."""
+        if self._ledger and arrivals.show_sound_start:
+            self.record_sound(subjects)
+
+    def record_alive(self, engine: EngineEntry) -> None:
+        """Record that an engine has just answered."""
+        if self._orderly_ends:
+            now_s = self._clock.now_s()
+            for ended in self._orderly_ends.take_alive(engine, now_s):
+                self.record_sound(ended.subjects)
 
     def notices(self) -> CrashNotices:
         """Return what other hosts may not know yet, for a load report."""
         if not (self._ledger or self._cleared_s):
             return CrashNotices()
         now_s = self._clock.now_s()
-        known = [(key[0], crash) for key, crash in self._seen.items()]
+        others: list[tuple[str, Crash]] = []
         if now_s - self._passed_on_s >= PASS_ON_INTERVAL_S:
             self._passed_on_s = now_s
-            known += [
-                (fingerprint, crash)
-                for fingerprint, crash in self._ledger.crashes()
-                if not crash.stored and (fingerprint, crash.id) not in self._seen
+            held = self._ledger.held()
+            others = [
+                (key, crash)
+                for key, crash in self._ledger.crashes()
+                if (not crash.stored or key in held)
+                and (key, crash.id) not in self._seen
             ]
-        crashes = [
-            (fingerprint, crash.id, now_s - crash.at_s, False, crash.confirmed)
-            for fingerprint, crash in sorted(known, key=lambda item: item[1].at_s)
-            if crash.counted
-        ]
-        cleared = [
-            (fingerprint, now_s - at_s) for fingerprint, at_s in self._cleared_s.items()
-        ]
-        return CrashNotices(
-            tuple(crashes[-MAX_NOTICES:]), tuple(cleared[-MAX_NOTICES:])
+        own = [(key[0], crash) for key, crash in self._seen.items()]
+        return choose_notices(
+            own, others, self._cleared_s, self._ledger.crash_count, now_s
         )
 
     def apply_notices(self, notices: CrashNotices) -> None:
         """Apply what another host saw."""
         now_s = self._clock.now_s()
-        for fingerprint, age_s in notices.cleared:
-            self._ledger.clear(fingerprint, now_s - age_s)
-        for fingerprint, crash_id, age_s, _, confirmed in notices.crashes:
-            crash = Crash(CrashId(*crash_id), now_s - age_s, confirmed=confirmed)
-            self._record(fingerprint, crash)
+        for key, age_s in notices.cleared:
+            self._ledger.clear(key, now_s - age_s)
+        for key, crash_id, age_s, confirmed, position in notices.known_crashes():
+            at_s = now_s - age_s
+            crash = Crash(
+                CrashId(*crash_id), at_s, confirmed=confirmed, position=position
+            )
+            self._record(key, crash)
+        if notices.cleared or notices.crashes:
+            self._update_held()
 
     def replace(self, rows: tuple[Row, ...]) -> None:
         """Apply the whole table of crashes."""
         listed = {row.key.key for row in rows}
-        for fingerprint, crash in self._ledger.crashes():
-            if crash.stored and crash_key(fingerprint, crash.id).key not in listed:
-                self._ledger.remove(fingerprint, crash.id)
+        for key, crash in self._ledger.crashes():
+            if crash.stored and crash_key(key, crash.id).key not in listed:
+                self._ledger.remove(key, crash.id)
         for row in rows:
             self._apply_row(row.key.key, row.value)
+        self._update_held()
 
     def apply_change(self, change: RowChange) -> None:
         """Apply one change of the table of crashes."""
         key = change.key.key
         if change.value is not None:
             self._apply_row(key, change.value)
-            return
-        fingerprint, removed = parse_key(key)
-        if isinstance(removed, CrashId):
-            self._ledger.remove(fingerprint, removed)
         else:
-            self._ledger.remove_trial(fingerprint, removed)
+            suspect, removed = parse_key(key)
+            if isinstance(removed, CrashId):
+                self._ledger.remove(suspect, removed)
+            else:
+                self._ledger.remove_trial(suspect, removed)
+        self._update_held()
 
     async def run(self) -> None:
         """Judge crashes and write or delete their rows until cancelled."""
         while True:
-            await self._clock.sleep_until(self._clock.now_s() + UPDATE_INTERVAL_S)
+            await self._wait_for_update()
             self._judge_crashes()
             self._expire()
+            self._update_held()
             await self._rows.write(self._ledger.crashes())
             await self._rows.delete()
 
-    def _record(self, fingerprint: str, crash: Crash) -> Crash | None:
-        quarantined_before = self._ledger.is_quarantined(fingerprint)
-        known = self._ledger.record(fingerprint, crash)
+    async def _wait_for_update(self) -> None:
+        """Wait for the next update, or until rows are due at once."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(UPDATE_INTERVAL_S):
+                await self._rows_due.wait()
+        self._rows_due.clear()
+
+    def _blame(
+        self,
+        keys: Iterable[str],
+        engine: EngineEntry,
+        at_s: float,
+        *,
+        silent: bool = False,
+    ) -> None:
+        """Record a crash that this host saw under each of some suspects."""
+        crash_id = self._ledger.crash_id(
+            engine.id,
+            engine.started_ms,
+            at_s,
+            list_current=self._engine_follower.age_s < FRESH_LIMIT_S,
+        )
+        place = 0
+        for key in keys:
+            crash = Crash(crash_id, at_s, silent=silent, position=place)
+            place += is_part(key)
+            known = self._record(key, crash)
+            if known is not None:
+                self._seen[key, crash_id] = known
+                if known.counted:
+                    self.on_news()
+
+    def _clear(self, keys: Iterable[str], at_s: float) -> None:
+        """Forget suspects that proved sound; tell others if it matters."""
+        for key in keys:
+            count = self._ledger.crash_count(key)
+            if count:
+                self._cleared_s[key] = at_s
+            # A sound part that few crashes incriminate is cleared by the other
+            # hosts' own requests, or with the next report.
+            if count and (not is_part(key) or count > 1):
+                self.on_news()
+            if count > 1 or (count and not is_part(key)):
+                self._log("crash suspicion cleared", key)
+            suspect = self._ledger.clear(key, at_s)
+            if suspect is not None:
+                self._rows.discard(key, suspect)
+        self._update_held()
+
+    def _forget_trials(self, subjects: RunSubjects) -> None:
+        for key in subjects.keys:
+            self._own_trials.pop(key, None)
+
+    def _record(self, key: str, crash: Crash) -> Crash | None:
+        known = self._ledger.record(key, crash)
         if known is None:
             return None
         if known.confirmed and not known.stored and known.write_at_s == float("inf"):
             delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
             known.write_at_s = self._clock.now_s() + delay_s
-        if self._ledger.is_quarantined(fingerprint) and not quarantined_before:
-            metrics.QUARANTINE.labels("quarantined").inc()
-            self._log("request quarantined", fingerprint, engine=crash.id.engine_id)
         return known
 
+    def _update_held(self) -> None:
+        """Log who is held or free since the last time, and have it stored."""
+        held = self._ledger.held()
+        if held == self._known_held:
+            return
+        before, self._known_held = self._known_held, held
+        for key in sorted(held - before):
+            metrics.QUARANTINE.labels(
+                "part held" if is_part(key) else "quarantined"
+            ).inc()
+            self._log_evidence(
+                "prompt part held" if is_part(key) else "request quarantined", key
+            )
+            self._write_soon(key)
+        for key in sorted(before - held):
+            if is_part(key):
+                metrics.QUARANTINE.labels("part freed").inc()
+                self._log("prompt part freed", key)
+        metrics.PARTS_HELD.set(sum(map(is_part, held)))
+
+    def _write_soon(self, key: str) -> None:
+        """Have the crashes of a suspect that is held stored by who saw one."""
+        suspect = self._ledger.get(key)
+        if suspect is None or not any((key, i) in self._seen for i in suspect.crashes):
+            return
+        for crash in suspect.crashes.values():
+            if crash.counted and not crash.stored:
+                crash.write_at_s = min(crash.write_at_s, self._clock.now_s())
+        self._rows_due.set()
+
     def _apply_row(self, key: str, value: bytes) -> None:
-        fingerprint, subject = parse_key(key)
+        suspect, subject = parse_key(key)
         if not isinstance(subject, CrashId):
             trial = decode_record(value, TrialRecord)
             began_s = self._monotonic_s(trial.at_wall_s)
-            self._ledger.record_trial(fingerprint, subject, began_s)
+            self._ledger.record_trial(suspect, subject, began_s)
             return
         record = decode_record(value, CrashRecord)
-        at_s = self._monotonic_s(record.at_wall_s)
-        crash = Crash(subject, at_s, confirmed=True, stored=True)
-        if self._record(fingerprint, crash) is None and fingerprint in self._cleared_s:
+        crash = Crash(
+            subject,
+            self._monotonic_s(record.at_wall_s),
+            confirmed=record.confirmed,
+            stored=True,
+            position=record.position,
+        )
+        if self._record(suspect, crash) is None and suspect in self._cleared_s:
             # Another host wrote it before it heard of the clearing.
-            self._rows.discard_row(crash_key(fingerprint, subject))
+            self._rows.discard_row(crash_key(suspect, subject))
 
     def _monotonic_s(self, wall_s: float) -> float:
         return self._clock.now_s() - max(0.0, self._clock.wall_s() - wall_s)
 
     def _judge_crashes(self) -> None:
         """Confirm or drop crashes, as the list of engines tells."""
-        for fingerprint, crash in self._ledger.crashes():
+        for key, crash in self._ledger.crashes():
             if crash.confirmed:
                 continue
             verdict = judge_engine(
@@ -289,25 +451,26 @@
                 self._engine_follower.confirmed_s,
                 self._silence_limit_s,
             )
-            if verdict is Verdict.PENDING:
-                continue
+            if verdict is not Verdict.PENDING:
+                self._apply_verdict(key, crash, verdict)
+
+    def _apply_verdict(self, key: str, crash: Crash, verdict: Verdict) -> None:
+        own = (key, crash.id) in self._seen
+        if own:
             metrics.QUARANTINE.labels(f"engine {verdict.value}").inc()
-            own = (fingerprint, crash.id) in self._seen
-            if own:
-                self._log(
-                    f"engine {verdict.value} after a broken run",
-                    fingerprint,
-                    engine=crash.id.engine_id,
-                )
-            if verdict is Verdict.ALIVE:
-                self._seen.pop((fingerprint, crash.id), None)
-                self._ledger.remove(fingerprint, crash.id)
-                continue
+            event = f"engine {verdict.value} after a broken run"
+            self._log(event, key, engine=crash.id.engine_id)
+        if verdict is Verdict.ENDED:
             if own:
                 crash.write_at_s = self._clock.now_s()
-            self._record(fingerprint, attrs.evolve(crash, confirmed=True))
+            self._record(key, attrs.evolve(crash, confirmed=True))
             if crash.silent:
                 self.on_news()
+            return
+        self._seen.pop((key, crash.id), None)
+        self._ledger.remove(key, crash.id)
+        if crash.stored and (own or self._is_assigned_here(key)):
+            self._rows.discard_row(crash_key(key, crash.id))
 
     def _expire(self) -> None:
         now_s = self._clock.now_s()
@@ -319,23 +482,45 @@
             and self._ledger.is_suspect(key[0])
         }
         self._cleared_s = {
-            fingerprint: at_s
-            for fingerprint, at_s in self._cleared_s.items()
-            if at_s >= oldest_s
+            key: at_s for key, at_s in self._cleared_s.items() if at_s >= oldest_s
         }
-        for fingerprint, suspect in self._ledger.expire(now_s, 2 * NOTICE_LIFETIME_S):
-            if self._is_assigned_here(fingerprint):
-                self._rows.discard(fingerprint, suspect)
+        self._orderly_ends.expire(now_s)
+        for key, suspect in self._ledger.expire(now_s, 2 * NOTICE_LIFETIME_S):
+            if self._is_assigned_here(key):
+                self._rows.discard(key, suspect)
 
-    def _is_assigned_here(self, fingerprint: str) -> bool:
+    def _is_assigned_here(self, key: str) -> bool:
         live = {self._host, *(record.host for record in self._hosts.live())}
-        return min(live, key=lambda host: rank(host, fingerprint)) == self._host
+        return min(live, key=lambda host: rank(host, key)) == self._host
+
+    def _log_evidence(self, event: str, key: str) -> None:
+        """Log the crashes for which a suspect is held, and their ages."""
+        suspect = self._ledger.get(key)
+        if suspect is None:
+            return
+        now_s = self._clock.now_s()
+        newest = sorted(suspect.crashes.values(), key=lambda crash: -crash.at_s)
+        evidence = [
+            {
+                "engine": crash.id.engine_id,
+                "age_s": round(now_s - crash.at_s, 3),
+                "confirmed": crash.confirmed,
+            }
+            for crash in newest
+            if crash.counted
+        ]
+        self._log(
+            event,
+            key,
+            position=suspect.position,
+            evidence=evidence[:MAX_LOGGED_CRASHES],
+        )
 
-    def _log(self, event: str, fingerprint: str, **details: object) -> None:
+    def _log(self, event: str, key: str, **details: object) -> None:
         log_decision(
             event,
-            fingerprint=fingerprint,
+            fingerprint=key,
             **details,
-            crashes=self._ledger.crash_count(fingerprint),
-            retry_after_s=round(self.retry_after_s(fingerprint), 1),
+            crashes=self._ledger.crash_count(key),
+            retry_after_s=round(self.retry_after_s(key), 1),
         )
--- a/src/aspenbridge/quarantine/_records.py
+++ b/src/aspenbridge/quarantine/_records.py
@@ -14,7 +14,13 @@
 
 @attrs.frozen
 class CrashRecord:
-    """A crash of one start of an engine under a request."""
+    """
+    A crash of one start of an engine under a request or a part of prompts.
+
+    ``fingerprint`` is the key of the suspect, ``position`` the place of a part
+    in the prompt. ``confirmed`` is False where a suspect is held already and
+    the list of engines has not told yet whether the engine has ended.
+    """
 
     fingerprint: str
     engine_id: str
@@ -22,11 +28,13 @@
     number: int
     at_wall_s: float
     late: bool = False  # only read by builds that quarantined batch items
+    position: int = 0
+    confirmed: bool = True
 
 
 @attrs.frozen
 class TrialRecord:
-    """A trial of a quarantined request, which one host has claimed."""
+    """A trial of a suspect that is held, which one host has claimed."""
 
     fingerprint: str
     number: int
--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -47,12 +47,18 @@
         due = [
             (fingerprint, crash)
             for fingerprint, crash in crashes
-            if crash.confirmed and not crash.stored and crash.write_at_s <= now_s
+            if not crash.stored and crash.write_at_s <= now_s
         ][:MAX_COMMIT_ROWS]
         changes = Changes()
         for fingerprint, crash in due:
             at_wall_s = wall_s - (now_s - crash.at_s)
-            record = CrashRecord(fingerprint, *crash.id, at_wall_s)
+            record = CrashRecord(
+                fingerprint,
+                *crash.id,
+                at_wall_s,
+                position=crash.position,
+                confirmed=crash.confirmed,
+            )
             changes.put(crash_key(fingerprint, crash.id), record)
             crash.write_at_s = self._next_try_s()
         if due and await self._commit(changes):
--- a/src/aspenbridge/relay/_attempt.py
+++ b/src/aspenbridge/relay/_attempt.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from aspenbridge.quarantine import EventArrivals
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -28,9 +30,7 @@
     found_load: tuple[int, int]
     _load_view: LoadView
     asked_again: bool = False  # whether its engine was silent on it before
-    events: int = 0  # of its answer, so far
-    first_event_s: float | None = None
-    last_event_s: float | None = None
+    arrivals: EventArrivals = attrs.field(factory=EventArrivals)
     may_be_left: bool = True  # while its engine is silent, for another one
     _closed: bool = False
 
@@ -49,20 +49,6 @@
         arrived = opening.done() and not opening.cancelled() and not opening.exception()
         return self.answer.head if arrived else None
 
-    @property
-    def streamed_s(self) -> float:
-        """How long events of the answer have come."""
-        if self.first_event_s is None or self.last_event_s is None:
-            return 0.0
-        return self.last_event_s - self.first_event_s
-
-    def add_events(self, count: int, now_s: float) -> None:
-        """Record that events of the answer have arrived."""
-        self.events += count
-        self.last_event_s = now_s
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-
     def close(self) -> None:
         """Close the connection; the engine stops what it still runs."""
         if self._closed:
--- a/src/aspenbridge/relay/_attempts.py
+++ b/src/aspenbridge/relay/_attempts.py
@@ -66,6 +66,7 @@
             progress.broken_at.add(engine.id)
         if error.outcome is CallOutcome.NOT_SENT:
             self._health.record_unreachable(engine.id)
+            self._quarantine.record_unreachable(engine)
         elif error.outcome is not CallOutcome.EXPIRED:
             progress.failed_sends += 1
         if error.outcome is CallOutcome.REFUSED:
@@ -74,10 +75,14 @@
             progress.may_have_run = True
             progress.lost_connections += error.connection_lost
             self._quarantine.record_broken_run(
-                progress.fingerprint, engine, connection_lost=error.connection_lost
+                progress.subjects,
+                engine,
+                connection_lost=error.connection_lost,
+                arrivals=attempt.arrivals,
             )
         else:
-            self._quarantine.record_not_run(progress.fingerprint)
+            reached = error.outcome is CallOutcome.REFUSED
+            self._quarantine.record_not_run(progress.subjects, reached=reached)
         metrics.ATTEMPT_FAILURES.labels(error.outcome.value).inc()
         log_decision(
             "attempt failed",
@@ -89,10 +94,10 @@
             remaining_ms=round((progress.call.deadline_s - self._clock.now_s()) * 1000),
             body_end=head and head.body_end.value,
             events=progress.events_sent,
-            fingerprint=progress.fingerprint,
+            fingerprint=progress.subjects.request,
             prompt_parts=progress.prompt_parts[:MAX_LOGGED_PARTS],
-            answer_events=attempt.events,
-            streamed_ms=round(attempt.streamed_s * 1000),
+            answer_events=attempt.arrivals.count,
+            streamed_ms=round(attempt.arrivals.span_s * 1000),
             sends=progress.failed_sends,
             asked_again=attempt.asked_again,
         )
@@ -100,5 +105,8 @@
     def record_abandoned(self, progress: Progress, attempt: Attempt) -> None:
         """Record that a request was left before its answer was complete."""
         self._quarantine.record_broken_run(
-            progress.fingerprint, attempt.engine, connection_lost=False
+            progress.subjects,
+            attempt.engine,
+            connection_lost=False,
+            arrivals=attempt.arrivals,
         )
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -139,7 +139,7 @@
             return None
         if self._remaining_s(progress) <= MIN_ATTEMPT_S:
             return None
-        if self._quarantine.is_quarantined(progress.fingerprint):
+        if self._quarantine.held_key(progress.subjects) is not None:
             return None
         placed = None
         if progress.new_engines_left > 1:  # the running one counts, too
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -7,8 +7,13 @@
 
 from aspenbridge.fleet import CallKind, Refused, virtual_host
 from aspenbridge.observability import log_decision, metrics
-from aspenbridge.ports import AttemptError, RelayedCall
-from aspenbridge.quarantine import QUARANTINE_CRASHES, request_fingerprint
+from aspenbridge.ports import (
+    FIRST_NOT_SUCCESS,
+    AttemptError,
+    BodyEnd,
+    RelayedCall,
+)
+from aspenbridge.quarantine import is_part, request_fingerprint, run_subjects
 from aspenbridge.result_codes import Problem, ResultCode
 
 from ._attempt import Attempt, HandedOverError
@@ -48,6 +53,7 @@
 QUICK_LOSSES = 2
 BURST_S = 0.3
 MIN_ANSWER_S = 1.0  # longer than most answers take
+MAX_TRIAL_WAIT_S = 60.0  # for which callers are asked to come back
 
 
 class Relay:
@@ -99,8 +105,9 @@
             writer=writer,
             events=EventSplitter(request.resume_after),
             received_s=request.received_s,
-            fingerprint=request_fingerprint(
-                request.method, host, request.target, request.body
+            subjects=run_subjects(
+                request_fingerprint(request.method, host, request.target, request.body),
+                request.prompt_parts,
             ),
             prompt_parts=request.prompt_parts,
         )
@@ -148,7 +155,7 @@
             progress.found_load = current.found_load
             try:
                 await self._relay_answer(progress, current)
-                self._quarantine.record_completed(progress.fingerprint)
+                self._record_completed(progress, current)
                 return True
             except HandedOverError as error:
                 self._attempts.record_failure(progress, current, error.reason)
@@ -163,14 +170,26 @@
             finally:
                 current.close()
 
+    def _record_completed(self, progress: Progress, attempt: Attempt) -> None:
+        head = attempt.answer.head
+        wrote = attempt.arrivals.count > 0 or not head.streams
+        self._quarantine.record_completed(
+            progress.subjects,
+            attempt.engine,
+            succeeded=head.status < FIRST_NOT_SUCCESS and wrote,
+            end_marked=head.body_end is not BodyEnd.CONNECTION,
+        )
+
     async def _begin_attempt(self, progress: Progress) -> Attempt | str:
         """Send the request to an engine, or fail it and return the outcome."""
         if self._remaining_s(progress) <= 0:
             return await self._fail(progress, Refused(RETRY_AFTER_S))
+        if self._quarantine.wait_s(progress.subjects) > 0:
+            return await self._fail_quarantined(progress)
         placed = await self._await_place(progress)
         if isinstance(placed, Refused):
             return await self._fail(progress, placed)
-        if not await self._quarantine.begin_run(progress.fingerprint):
+        if not await self._quarantine.begin_run(progress.subjects):
             return await self._fail_quarantined(progress)
         return self._attempts.start(progress, placed)
 
@@ -190,7 +209,7 @@
         return placed
 
     def _may_wait(self, progress: Progress) -> bool:
-        if not progress.begun:
+        if not progress.begun or self._quarantine.wait_s(progress.subjects) > 0:
             return False
         may_get_one = progress.new_engines_left > 0
         if not may_get_one and not self._placement.any_listed(progress.left_silent):
@@ -242,14 +261,19 @@
         return progress.call.deadline_s - self._clock.now_s()
 
     async def _fail_quarantined(self, progress: Progress) -> str:
-        retry_after_s = self._quarantine.retry_after_s(progress.fingerprint)
+        key = progress.held = self._quarantine.held_key(progress.subjects)
+        wait_s = max(RETRY_AFTER_S, self._quarantine.wait_s(progress.subjects))
         metrics.QUARANTINE.labels("refused").inc()
+        code, what = ResultCode.REQUEST_QUARANTINED, "this request"
+        retry_after_s: float | None = wait_s
+        if key is not None and is_part(key):
+            code, what = ResultCode.PROMPT_PART_HELD, "requests with a part of this one"
+            # Later than that, coming back does not help this caller.
+            retry_after_s = wait_s if wait_s <= MAX_TRIAL_WAIT_S else None
         problem = Problem(
-            ResultCode.REQUEST_QUARANTINED,
-            f"{QUARANTINE_CRASHES} or more engines crashed under this request",
-            retry_after_s=retry_after_s,
+            code, f"engines crashed under {what}", retry_after_s=retry_after_s
         )
-        await self._fail(progress, Refused(retry_after_s), problem)
+        await self._fail(progress, Refused(wait_s), problem)
         return "quarantined"
 
     async def _fail(
@@ -298,6 +322,7 @@
         answer = await self._failover.answer(progress, attempt)
         progress.answer = answer.head
         self._health.record_answer(attempt.engine.id)
+        self._quarantine.record_alive(attempt.engine)
         chunks = self._failover.chunks(progress, attempt)
         if answer.head.streams and answer.head.status < SERVER_ERROR:
             await self._relay_events(progress, attempt, chunks)
@@ -311,7 +336,8 @@
         progress.events.restart()
         async for events in read_events(head, chunks, progress.events):
             progress.last_event_s = self._clock.now_s()
-            attempt.add_events(len(events), progress.last_event_s)
+            attempt.arrivals.add(len(events), progress.last_event_s)
+            self._quarantine.record_events(progress.subjects, attempt.arrivals)
             if progress.first_event_s is None:
                 progress.first_event_s = progress.last_event_s
             if not progress.begun:
@@ -354,7 +380,8 @@
         log_decision(
             "request",
             request=request.request_id,
-            fingerprint=progress.fingerprint,
+            fingerprint=progress.subjects.request,
+            held=progress.held,
             route=progress.route.name,
             configuration=version,
             outcome=outcome,
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from aspenbridge.fleet import Refused, Route
     from aspenbridge.ports import AnswerHead, Headers, RelayedCall
+    from aspenbridge.quarantine import RunSubjects
     from aspenbridge.result_codes import Problem
 
     from ._events import EventSplitter
@@ -71,7 +72,7 @@
     writer: ResponseWriter
     events: EventSplitter
     received_s: float
-    fingerprint: str  # the same for all resends of the request
+    subjects: RunSubjects  # what a crash of its engine may be blamed on
     prompt_parts: tuple[str, ...] = ()  # as in ``CallerRequest``
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
@@ -96,6 +97,7 @@
     place_wait_s: float = 0.0  # for a place, after an attempt that failed
     refused: Refused | None = None  # set when the request has failed
     problem: Problem | None = None  # what the caller was told in that case
+    held: str | None = None  # the subject for which it was refused, if any
 
     @property
     def abandoned_s(self) -> float:
--- a/src/aspenbridge/result_codes/_codes.py
+++ b/src/aspenbridge/result_codes/_codes.py
@@ -38,6 +38,7 @@
     REQUEST_QUARANTINED = 3005
     DEADLINE_BEFORE_RUN = 3006
     ROUTE_FULL = 3007
+    PROMPT_PART_HELD = 3008
     STORE_UNAVAILABLE = 4001
     OUTCOME_UNKNOWN = 4002
     BACKEND_FAILED = 4003
@@ -112,6 +113,11 @@
         429,
         "As many tokens wait on the route as may wait there",
     ),
+    _row(
+        ResultCode.PROMPT_PART_HELD,
+        503,
+        "Engines crashed under requests that share a part of this prompt",
+    ),
     _row(ResultCode.STORE_UNAVAILABLE, 503, "The platform's store is down"),
     _row(
         ResultCode.OUTCOME_UNKNOWN,
--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -4,7 +4,7 @@
 
 from aspenbridge.quarantine import QUARANTINE_CRASHES, request_fingerprint
 from aspenbridge.quarantine._ledger import (
-    MAX_REQUESTS,
+    MAX_SUSPECTS,
     RETENTION_S,
     TRIAL_DELAYS_S,
     Crash,
@@ -54,7 +54,7 @@
 def test_request_with_fewer_crashes_is_not_held_back():
     ledger = ledger_with(QUARANTINE_CRASHES - 1)
     assert ledger.allowed_from_s("f") == float("-inf")
-    assert not ledger.is_quarantined("f")
+    assert "f" not in ledger.held()
 
 
 def test_one_crash_that_several_hosts_saw_counts_once():
@@ -104,10 +104,10 @@
 
 def test_number_of_suspects_is_limited_and_quarantined_ones_stay():
     ledger = ledger_with(3, "quarantined")
-    for number in range(MAX_REQUESTS + 10):
+    for number in range(MAX_SUSPECTS + 10):
         ledger.record(f"f{number}", crash(0, float(number)))
-    assert len(ledger) == MAX_REQUESTS
-    assert ledger.is_quarantined("quarantined")
+    assert len(ledger) == MAX_SUSPECTS
+    assert "quarantined" in ledger.held()
     assert len(ledger.expire(0.0, 10.0)) == 11
 
 
@@ -139,7 +139,7 @@
 def test_engine_that_crashes_again_counts_again_though_the_list_is_old():
     ledger = CrashLedger()
     for at_s, number in ((0.0, 0), (0.4, 0), (3.0, 1), (6.0, 2)):
-        crash_id = ledger.crash_id("f", "e0", 1, at_s, list_current=False)
+        crash_id = ledger.crash_id("e0", 1, at_s, list_current=False)
         assert crash_id == CrashId("e0", 1, number)
         ledger.record("f", Crash(crash_id, at_s))
     assert ledger.crash_count("f") == 3
@@ -148,6 +148,6 @@
 def test_engine_that_is_still_down_does_not_count_again():
     ledger = CrashLedger()
     for at_s in (0.0, 2.0, 3.5):
-        crash_id = ledger.crash_id("f", "e0", 1, at_s, list_current=True)
+        crash_id = ledger.crash_id("e0", 1, at_s, list_current=True)
         ledger.record("f", Crash(crash_id, at_s))
     assert ledger.crash_count("f") == 1
--- a/tests/soak/host_main.py
+++ b/tests/soak/host_main.py
@@ -90,7 +90,7 @@
 
 
 def _without_crash_memory() -> None:
-    def record(self: CrashLedger, fingerprint: str, crash: object) -> None:
+    def record(self: CrashLedger, key: str, crash: object) -> None:
         return None
 
     CrashLedger.record = record  # type: ignore[assignment,method-assign]
