Judge no engine alive by a list that an outage of the store kept

Cause: after an outage the list still shows engines that ended in it, and a crash that was old enough by then was dropped as that of a living engine. An engine counts as alive only once the list has been followed without an outage for as long as a silent engine stays in it; the same judgement serves whole requests.

Also a fault kind of the soak, a part that crashes engines, and its plan 'parts'.

--- a/src/aspenbridge/fleet/_follower.py
+++ b/src/aspenbridge/fleet/_follower.py
@@ -66,6 +66,8 @@
         self._version: int | None = None
         self._unavailable = False
         self.confirmed_s = float("-inf")  # when the copy was last known to be current
+        # Since when it has been followed without an outage of the store.
+        self.followed_since_s = float("inf")
         self.loaded = asyncio.Event()  # set once the whole table was read
         # Called when the store answers again after an outage, before the copy
         # is updated.
@@ -163,11 +165,13 @@
             start = page.rows[-1].key.key + "\0"
 
     def _mark_unavailable(self, reason: str) -> None:
+        self.followed_since_s = float("inf")
         if not self._unavailable:
             self._unavailable = True
             logger.warning("store: table %s can't be followed: %s", self._table, reason)
 
     def _mark_available(self) -> None:
+        self.followed_since_s = min(self.followed_since_s, self._clock.now_s())
         if self._unavailable:
             self._unavailable = False
             logger.warning(
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -34,7 +34,7 @@
 TRIAL_DELAYS_S = (15.0, 30.0)
 # The same for a part. The first comes soon, since a sound part that is held
 # keeps many requests back; the last comes when engines have long been calm.
-PART_TRIAL_DELAYS_S = (3.0, 8.0, 3600.0)
+PART_TRIAL_DELAYS_S = (3.0, 5.0, 3600.0)
 # Trials of parts that are held for the same crashes are apart by up to this,
 # so that one does not bring down the engine of another.
 TRIAL_SPREAD_S = 2.0
@@ -173,7 +173,11 @@
 
 
 def judge_engine(
-    crash: Crash, entry: EngineEntry | None, list_read_s: float, silence_limit_s: float
+    crash: Crash,
+    entry: EngineEntry | None,
+    list_read_s: float,
+    followed_since_s: float,
+    silence_limit_s: float,
 ) -> Verdict:
     """
     Return whether an engine has ended since its connection did.
@@ -181,13 +185,17 @@
     :param entry: the engine's present entry in the list of engines.
     :param list_read_s: when the list was last known to be current, in
         monotonic seconds.
+    :param followed_since_s: since when the list has been current all the time,
+        in monotonic seconds. In an outage of the store it keeps engines that
+        have ended.
     :param silence_limit_s: how long a silent engine stays in the list.
     """
     if list_read_s <= crash.at_s:
         return Verdict.PENDING
     if entry is None or entry.started_ms != crash.id.started_ms:
         return Verdict.ENDED
-    if entry.draining or list_read_s - crash.at_s > silence_limit_s:
+    seen_from_s = max(crash.at_s, followed_since_s)
+    if entry.draining or list_read_s - seen_from_s > silence_limit_s:
         return Verdict.ALIVE
     return Verdict.PENDING
 
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -48,6 +48,8 @@
 UPDATE_INTERVAL_S = 0.5
 # How long a host repeats a notice; load reports go out each second.
 NOTICE_LIFETIME_S = 5.0
+# The same for what was cleared, so that hosts hear of it that were cut off.
+CLEARED_NOTICE_LIFETIME_S = 20.0
 # How long a host remembers which suspects proved sound.
 CLEARING_LIFETIME_S = 60.0
 # How often a host also tells what others saw and a host that has just started
@@ -464,6 +466,7 @@
                 crash,
                 self._engines.get(crash.id.engine_id),
                 self._engine_follower.confirmed_s,
+                self._engine_follower.followed_since_s,
                 self._silence_limit_s,
             )
             if verdict is not Verdict.PENDING:
@@ -471,10 +474,12 @@
 
     def _judge_short_answers(self) -> None:
         """Clear the parts of answers whose engine the list still shows."""
-        read_s = self._engine_follower.confirmed_s
-        for answer in self._short_answers.take_before(read_s - self._silence_limit_s):
+        followed = self._engine_follower
+        until_s = followed.confirmed_s - self._silence_limit_s
+        for answer in self._short_answers.take_before(until_s):
             entry = self._engines.get(answer.engine.id)
-            if entry is not None and entry.started_ms == answer.engine.started_ms:
+            same = entry is not None and entry.started_ms == answer.engine.started_ms
+            if same and followed.followed_since_s < answer.at_s:
                 self.record_sound(answer.subjects)
 
     def _apply_verdict(self, key: str, crash: Crash, verdict: Verdict) -> None:
@@ -505,7 +510,9 @@
             and self._ledger.is_suspect(key[0])
         }
         self._cleared_s = {
-            key: at_s for key, at_s in self._cleared_s.items() if at_s >= oldest_s
+            key: at_s
+            for key, at_s in self._cleared_s.items()
+            if at_s >= now_s - CLEARED_NOTICE_LIFETIME_S
         }
         for key, suspect in self._ledger.expire(now_s, CLEARING_LIFETIME_S):
             if self._is_assigned_here(key):
--- a/tests/soak/_connections.py
+++ b/tests/soak/_connections.py
@@ -11,6 +11,7 @@
 import attrs
 from multidict import CIMultiDict
 
+from ._engines import PARTS_HEADER
 from ._hosts import CALLERS_PORT
 from ._oracle import now_s
 
@@ -61,6 +62,7 @@
     :ivar whole: whether the answer is complete.
     :ivar behind_close: whether the answer before it on its connection
         announced that the connection would be closed.
+    :ivar parts: the shared parts of its prompt, each followed by a comma.
     :ivar wrong_headers: one of ``WRONG_HEADERS``, or none.
     """
 
@@ -75,6 +77,7 @@
     status: int = 0
     whole: bool = False
     behind_close: bool = False
+    parts: str = ""
     wrong_headers: Mapping[str, str] = attrs.field(factory=dict)
     headers: Mapping[str, str] = attrs.field(factory=dict, repr=False)
     body: bytes = attrs.field(default=b"", repr=False)
@@ -134,6 +137,7 @@
             "Host": "a.example",
             "X-Aspenbridge-Attempt-Id": request.request_id,
             DEADLINE_HEADER: str(self._deadline_ms),
+            PARTS_HEADER: f"{request.parts}{request.request_id}:10",
         } | request.wrong_headers
         lines = [f"POST {request.path} HTTP/{version}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,7 +10,13 @@
 
 from ._answers import Disturbance
 from ._callers import DEADLINE_MS
-from ._engines import CRASHING_PREFIX, LEAVING_HEADER, EngineFaults
+from ._engines import (
+    CRASHING_PART,
+    CRASHING_PREFIX,
+    LEAVING_HEADER,
+    PART_PREFIX,
+    EngineFaults,
+)
 from ._hosts import DRAIN_S
 from ._links import LinkState
 from ._oracle import StalePeriod, now_s
@@ -41,6 +47,8 @@
 INNOCENT_REQUESTS = 4  # sent as engines crash together
 SERIES = (3, 6)  # changes in a series of configurations or signals
 SERIES_INTERVAL_S = (0.02, 0.6)
+PART = "part crashes engines"
+PART_INTERVAL_S = (0.1, 0.8)  # between two requests with such a part
 ENDLESS = "engine sends without end"
 TOGETHER = "engines crash together"  # breaks a promise, see KNOWN-RED.txt
 PLANNED = (
@@ -63,6 +71,18 @@
         "configurations changed",
         "hosts reloaded",
     ),
+    "parts": (
+        PART,
+        "engine crashed",
+        "host killed",
+        "host stopped",
+        "host paused",
+        "store away",
+        "store slow",
+        "store forgets",
+        "feeds hear nothing",
+        "configurations changed",
+    ),
     "store": ("store away", "store slow", "store loses answers"),
     "leaving": ("engine leaves", "engine leaves, store away", "engines pause"),
 }
@@ -109,6 +129,7 @@
             (TOGETHER, self._engines_crash_together),
             ("engine drained", self._engine_drains),
             ("request crashes engines", self._request_crashes_engines),
+            (PART, self._part_crashes_engines),
             ("configurations changed", self._change_configurations),
             ("engines pause", self._engines_pause),
             ("engine leaves", self._engine_leaves),
@@ -306,6 +327,17 @@
             )
             await asyncio.sleep(self._random.uniform(0.1, 1.0))
 
+    async def _part_crashes_engines(self) -> None:
+        """Send new requests that share a part that crashes engines."""
+        part = f"{CRASHING_PART}{self.counts[PART]}"
+        until_s = now_s() + self._random.uniform(*CRASHING_S)
+        number = 0
+        while now_s() < until_s:
+            number += 1
+            path = f"{PART_PREFIX}{part}-{number}"
+            self._start(self._run.callers.send_part(part, path), "request")
+            await asyncio.sleep(self._random.uniform(*PART_INTERVAL_S))
+
     async def _engines_crash_together(self) -> None:
         """Crash all engines but one under requests that are sent again."""
         number = self.counts[TOGETHER]
