Bound the sends of a part by what its ledger knows, and tell its runs apart

A unit test showed that an innocent request in all crashes of a part kept the part from being held: each crash now carries a tag of its run, so that only a part whose crashes all came under one request is left to that request.

--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from itertools import chain, repeat
 from typing import TYPE_CHECKING, Self
 
 import attrs
@@ -58,21 +59,23 @@
     ``crashes`` holds the fields of a ``CrashId``, a flag that only builds that
     quarantined batch items set, and whether the engine has ended for certain.
     ``cleared`` holds the requests that have completed. A part of prompts has a
-    key in place of a fingerprint; ``positions`` holds its place in the prompt
-    for each of ``crashes``, and is empty in reports of builds without parts.
+    key in place of a fingerprint; ``runs`` holds its place in the prompt and
+    the tag of the run for each of ``crashes``, and is empty in reports of
+    builds without parts.
     """
 
     crashes: tuple[tuple[str, tuple[str, int, int], float, bool, bool], ...] = ()
     cleared: tuple[tuple[str, float], ...] = ()
-    positions: tuple[int, ...] = ()
+    runs: tuple[tuple[int, int], ...] = ()
 
-    def known_crashes(
+    def all_crashes(
         self,
-    ) -> Iterator[tuple[str, tuple[str, int, int], float, bool, int]]:
-        """Yield key, crash, age, whether it is certain, and place of each."""
-        for number, (key, crash, age_s, _, confirmed) in enumerate(self.crashes):
-            known = number < len(self.positions)
-            yield key, crash, age_s, confirmed, self.positions[number] if known else 0
+    ) -> Iterator[tuple[str, tuple[str, int, int], float, bool, tuple[int, int]]]:
+        """Yield key, crash, age, certainty, and place and tag of each."""
+        unknown = repeat((0, 0), len(self.crashes) - len(self.runs))
+        for crash, run in zip(self.crashes, chain(self.runs, unknown), strict=False):
+            key, crash_id, age_s, _, confirmed = crash
+            yield key, crash_id, age_s, confirmed, run
 
 
 class PassedOnReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -126,7 +126,10 @@
     @cached_property
     def subjects(self) -> tuple[RunSubjects, ...]:
         """What a crash under each item may be blamed on, by index."""
-        return tuple(run_subjects("", item.prompt_parts) for item in self.items)
+        return tuple(
+            run_subjects(fingerprint, item.prompt_parts, owed=True)
+            for fingerprint, item in zip(self.fingerprints, self.items, strict=True)
+        )
 
     def waiting_tokens(self, listed: Collection[int]) -> int:
         """Return the tokens of the items without those that are listed."""
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -33,8 +33,12 @@
 # How long a quarantined request waits for each of its trials.
 TRIAL_DELAYS_S = (15.0, 30.0)
 # The same for a part. The first comes soon, since a sound part that is held
-# keeps many requests back; the last comes when engines have long been calm.
-PART_TRIAL_DELAYS_S = (3.0, 5.0, 3600.0)
+# keeps many requests back; the last is for one whose trials met other crashes.
+PART_TRIAL_DELAYS_S = (3.0, 5.0, 30.0)
+# Crashes of a part that come so long after its fifth take the place of trials:
+# they are of runs sent by hosts that did not know better.
+COUNTED_CRASHES = 5
+KNOWN_TO_ALL_S = 4.0
 # Trials of parts that are held for the same crashes are apart by up to this,
 # so that one does not bring down the engine of another.
 TRIAL_SPREAD_S = 2.0
@@ -48,6 +52,7 @@
 # Connections that one host loses within this time may have been cut together,
 # so that they are one crash of a part until engines are known to have ended.
 MOMENT_S = 0.01
+SEVERAL_RUNS = -1  # in place of the tag of a run
 MAX_STARTS = 4096  # of engines whose last crash is remembered
 # Clocks and delays of two hosts may put a crash this much after its clearing.
 CLEARING_SLACK_S = 0.2
@@ -85,7 +90,8 @@
     ``confirmed`` tells whether the engine has ended for certain, ``stored``
     whether the store holds a row of the crash. ``write_at_s`` is when this
     host writes the row, unless another host has by then. ``position`` is the
-    place of the part in the prompt, from 0.
+    place of the part in the prompt, from 0; ``tag`` that of the run, or
+    ``SEVERAL_RUNS``.
     """
 
     id: CrashId
@@ -95,6 +101,7 @@
     stored: bool = False
     write_at_s: float = float("inf")
     position: int = 0
+    tag: int = 0
 
     @property
     def counted(self) -> bool:
@@ -133,6 +140,12 @@
         """The crashes that count now."""
         return frozenset(c.id for c in self.crashes.values() if c.counted)
 
+    @property
+    def several_runs(self) -> bool:
+        """Whether crashes count under more than one request or item."""
+        tags = {c.tag for c in self.crashes.values() if c.counted}
+        return len(tags) > 1 or SEVERAL_RUNS in tags
+
     @property
     def position(self) -> int:
         """The last place of a part in the prompts of its crashes."""
@@ -146,8 +159,20 @@
     @property
     def trials_left(self) -> bool:
         """Whether another trial may be claimed."""
-        delays_s = PART_TRIAL_DELAYS_S if self.is_part else TRIAL_DELAYS_S
-        return len(self.trials) < len(delays_s)
+        if not self.is_part:
+            return len(self.trials) < len(TRIAL_DELAYS_S)
+        return len(self.trials) + self._late_crashes < len(PART_TRIAL_DELAYS_S)
+
+    @property
+    def _late_crashes(self) -> int:
+        """How many crashes no trial made, later than all hosts knew enough."""
+        times_s = sorted(c.at_s for c in self.crashes.values() if c.counted)
+        if len(times_s) < COUNTED_CRASHES:
+            return 0
+        known_s = times_s[COUNTED_CRASHES - 1] + KNOWN_TO_ALL_S
+        late = sum(at_s > known_s for at_s in times_s)
+        trials = sum(began_s > known_s for began_s in self.trials.values())
+        return max(0, late - trials)
 
     def allowed_from_s(self) -> float:
         """Return from when on a trial may run, if it is held."""
@@ -287,12 +312,14 @@
             suspect = Suspect(is_part(key), cleared=key in self._cleared_s)
             self._suspects[key] = suspect
         known = suspect.crashes.setdefault(crash.id, crash)
-        before = known.silent, known.confirmed, known.position
+        before = known.silent, known.confirmed, known.position, known.tag
         known.silent = known.silent and crash.silent
         known.confirmed = known.confirmed or crash.confirmed
         known.stored = known.stored or crash.stored
         known.position = max(known.position, crash.position)
-        after = known.silent, known.confirmed, known.position
+        if crash.tag != known.tag:
+            known.tag = SEVERAL_RUNS
+        after = known.silent, known.confirmed, known.position, known.tag
         if known is crash or before != after:
             self._note_crash(crash)
             self._weigh(key, suspect)
--- a/src/aspenbridge/quarantine/_notices.py
+++ b/src/aspenbridge/quarantine/_notices.py
@@ -51,5 +51,5 @@
             for key, crash in chosen
         ),
         tuple((key, now_s - at_s) for key, at_s in cleared),
-        tuple(crash.position for _, crash in chosen),
+        tuple((crash.position, crash.tag) for _, crash in chosen),
     )
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -192,7 +192,7 @@
         """Record that an engine accepts no connection, as one that crashed."""
         now_s = self._clock.now_s()
         for answer in self._short_answers.take_unreachable(engine, now_s):
-            self._blame(answer.subjects.parts, engine, answer.at_s)
+            self._blame(answer.subjects, answer.subjects.parts, engine, answer.at_s)
         self._update_held()
 
     def record_broken_run(
@@ -221,10 +221,10 @@
         blamed = subjects.keys
         if arrivals.show_sound_start:
             blamed = tuple(key for key in blamed if not is_part(key))
-        self._blame(blamed, engine, now_s, silent=not connection_lost)
+        self._blame(subjects, blamed, engine, now_s, silent=not connection_lost)
         if connection_lost:
             for answer in self._short_answers.take_lost(engine, now_s):
-                self._blame(answer.subjects.parts, engine, answer.at_s)
+                self._blame(answer.subjects, answer.subjects.parts, engine, answer.at_s)
         self._update_held()
 
     def record_completed(
@@ -300,10 +300,13 @@
         now_s = self._clock.now_s()
         for key, age_s in notices.cleared:
             self._ledger.clear(key, now_s - age_s)
-        for key, crash_id, age_s, confirmed, position in notices.known_crashes():
-            at_s = now_s - age_s
+        for key, crash_id, age_s, confirmed, (position, tag) in notices.all_crashes():
             crash = Crash(
-                CrashId(*crash_id), at_s, confirmed=confirmed, position=position
+                CrashId(*crash_id),
+                now_s - age_s,
+                confirmed=confirmed,
+                position=position,
+                tag=tag,
             )
             self._record(key, crash)
         if notices.cleared or notices.crashes:
@@ -352,13 +355,14 @@
 
     def _blame(
         self,
+        subjects: RunSubjects,
         keys: Iterable[str],
         engine: EngineEntry,
         at_s: float,
         *,
         silent: bool = False,
     ) -> None:
-        """Record a crash that this host saw under each of some suspects."""
+        """Record a crash that this host saw under some subjects of a run."""
         crash_id = self._ledger.crash_id(
             engine.id,
             engine.started_ms,
@@ -367,7 +371,9 @@
         )
         place = 0
         for key in keys:
-            crash = Crash(crash_id, at_s, silent=silent, position=place)
+            crash = Crash(
+                crash_id, at_s, silent=silent, position=place, tag=subjects.tag
+            )
             place += is_part(key)
             known = self._record(key, crash)
             if known is not None:
@@ -449,6 +455,7 @@
             confirmed=record.confirmed,
             stored=True,
             position=record.position,
+            tag=record.tag,
         )
         if self._record(suspect, crash) is None and suspect in self._cleared_s:
             # Another host wrote it before it heard of the clearing.
--- a/src/aspenbridge/quarantine/_records.py
+++ b/src/aspenbridge/quarantine/_records.py
@@ -18,8 +18,9 @@
     A crash of one start of an engine under a request or a part of prompts.
 
     ``fingerprint`` is the key of the suspect, ``position`` the place of a part
-    in the prompt. ``confirmed`` is False where a suspect is held already and
-    the list of engines has not told yet whether the engine has ended.
+    in the prompt, ``tag`` that of the run. ``confirmed`` is False where a
+    suspect is held already and the list of engines has not told yet whether
+    the engine has ended.
     """
 
     fingerprint: str
@@ -29,6 +30,7 @@
     at_wall_s: float
     late: bool = False  # only read by builds that quarantined batch items
     position: int = 0
+    tag: int = 0
     confirmed: bool = True
 
 
--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -57,6 +57,7 @@
                 *crash.id,
                 at_wall_s,
                 position=crash.position,
+                tag=crash.tag,
                 confirmed=crash.confirmed,
             )
             changes.put(crash_key(fingerprint, crash.id), record)
--- a/src/aspenbridge/quarantine/_short_answers.py
+++ b/src/aspenbridge/quarantine/_short_answers.py
@@ -17,8 +17,9 @@
 MAX_ANSWERS = 256
 # An engine that crashes ends all its connections within this time.
 SAME_END_S = 0.3
-# A crash is shown by connections that the engine refuses so soon after it.
-REFUSAL_S = 2.0
+# A crash is shown by connections that the engine refuses so soon after it;
+# later ones may be due to another crash.
+REFUSAL_S = 0.5
 # An engine that answers in this time after an end has not crashed there: later
 # than what was on its way, and before it could have started again.
 ALIVE_S = (0.2, 1.0)
--- a/src/aspenbridge/quarantine/_subjects.py
+++ b/src/aspenbridge/quarantine/_subjects.py
@@ -47,11 +47,13 @@
 
     ``request`` is a fingerprint; it is empty for a batch item, which is owed
     after any number of crashes. ``parts`` holds the keys of the parts of the
-    prompt that other requests may share, in their order.
+    prompt that other requests may share, in their order. ``tag`` tells the
+    runs of a request or an item, repeats included, from those of others.
     """
 
     request: str
     parts: tuple[str, ...] = ()
+    tag: int = 0
 
     @property
     def keys(self) -> tuple[str, ...]:
@@ -59,11 +61,15 @@
         return (self.request, *self.parts) if self.request else self.parts
 
 
-def run_subjects(request: str, prompt_parts: tuple[str, ...]) -> RunSubjects:
+def run_subjects(
+    fingerprint: str, prompt_parts: tuple[str, ...], *, owed: bool = False
+) -> RunSubjects:
     """
     Return the subjects of a run.
 
-    :param request: the fingerprint of the request; empty for a batch item.
     :param prompt_parts: ids of the parts that other requests may share.
+    :param owed: whether it is a batch item.
     """
-    return RunSubjects(request, tuple(map(part_key, prompt_parts)))
+    parts = tuple(map(part_key, prompt_parts))
+    tag = xxhash.xxh32_intdigest(fingerprint.encode()) or 1
+    return RunSubjects("" if owed else fingerprint, parts, tag)
--- a/src/aspenbridge/quarantine/_verdicts.py
+++ b/src/aspenbridge/quarantine/_verdicts.py
@@ -55,14 +55,13 @@
     """
     crashes = {key: suspect.crash_ids for key, suspect in suspects.items()}
     requests = [key for key, suspect in suspects.items() if not suspect.is_part]
-    by_requests = _union(crashes[key] for key in requests)
     held: list[str] = []
     parts = [key for key, suspect in suspects.items() if suspect.is_part]
     for key in sorted(
         parts, key=lambda key: (key not in before, _order(key, suspects))
     ):
         # A single request that crashes engines does not incriminate its parts.
-        incriminated = bool(crashes[key] - by_requests)
+        incriminated = suspects[key].several_runs
         unexplained = crashes[key] - _union(crashes[other] for other in held)
         told_apart = suspects[key].position == 0 or suspects[key].cleared
         alike = not told_apart and any(crashes[o] == crashes[key] for o in held)
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -232,7 +232,7 @@
         problem = (await fleet.relay("h1", request)).problem
         assert problem.code is ResultCode.PROMPT_PART_HELD
         assert problem.retry_after_s is None
-        assert len(play.crashes_s(GUILTY)) <= 3 + 2
+        assert len(play.crashes_s(GUILTY)) <= 3 + len(PART_TRIAL_DELAYS_S)
 
     play_with_fleet(check)
 
