--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -24,14 +24,15 @@
     make_configuration,
     make_route,
 )
+from tests.support.processes import own_ip
 
 HEADERS = {"Host": "a.example", "X-Aspenbridge-Deadline-Ms": "5000"}
 
 
 def free_address() -> Address:
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
+        sock.bind((own_ip(), 0))
+        return Address(*sock.getsockname())
 
 
 class HostUnderTest(NamedTuple):
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -435,7 +435,9 @@
     async def open(self, *call):
         if self.killed:
             await asyncio.Event().wait()
-        return await self._engines.open(*call, host=self._host)
+        if isinstance(self._engines, MemoryEngines):
+            return await self._engines.open(*call, host=self._host)
+        return await self._engines.open(*call)  # over sockets
 
 
 class MemoryAnswer:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -23,6 +24,12 @@
 MODULE = (sys.executable, "-m", "aspenbridge")
 
 
+def own_ip() -> str:
+    """Return a loopback address on which no other process takes ports."""
+    pid = os.getpid()
+    return f"127.{64 + pid % 128}.{pid // 128 % 256}.1"
+
+
 def free_ports(count: int) -> list[int]:
     """Return free ports; another process may take them before their use."""
     with ExitStack() as stack:
--- a/tests/support/scripted_host.py
+++ b/tests/support/scripted_host.py
@@ -20,6 +20,7 @@
     make_engine,
     make_route,
 )
+from tests.support.processes import own_ip
 
 BUDGET_MS = 1500  # of a request; longer than a host waits for the next event
 ENGINES = 3
@@ -124,8 +125,8 @@
 
 def free_address() -> Address:
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
+        sock.bind((own_ip(), 0))
+        return Address(*sock.getsockname())
 
 
 async def read_reply(sock) -> Reply:
