--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -48,3 +48,15 @@
     assert oracle.violations == []
     assert oracle.response_counts["jobs full"] > 0
     assert any(job.accepted and job.done for job in oracle.jobs.values())
+
+
+def test_short_run_stops_a_part_of_prompts_that_crashes_engines():
+    kind = "part crashes engines"
+    options = Options(12, SECONDS, 3, first_fault=kind, plan="parts", subnet=SUBNET)
+    oracle = run_seed(options)
+    assert oracle.violations == []
+    assert oracle.fault_counts[kind] > 0
+    parts = [
+        crashed_s for name, crashed_s in oracle.crashed_s.items() if "/" not in name
+    ]
+    assert any(len(crashed_s) >= 3 for crashed_s in parts)
