--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
-from aspenbridge.ports import CallOutcome
+from aspenbridge.ports import BodyEnd, CallOutcome
 
 from ._item_run import ItemOutcome, ItemRunResult, run_item
 from ._order import DurationEstimator, next_ready_s, ready_items
@@ -359,6 +359,7 @@
                 engine,
                 succeeded=run.outcome is ItemOutcome.COMPLETE
                 and run.arrivals.count > 0,
+                end_marked=run.body_end is not BodyEnd.CONNECTION,
                 arrivals=run.arrivals,
             )
         elif run.call_outcome is CallOutcome.BROKEN:
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -233,6 +233,7 @@
         engine: EngineEntry,
         *,
         succeeded: bool,
+        end_marked: bool,
         arrivals: EventArrivals,
     ) -> None:
         """
@@ -242,6 +243,9 @@
 
         :param succeeded: whether the engine wrote the answer that was asked,
             not a failure.
+        :param end_marked: whether more than the end of its connection tells
+            that the answer is whole. Otherwise a short one may have been cut
+            off by a crash, which counts if the engine turns out to have ended.
         """
         if self._own_trials:
             self._forget_trials(subjects)
@@ -252,8 +256,10 @@
             return
         if arrivals.show_sound_start:
             self.record_sound(subjects)
-        else:
-            self._short_answers.add(subjects, engine, now_s)
+            return
+        self._short_answers.add(subjects, engine, now_s)
+        if not end_marked:
+            self._blame(subjects, subjects.parts, engine, now_s, silent=True)
 
     def record_sound(self, subjects: RunSubjects) -> None:
         """Clear the parts of a prompt on which an engine has written."""
--- a/src/aspenbridge/quarantine/_short_answers.py
+++ b/src/aspenbridge/quarantine/_short_answers.py
@@ -19,7 +19,7 @@
 SAME_END_S = 0.3
 # A crash is shown by connections that the engine refuses so soon after it;
 # later ones may be due to another crash.
-REFUSAL_S = 0.5
+REFUSAL_S = 1.0
 # An engine that answers in this time after an end has not crashed there: later
 # than what was on its way, and before it could have started again.
 ALIVE_S = (0.2, 1.0)
--- a/src/aspenbridge/quarantine/_verdicts.py
+++ b/src/aspenbridge/quarantine/_verdicts.py
@@ -49,6 +49,8 @@
 
     One that is held stays so: evidence that arrives piece by piece must not
     free it for another one that seems to explain its crashes for a moment.
+    Only a part that always stood first is weighed anew each time, since it is
+    likely to be at all engines.
 
     :param suspects: those that ``may_be_held``, by key.
     :param before: the keys of those that were held so far.
@@ -57,17 +59,16 @@
     requests = [key for key, suspect in suspects.items() if not suspect.is_part]
     held: list[str] = []
     parts = [key for key, suspect in suspects.items() if suspect.is_part]
-    for key in sorted(
-        parts, key=lambda key: (key not in before, _order(key, suspects))
-    ):
-        # A single request that crashes engines does not incriminate its parts.
-        incriminated = suspects[key].several_runs
+    for key in sorted(parts, key=lambda key: _order(key, suspects[key], before)):
+        leading = suspects[key].position == 0
         unexplained = crashes[key] - _union(crashes[other] for other in held)
-        told_apart = suspects[key].position == 0 or suspects[key].cleared
+        told_apart = leading or suspects[key].cleared
         alike = not told_apart and any(crashes[o] == crashes[key] for o in held)
-        if key in before or (
-            incriminated and (len(unexplained) >= UNEXPLAINED_CRASHES or alike)
-        ):
+        # A single request that crashes engines does not incriminate its parts.
+        incriminated = suspects[key].several_runs and (
+            alike or len(unexplained) >= UNEXPLAINED_CRASHES
+        )
+        if incriminated or (key in before and not leading):
             held.append(key)
     explained = _union(crashes[key] for key in held)
     held = [key for key in held if not _is_explained(key, held, crashes)]
@@ -86,10 +87,17 @@
     )
 
 
-def _order(key: str, suspects: Mapping[str, Suspect]) -> tuple[bool, bool, int, str]:
+def _order(
+    key: str, suspect: Suspect, before: Set[str]
+) -> tuple[bool, bool, bool, int, str]:
     """Return the place of a part among those that may explain a crash."""
-    suspect = suspects[key]
-    return suspect.position == 0, suspect.cleared, -len(suspect.crash_ids), key
+    return (
+        suspect.position == 0,
+        key not in before,
+        suspect.cleared,
+        -len(suspect.crash_ids),
+        key,
+    )
 
 
 def _union(sets: Iterable[frozenset[CrashId]]) -> frozenset[CrashId]:
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -10,6 +10,7 @@
 from aspenbridge.ports import (
     FIRST_NOT_SUCCESS,
     AttemptError,
+    BodyEnd,
     RelayedCall,
 )
 from aspenbridge.quarantine import is_part, request_fingerprint, run_subjects
@@ -176,6 +177,7 @@
             progress.subjects,
             attempt.engine,
             succeeded=head.status < FIRST_NOT_SUCCESS and wrote,
+            end_marked=head.body_end is not BodyEnd.CONNECTION,
             arrivals=attempt.arrivals,
         )
 
--- a/tests/quarantine/test_verdicts.py
+++ b/tests/quarantine/test_verdicts.py
@@ -69,6 +69,16 @@
     assert evidence.crash(("s", F)) == {P}  # one engine that crashes of itself
 
 
+def test_first_part_gives_way_to_those_that_explain_its_crashes_later():
+    evidence = Evidence()
+    for number in range(2):
+        evidence.crash((f"p{number}", "part-a", P), ("item", F))
+        evidence.crash((f"g{number}", "part-c", G), ("item2", F))
+    assert evidence.parts == {F}
+    evidence.crash(("p9", "part-a", P), ("item", F))
+    assert evidence.crash(("g9", "part-c", G), ("item", F)) == {P, G}
+
+
 def test_resends_of_one_request_do_not_incriminate_its_parts():
     evidence = Evidence()
     for _ in range(QUARANTINE_CRASHES):
