--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -34,11 +34,13 @@
 TRIAL_DELAYS_S = (15.0, 30.0)
 # The same for a part. The first comes soon, since a sound part that is held
 # keeps many requests back; the last is for one whose trials met other crashes.
-PART_TRIAL_DELAYS_S = (3.0, 5.0, 30.0)
+PART_TRIAL_DELAYS_S = (3.0, 5.0, 12.0)
 # Crashes of a part that come so long after its fifth take the place of trials:
-# they are of runs sent by hosts that did not know better.
+# they are of runs sent by hosts that did not know better. Two such runs may
+# have met the same crash.
 COUNTED_CRASHES = 5
 KNOWN_TO_ALL_S = 4.0
+RUNS_PER_LATE_CRASH = 2
 # Trials of parts that are held for the same crashes are apart by up to this,
 # so that one does not bring down the engine of another.
 TRIAL_SPREAD_S = 2.0
@@ -161,7 +163,8 @@
         """Whether another trial may be claimed."""
         if not self.is_part:
             return len(self.trials) < len(TRIAL_DELAYS_S)
-        return len(self.trials) + self._late_crashes < len(PART_TRIAL_DELAYS_S)
+        used = len(self.trials) + RUNS_PER_LATE_CRASH * self._late_crashes
+        return used < len(PART_TRIAL_DELAYS_S)
 
     @property
     def _late_crashes(self) -> int:
