--- a/src/aspenbridge/quarantine/_verdicts.py
+++ b/src/aspenbridge/quarantine/_verdicts.py
@@ -23,6 +23,9 @@
 # A part that came first in all of its prompts is likely to be in most
 # requests, so that another suspect gets the time to explain its crashes.
 LEADING_PART_CRASHES = 4
+# Parts that met exactly the same crashes can't be told apart. Sound ones are
+# cleared before the next crash, as a rule.
+ALIKE_PART_CRASHES = 4
 # A part that has just proved sound is at engines that crash of themselves.
 CLEARED_PART_CRASHES = 5
 # How many crashes of a part no other held part may explain. An engine that
@@ -63,12 +66,14 @@
         leading = suspects[key].position == 0
         unexplained = crashes[key] - _union(crashes[other] for other in held)
         told_apart = leading or suspects[key].cleared
-        alike = not told_apart and any(crashes[o] == crashes[key] for o in held)
+        twins = [] if told_apart else _twins(key, suspects, crashes)
+        enough = not twins or len(crashes[key]) >= ALIKE_PART_CRASHES
+        alike = any(twin in held for twin in twins)
         # A single request that crashes engines does not incriminate its parts.
         incriminated = suspects[key].several_runs and (
             alike or len(unexplained) >= UNEXPLAINED_CRASHES
         )
-        if incriminated or (key in before and not leading):
+        if (incriminated and enough) or (key in before and not leading):
             held.append(key)
     explained = _union(crashes[key] for key in held)
     held = [key for key in held if not _is_explained(key, held, crashes)]
@@ -76,6 +81,24 @@
     return frozenset(held)
 
 
+def _twins(
+    key: str,
+    suspects: Mapping[str, Suspect],
+    crashes: Mapping[str, frozenset[CrashId]],
+) -> list[str]:
+    """Return other parts that are not told apart from one by their crashes."""
+    return [
+        other
+        for other, suspect in suspects.items()
+        if other != key
+        and suspect.is_part
+        and suspect.position > 0
+        and not suspect.cleared
+        and suspect.several_runs
+        and crashes[other] == crashes[key]
+    ]
+
+
 def _is_explained(
     key: str, held: list[str], crashes: Mapping[str, frozenset[CrashId]]
 ) -> bool:
