--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -346,6 +346,13 @@
         if suspect is not None:
             suspect.trials.pop(number, None)
 
+    def withdraw_trial(self, key: str, number: int) -> None:
+        """Forget a trial that was not claimed, so that its number is free."""
+        self.remove_trial(key, number)
+        suspect = self._suspects.get(key)
+        if suspect is not None and suspect.last_trial == number:
+            suspect.last_trial = number - 1
+
     def clear(self, key: str, at_s: float) -> Suspect | None:
         """
         Forget and return what is known of a suspect up to when it was sound.
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -169,7 +169,7 @@
         for key, number in trials.items():
             taken = isinstance(error, Conflict) and trial_key(key, number) in error.rows
             if error is not None and not taken:
-                self._ledger.remove_trial(key, number)
+                self._ledger.withdraw_trial(key, number)
             self._log("quarantine trial", key, number=number, claimed=error is None)
         return error is None
 
--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -94,6 +94,14 @@
     assert ledger.next_trial("f") == 2
 
 
+def test_trial_that_was_not_claimed_keeps_its_number():
+    """Guards against two hosts that claim one trial under two numbers."""
+    ledger = ledger_with(3)
+    ledger.record_trial("f", 1, 20.0)
+    ledger.withdraw_trial("f", 1)
+    assert ledger.next_trial("f") == 1
+
+
 def test_crash_before_a_clearing_does_not_count_when_it_is_reported_late():
     ledger = ledger_with(1)
     ledger.clear("f", 5.0)
