Let an engine that answers refute the crashes that parts were blamed for

Connections that end count as crashes until the list of engines tells otherwise, seconds later; three living engines that broke answers off made three.

--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -55,6 +55,10 @@
 # so that they are one crash of a part until engines are known to have ended.
 MOMENT_S = 0.01
 SEVERAL_RUNS = -1  # in place of the tag of a run
+# An engine that answers so long after one of its connections ended lives on:
+# later than what was on its way, and before it could have started again.
+ALIVE_S = (0.2, 1.0)
+SAME_REPORT_S = 0.3  # by which hosts tell the time of one crash differently
 MAX_STARTS = 4096  # of engines whose last crash is remembered
 # Clocks and delays of two hosts may put a crash this much after its clearing.
 CLEARING_SLACK_S = 0.2
@@ -238,6 +242,8 @@
         self._candidates: dict[str, Suspect] = {}  # that may be held
         self._held: frozenset[str] = frozenset()
         self._undecided = False  # whether evidence came since that was decided
+        # When crashes seemed to happen whose engine then turned out to live.
+        self._refuted_s: dict[CrashId, float] = {}
         # Number and time of the last crash of each start of an engine.
         self._last_crashes: dict[tuple[str, int], tuple[int, float]] = {}
 
@@ -308,6 +314,9 @@
         """
         if crash.at_s <= self._cleared_s.get(key, float("-inf")):
             return None
+        refuted_s = self._refuted_s.get(crash.id, float("-inf"))
+        if is_part(key) and not crash.confirmed and crash.at_s <= refuted_s:
+            return None
         suspect = self._suspects.get(key)
         if suspect is None:
             if len(self._suspects) >= MAX_SUSPECTS:
@@ -328,6 +337,24 @@
             self._weigh(key, suspect)
         return known
 
+    def refute(self, engine_id: str, started_ms: int, now_s: float) -> None:
+        """
+        Forget the crashes of parts at an engine that answers now.
+
+        Those that the list of engines confirmed stay, as do those under whole
+        requests, which wait for the list.
+        """
+        from_s, until_s = ALIVE_S
+        for key, crash in self.crashes():
+            if (
+                crash.id[:2] == (engine_id, started_ms)
+                and not crash.confirmed
+                and is_part(key)
+                and from_s <= now_s - crash.at_s <= until_s
+            ):
+                self._refuted_s[crash.id] = crash.at_s + SAME_REPORT_S
+                self.remove(key, crash.id)
+
     def next_trial(self, key: str) -> int:
         """Return the number of the next trial of a suspect."""
         suspect = self._suspects.get(key)
@@ -395,6 +422,11 @@
             for key, at_s in self._cleared_s.items()
             if now_s - at_s <= clearing_lifetime_s
         }
+        self._refuted_s = {
+            crash_id: at_s
+            for crash_id, at_s in self._refuted_s.items()
+            if now_s - at_s <= clearing_lifetime_s
+        }
         expired = [
             key
             for key, suspect in self._suspects.items()
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -280,6 +280,8 @@
             now_s = self._clock.now_s()
             for answer in self._short_answers.take_alive(engine, now_s):
                 self.record_sound(answer.subjects)
+            self._ledger.refute(engine.id, engine.started_ms, now_s)
+            self._update_held()
 
     def notices(self) -> CrashNotices:
         """Return what other hosts may not know yet, for a load report."""
--- a/tests/quarantine/test_verdicts.py
+++ b/tests/quarantine/test_verdicts.py
@@ -185,3 +185,18 @@
         began_s.append(due_s)
     assert ledger.allowed_from_s(P) - began_s[-1] > 23 * 3600
     assert ledger.allowed_from_s(X) != began_s[0]
+
+
+def test_engine_that_answers_again_did_not_crash_under_a_part():
+    """Guards against parts held for answers that engines broke off."""
+    evidence = Evidence()
+    for number in range(QUARANTINE_CRASHES):
+        evidence.crash((f"r{number}", F, P), gap_s=0.1)
+    assert evidence.parts == {P}
+    ledger = evidence.ledger
+    for number in range(1, 4):
+        ledger.refute(f"e{number}", 1, evidence.now_s + 0.3)
+    assert evidence.parts == set()
+    again = Crash(CrashId("e3", 1), evidence.now_s + 0.05)
+    assert ledger.record(P, again) is None  # another host tells of it later
+    assert ledger.record(P, Crash(CrashId("e3", 1), evidence.now_s + 2.0)) is not None
