--- a/src/aspenbridge/quarantine/_short_answers.py
+++ b/src/aspenbridge/quarantine/_short_answers.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from ._ledger import ALIVE_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -20,9 +22,6 @@
 # A crash is shown by connections that the engine refuses so soon after it;
 # later ones may be due to another crash.
 REFUSAL_S = 1.0
-# An engine that answers in this time after an end has not crashed there: later
-# than what was on its way, and before it could have started again.
-ALIVE_S = (0.2, 1.0)
 
 
 @attrs.frozen
