--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: the store, engines, hosts and callers."""
--- /dev/null
+++ b/review/standins/record.py
@@ -0,0 +1,69 @@
+"""Writes what was sent, answered and run."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+import traceback
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Self
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+
+class Record:
+    """The file ``record.txt`` of a case, one line for each event."""
+
+    def __init__(self, directory: Path) -> None:
+        self._path = directory / "record.txt"
+        self._begun_s = time.monotonic()
+
+    def __enter__(self) -> Self:
+        self._file = self._path.open("w", encoding="utf-8")
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._file.close()
+
+    def now_s(self) -> float:
+        """Return the time since the begin."""
+        return time.monotonic() - self._begun_s
+
+    def line(self, event: str, **fields: object) -> None:
+        """Write one event."""
+        text = json.dumps(fields, default=str)
+        self._file.write(f"{self.now_s():8.3f} {event} {text}\n")
+        self._file.flush()
+
+
+def disturbed() -> bool:
+    """Whether the case runs with its disruption."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def show(text: str) -> None:
+    """Print one line."""
+    sys.stdout.write(text + "\n")
+
+
+def run_case(
+    main: Callable[[Record], Coroutine[Any, Any, bool | None]], file: str
+) -> None:
+    """
+    Run a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
+
+    :param main: returns whether the rule held, or None if that can't be told.
+    """
+    code = 2
+    try:
+        with Record(Path(file).parent) as record:
+            held = asyncio.run(main(record))
+            code = 2 if held is None else int(not held)
+            record.line("exit", code=code, disturbed=disturbed())
+    except Exception:
+        traceback.print_exc()
+    sys.exit(code)
