--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -17,6 +17,7 @@
 HEARTBEAT_S = 1.2
 SILENT_HEARTBEATS = 3
 QUEUE_LENGTH = 24
+HEADER_BYTES = 32 * 1024  # more than callers may send
 ATTEMPT_ID = "X-Aspenbridge-Attempt-Id"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -33,6 +34,7 @@
     :param events: returns the data of all events of a request, by its id.
     :param loses_answer: whether the connection of a request is reset after the
         request has run, called with the number of the run.
+    :param prefill_s: how long a prompt of so many tokens is read.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         event_s: float = 0.02,
         events: Callable[[str], list[str]] = plain_events,
         loses_answer: Callable[[int], bool] = lambda number: False,
+        prefill_s: Callable[[int], float] = lambda tokens: 0.0,
     ) -> None:
         self.name = name
         self.running: dict[str, int] = {}  # requests that run now
@@ -56,28 +59,54 @@
         self._store, self._record = store, record
         self._slots_count, self._event_s = slots, event_s
         self._events, self._loses_answer = events, loses_answer
+        self._prefill_s = prefill_s
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._sequence = 0
+        self._port = 0  # any, until it has one
+        self._born_ms = 1_700_000_000_000
         self._beats: asyncio.Task[None] | None = None
         self._server = web.Server(
-            self._handle, handler_cancellation=True, access_log=None
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
         )
 
+    def long_runs(self) -> int:
+        """Return how many requests of the kind "long" run now."""
+        return sum(n for name, n in self.running.items() if name.startswith("long"))
+
     async def start(self) -> None:
         """Listen on a free port and register."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, self._ip, 0)
+        self._listener = await loop.create_server(
+            self._server, self._ip, self._port, reuse_address=True
+        )
         self._port = self._listener.sockets[0].getsockname()[1]
+        self._born_ms += 1
         self._beats = asyncio.create_task(self._beat())
 
-    async def lose(self) -> None:
-        """End without notice; the entry goes after some silent heartbeats."""
+    async def crash(self, down_s: float) -> None:
+        """End without notice, and start again some seconds later."""
+        self._end()
+        self._record.line("engine crashes", engine=self.name, down_s=down_s)
+        await asyncio.sleep(down_s)
+        await self.start()
+        self._record.line("engine is back", engine=self.name)
+
+    def _end(self) -> None:
         assert self._beats is not None
         self._beats.cancel()
         self._listener.close()
         for connection in list(self._server.connections):
+            _reset(connection.transport)
             connection.force_close()
+
+    async def lose(self) -> None:
+        """End without notice; the entry goes after some silent heartbeats."""
+        self._end()
         self._record.line("engine lost", engine=self.name)
         await asyncio.sleep(SILENT_HEARTBEATS * HEARTBEAT_S)
         self._store.write("servers", self.name, None)
@@ -99,7 +128,7 @@
             "state": "ready",
             "coldLeftMs": 0,
             "seq": self._sequence,
-            "born": 1_700_000_000_000,
+            "born": self._born_ms,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -149,7 +178,7 @@
         if self._loses_answer(number):
             await asyncio.sleep(self._event_s)
             self._record.line("answer lost", engine=self.name, id=headers[ATTEMPT_ID])
-            _reset(request)
+            _reset(request.transport)
             return web.Response()
         headers = headers | {
             "X-Aspenbridge-Server-Stamp": f"{self.name}.{number}",
@@ -160,6 +189,8 @@
         await response.prepare(request)
         first = 0 if after is None else int(after) + 1
         data = self._events(headers[ATTEMPT_ID])
+        tokens = request.headers.get("X-Aspenbridge-Token-Count", "0").partition(",")[0]
+        await asyncio.sleep(self._prefill_s(int(tokens)))
         for event in range(first, len(data)):
             await asyncio.sleep(self._event_s)
             await response.write(f"id: {event}\ndata: {data[event]}\n\n".encode())
@@ -168,8 +199,7 @@
         return response
 
 
-def _reset(request: web.BaseRequest) -> None:
-    transport = request.transport
+def _reset(transport: asyncio.BaseTransport | None) -> None:
     if transport is not None:
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import sys
 import time
@@ -58,6 +59,8 @@
 
     :param main: returns whether the rule held, or None if that can't be told.
     """
+    # Hosts leave connections in the middle of answers; that is no finding.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     code = 2
     try:
         with Record(Path(file).parent) as record:
