--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -92,7 +92,10 @@
         """End without notice, and start again some seconds later."""
         self._end()
         self._record.line("engine crashes", engine=self.name, down_s=down_s)
-        await asyncio.sleep(down_s)
+        listed_s = min(down_s, SILENT_HEARTBEATS * HEARTBEAT_S)
+        await asyncio.sleep(listed_s)
+        self._store.write("servers", self.name, None)
+        await asyncio.sleep(down_s - listed_s)
         await self.start()
         self._record.line("engine is back", engine=self.name)
 
