--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 LOST_AFTER_S = 0.5
 FINISH_S = 18.0  # finishS, after the end of traffic
 TRAFFIC_S = 30.0
-IDLE_S = 5.0  # for which no engine of the service has had an unlisted item
+IDLE_S = 10.0  # since the last run began: it took 3 s at most, and 5 s calm
 BATCH = {
     "latencyGoalMs": 500,
     "completionTargetMs": 18000,
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,7 @@
 COLOURED, PLAIN = "\x1b[1m7\x1b[0m ", "   |   7  "
 TRAFFIC_S = 12.0
 FINISH_S = 18.0  # finishS, after the end of traffic
-IDLE_S = 5.0  # for which no engine of the service has had an unlisted item
+IDLE_S = 10.0  # since the last run began: it took 3 s at most, and 5 s calm
 BATCH = {
     "latencyGoalMs": 500,
     "completionTargetMs": 18000,
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -17,6 +17,7 @@
 HEARTBEAT_S = 1.2
 SILENT_HEARTBEATS = 3
 QUEUE_LENGTH = 24
+PLAIN_PREFIX, PLAIN_S = "/plain/", 3.0  # answers without events
 HEADER_BYTES = 32 * 1024  # more than callers may send
 ATTEMPT_ID = "X-Aspenbridge-Attempt-Id"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -166,8 +167,14 @@
             "run", engine=self.name, id=request_id, method=request.method, after=after
         )
         self.running[request_id] = self.running.get(request_id, 0) + 1
+        time_left_ms = float(request.headers.get("X-Aspenbridge-Deadline-Ms", "60000"))
         try:
-            return await self._answer(request, headers, number, after)
+            async with asyncio.timeout(time_left_ms / 1000):
+                return await self._answer(request, headers, number, after)
+        except TimeoutError:
+            self._record.line("deadline", engine=self.name, id=request_id)
+            _reset(request.transport)
+            return web.Response()
         finally:
             self.running[request_id] -= 1
 
@@ -187,6 +194,11 @@
             "X-Aspenbridge-Server-Stamp": f"{self.name}.{number}",
             "Content-Type": "text/event-stream",
         }
+        if request.path.startswith(PLAIN_PREFIX):
+            await asyncio.sleep(PLAIN_S)
+            self._record.line("run ends", engine=self.name, id=headers[ATTEMPT_ID])
+            plain = headers | {"Content-Type": "application/octet-stream"}
+            return web.Response(body=b"answer", headers=plain)
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import logging
-import os
+import signal
 import sys
 import time
 import traceback
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+LIMIT_S = 110.0  # a script may run for 120 seconds
+
 
 class Record:
     """The file ``record.txt`` of a case, one line for each event."""
@@ -42,8 +44,8 @@
 
 
 def disturbed() -> bool:
-    """Whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Whether the case runs with its disruption; ``run.sh`` passes TROUBLE."""
+    return sys.argv[1:] != ["0"]
 
 
 def show(text: str) -> None:
@@ -64,9 +66,18 @@
     code = 2
     try:
         with Record(Path(file).parent) as record:
-            held = asyncio.run(main(record))
+            held = asyncio.run(_run_bounded(main(record)))
             code = 2 if held is None else int(not held)
             record.line("exit", code=code, disturbed=disturbed())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
     sys.exit(code)
+
+
+async def _run_bounded(case: Coroutine[Any, Any, bool | None]) -> bool | None:
+    """Run a case; a signal or a time-out ends what it started, too."""
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, LIMIT_S)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -52,7 +52,7 @@
         if call == "rows-parts":
             table = request.query["table"]
             parts = sorted({p for t, p, _ in self._rows if t == table})
-            return web.json_response({"parts": parts, "hasMore": False})
+            return _reply({"parts": parts, "hasMore": False})
         return self._object(call, name, body)
 
     def _transact(self, body: bytes) -> web.Response:
@@ -73,14 +73,14 @@
         if failed:
             found = [self._rows.get(_row_key(check)) for check in checks]
             rows = [row for row in found if row is not None]
-            return web.json_response({"rows": rows, "ver": self.version}, status=412)
+            return _reply({"rows": rows, "ver": self.version}, 412)
         self.version += 1
         for put, value in zip(puts, values, strict=True):
             self._put(put, value)
         for removal in removals:
             self._put(removal, None)
         self._wake()
-        return web.json_response({"ver": self.version})
+        return _reply({"ver": self.version})
 
     def _refuse(self, reason: str) -> web.Response:
         self.refused.append(reason)
@@ -124,7 +124,7 @@
                 break
             page.append(row)
         fields = {"rows": page, "hasMore": len(page) < len(rows), "ver": self.version}
-        return web.json_response(fields)
+        return _reply(fields)
 
     async def _feed(self, query: Any) -> web.Response:
         after, until_s = int(query["after"]), time.monotonic()
@@ -138,7 +138,7 @@
             ]
             wait_s = until_s - time.monotonic()
             if rows or wait_s <= 0:
-                return web.json_response({"rows": rows, "ver": self.version})
+                return _reply({"rows": rows, "ver": self.version})
             changed = self._changed
             try:
                 async with asyncio.timeout(wait_s):
@@ -155,8 +155,15 @@
         if call == "blob-get":
             found = self._objects.get(name)
             return web.Response(status=404 if found is None else 200, body=found)
-        self._objects.pop(name, None)
-        return web.Response()
+        if call == "blob-drop":
+            self._objects.pop(name, None)
+            return web.Response()
+        return web.Response(status=404)
+
+
+def _reply(fields: dict[str, Any], status: int = 200) -> web.Response:
+    now_ms = int(time.monotonic() * 1000)
+    return web.json_response(fields | {"nowMs": now_ms}, status=status)
 
 
 def _row_key(entry: dict[str, Any]) -> tuple[str, str, str]:
