Skip rows whose decoding raises other errors than ValueError

Both decoders of rows now use one list of what reading a message of another form raises. A configuration's version has to be a whole number that JSON holds: one of 400 digits was accepted, and no later configuration could replace it.

--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from aspenbridge.client_connections import describe_error
 from aspenbridge.fleet import (
     CallKind,
     Configuration,
@@ -33,11 +34,22 @@
 RESULT_FAILED = "dead_letter"  # an item that ended without an output
 DEFAULT_RETENTION_S = 60.0  # for a batch route without retainS
 MAX_JOB_ITEMS = 200
-MAX_TOKENS = 2**53  # JSON numbers are exact up to it
+MAX_WHOLE_NUMBER = 2**53  # JSON numbers are exact up to it
+MAX_TOKENS = MAX_WHOLE_NUMBER
 # An item is sent as a request, so its parts must be such as HTTP can carry.
 ITEM_PATH_PATTERN = r"^/[!\"$-~]*\Z"
 HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z"
 HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
+# What reading a message of another form raises. Deeply nested values raise a
+# RecursionError, numbers of hundreds of digits an OverflowError.
+FORM_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class MessageError(ValueError):
@@ -54,7 +66,7 @@
         fields = msgspec.json.decode(value)
         limits = fields["limits"]
         return Configuration(
-            version=int(fields["version"]),
+            version=_decode_version(fields["version"]),
             routes=tuple(map(_decode_route, fields["routes"])),
             limits=RequestLimits(
                 header_bytes=int(limits["maxHeaderBytes"]),
@@ -62,8 +74,17 @@
                 idle_s=limits["idleTimeoutMs"] / 1000,
             ),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        raise MessageError(f"configuration is invalid: {error!r}") from error
+    except FORM_ERRORS as error:
+        raise MessageError(
+            f"configuration is invalid: {describe_error(error)}"
+        ) from error
+
+
+def _decode_version(version: object) -> int:
+    # No later version could replace one that is larger than all.
+    if type(version) is not int or not 0 <= version <= MAX_WHOLE_NUMBER:
+        raise ValueError("version is not a whole number that JSON can hold")
+    return version
 
 
 def _decode_route(fields: dict[str, Any]) -> Route:
@@ -123,15 +144,9 @@
             started_ms=int(fields.get("born") or 0),
             warm_up_s=float(fields.get("coldLeftMs") or 0) / 1000,
         )
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        UnicodeDecodeError,
-    ) as error:
-        raise MessageError(f"engine {engine_id!r} is invalid: {error!r}") from error
+    except FORM_ERRORS as error:
+        reason = describe_error(error)
+        raise MessageError(f"engine {engine_id!r} is invalid: {reason}") from error
 
 
 def _non_empty_string(value: object) -> str:
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -137,6 +137,35 @@
         decode_engine("i-1", json.dumps(ENGINE | changed_field).encode())
 
 
+NESTED = b"[" * 4096 + b"]" * 4096
+HUGE_NUMBER = b"9" * 400
+
+
+# Guards against rows whose errors are no ValueError, and end who reads them.
+@pytest.mark.parametrize(
+    "field", [b'"more": ' + NESTED, b'"coldLeftMs": ' + HUGE_NUMBER]
+)
+def test_engine_row_that_no_parser_can_read_is_rejected(field):
+    row = json.dumps(ENGINE).encode()
+    with pytest.raises(MessageError):
+        decode_engine("i-1", row[:-1] + b", " + field + b"}")
+
+
+# Guards against the same of a configuration.
+@pytest.mark.parametrize(
+    "value", [NESTED, b'{"version": 1, "routes": [], "limits": ' + NESTED + b"}"]
+)
+def test_configuration_that_no_parser_can_read_is_rejected(value):
+    with pytest.raises(MessageError):
+        decode_configuration(value)
+
+
+@pytest.mark.parametrize("fields", [{"host": 5}, {"timeoutMs": 10**400}])
+def test_configuration_with_a_value_of_another_kind_is_rejected(fields):
+    with pytest.raises(MessageError):
+        configuration(**fields)
+
+
 @pytest.mark.parametrize("value", [b"", b"null", b"\xff\xfe", b"[1]", b"{}"])
 def test_engine_row_that_is_not_a_json_object_is_rejected(value):
     with pytest.raises(MessageError):
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -102,7 +102,11 @@
 
     def write(self, table: str, key: str, fields: dict[str, Any] | None) -> None:
         """Write or remove a row of the unnamed part, as another client."""
-        value = None if fields is None else json.dumps(fields).encode()
+        self.write_value(table, key, None if fields is None else json.dumps(fields))
+
+    def write_value(self, table: str, key: str, text: str | bytes | None) -> None:
+        """Write any value into such a row, or remove it."""
+        value = text.encode() if isinstance(text, str) else text
         old = self.rows.get((table, "", key))
         if (table, key) == ("op", "config") and old is not None:
             self._old_configuration = old
