Measure results, progress and pages by the bytes that JSON makes of them

The size was counted before it was encoded. The same count let a transaction of results or of progress grow beyond a megabyte, kept a stopping host from releasing its job, and made pages of results larger than callers accept.

All of them are measured by record_bytes now, the size as written. A longer text goes into an object, as before.

--- a/src/aspenbridge/jobs/_repository.py
+++ b/src/aspenbridge/jobs/_repository.py
@@ -10,7 +10,7 @@
 
 from aspenbridge.observability import log_decision
 from aspenbridge.ports import Conflict, Unavailable
-from aspenbridge.store import Changes, Stored, decode_record
+from aspenbridge.store import Changes, Stored, decode_record, record_bytes
 
 from ._messages import decode_items
 from ._records import (
@@ -46,8 +46,9 @@
 
 MAX_COMMIT_ROWS = 90  # a transaction may hold 100 rows
 MAX_COMMIT_RESULTS = 20  # each writes a row and may delete a progress row
-MAX_COMMIT_BYTES = 500_000  # a transaction may hold one megabyte, in base64
-ROW_TEXT_SHARE = 0.6  # of a row's size limit, since JSON may escape characters
+# Of the values in one transaction, which may hold one megabyte, in base64.
+MAX_COMMIT_BYTES = 500_000
+ROW_SHARE = 0.75  # of a row's size limit, which may count the value in base64
 COMMIT_LIMIT_S = 3.0
 SAVE_LIMIT_S = 1.0  # short, since the next save follows soon
 
@@ -96,7 +97,7 @@
         self._clock = clock
         self._random = random
         self._incarnation = incarnation
-        self._max_text_bytes = int(row_bytes * ROW_TEXT_SHARE)
+        self._max_record_bytes = int(row_bytes * ROW_SHARE)
 
     async def write_results(self, job: OwnedJob) -> bool:
         """
@@ -109,19 +110,19 @@
             tried again while the job is owned.
         """
         job.drop_listed()
-        batch = _first_batch(job.finished)
+        batch = self._first_batch(job)
         if not batch:
             return True
         head = job.head
         changes = Changes().unchanged(job.stored)
-        for offset, finished in enumerate(batch):
-            record = await self._result_record(job, finished)
-            if record is None:
+        for offset, (finished, record) in enumerate(batch):
+            stored = await self._store_text(job, record)
+            if stored is None:
                 return False
-            changes.put(result_key(head.id, len(head.listed) + offset), record)
+            changes.put(result_key(head.id, len(head.listed) + offset), stored)
             if finished.state.maybe_saved:
                 changes.delete(progress_key(head.id, finished.state.index))
-        listed = (*head.listed, *(finished.state.index for finished in batch))
+        listed = (*head.listed, *(record.item for _, record in batch))
         state = JobState.COMPLETE if len(listed) == head.total else JobState.OPEN
         head = attrs.evolve(
             head,
@@ -137,24 +138,40 @@
             return True
         return False
 
-    async def _result_record(
-        self, job: OwnedJob, finished: FinishedItem
+    def _first_batch(self, job: OwnedJob) -> list[tuple[FinishedItem, ResultRecord]]:
+        """
+        Return the first finished items, as many as fit into one transaction.
+
+        The first item is returned in any case.
+        """
+        batch: list[tuple[FinishedItem, ResultRecord]] = []
+        total_bytes = 0
+        for finished in job.finished[:MAX_COMMIT_RESULTS]:
+            index = finished.state.index
+            record = ResultRecord(index, job.items[index].id, finished.text)
+            total_bytes += min(record_bytes(record), self._max_record_bytes)
+            if batch and total_bytes > MAX_COMMIT_BYTES:
+                break
+            batch.append((finished, record))
+        return batch
+
+    async def _store_text(
+        self, job: OwnedJob, record: ResultRecord
     ) -> ResultRecord | None:
         """
-        Return the record of a result, or None if its text can't be stored.
+        Put the text of a result into an object if it is too long for a row.
 
-        A text that is too long for a row is put into an object.
+        :return: the record to write, or None if the object was not written.
         """
-        index, text = finished.state.index, finished.text
-        item_id = job.items[index].id
-        if text is None or len(text.encode()) <= self._max_text_bytes:
-            return ResultRecord(index, item_id, text)
-        name = f"text-{job.head.id}-{index}-{self._random.randbytes(8).hex()}"
-        encoded = text.encode()
-        stored = await self._objects.put(name, encoded)
-        if isinstance(stored, Failure):
+        if record.text is None or record_bytes(record) <= self._max_record_bytes:
+            return record
+        token = self._random.randbytes(8).hex()
+        name = f"text-{job.head.id}-{record.item}-{token}"
+        encoded = record.text.encode()
+        put = await self._objects.put(name, encoded)
+        if isinstance(put, Failure):
             return None
-        return ResultRecord(index, item_id, "", name, len(encoded))
+        return attrs.evolve(record, text="", text_object=name, text_bytes=len(encoded))
 
     async def _write_head(
         self, job: OwnedJob, changes: Changes, head: JobHead, deadline_s: float
@@ -231,22 +248,21 @@
         Add the progress of items to the changes.
 
         Progress that is too large for a row or for the rest of the transaction
-        is left out. Sizes are counted in characters, which equal bytes only
-        for ASCII text.
+        is left out.
         """
-        total_chars, rows = 0, 0
+        total_bytes, rows = 0, 0
         for state in states:
-            item_chars = sum(len(event) for event in state.events)
-            fits = (
-                total_chars + item_chars <= MAX_COMMIT_BYTES and rows < MAX_COMMIT_ROWS
-            )
-            has_progress = state.events or state.failures
-            if has_progress and item_chars <= self._max_text_bytes and fits:
-                total_chars += item_chars
+            if rows >= MAX_COMMIT_ROWS:
+                break
+            if not (state.events or state.failures):
+                continue
+            record = _progress_record(state)
+            size_bytes = record_bytes(record)
+            total_fits = total_bytes + size_bytes <= MAX_COMMIT_BYTES
+            if total_fits and size_bytes <= self._max_record_bytes:
+                total_bytes += size_bytes
                 rows += 1
-                changes.put(
-                    progress_key(job.head.id, state.index), _progress_record(state)
-                )
+                changes.put(progress_key(job.head.id, state.index), record)
                 # Marked before the commit, whose reply may be lost.
                 state.mark_saved()
 
@@ -335,21 +351,3 @@
 
 def _progress_record(state: ItemState) -> ProgressRecord:
     return ProgressRecord(state.last_event_id or 0, tuple(state.events), state.failures)
-
-
-def _first_batch(finished: list[FinishedItem]) -> list[FinishedItem]:
-    """
-    Return the first finished items, as many as fit into one transaction.
-
-    The first item is returned in any case.
-
-    Texts are counted in characters, which equal bytes only for ASCII text.
-    """
-    batch: list[FinishedItem] = []
-    total_chars = 0
-    for item in finished[:MAX_COMMIT_RESULTS]:
-        total_chars += len(item.text or "")
-        if batch and total_chars > MAX_COMMIT_BYTES:
-            break
-        batch.append(item)
-    return batch
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
+import msgspec
 from returns.result import Failure, Result, Success
 
 from aspenbridge.admission import AdmissionDecision, Verdict
@@ -42,8 +43,8 @@
 STORE_RETRY_S = 0.5
 OTHER_HOST_RETRY_S = 0.02  # short, since the retry goes to another host
 STORE_UNREACHABLE = Unavailable("the store is unreachable", maybe_applied=False)
-# Callers accept up to one megabyte. Texts are counted in characters, which
-# equal bytes only for ASCII text.
+# Of the results of one page, as JSON encodes them; callers accept up to one
+# megabyte.
 MAX_PAGE_BYTES = 900_000
 
 
@@ -282,17 +283,18 @@
         if isinstance(read, Failure):
             return Failure(self._store_problem(read.failure(), maybe_applied=False))
         results: list[ItemResult] = []
-        total_chars = 0
+        total_bytes = 0
         for row in read.unwrap().rows:
             record = decode_record(row.value, ResultRecord)
             loaded = await self._read_text(record)
             if isinstance(loaded, Failure):
                 return loaded
             text = loaded.unwrap()
-            total_chars += len(text or "")
-            if results and total_chars > MAX_PAGE_BYTES:
+            result = ItemResult(record.item_id, text)
+            total_bytes += len(msgspec.json.encode(result))
+            if results and total_bytes > MAX_PAGE_BYTES:
                 break
-            results.append(ItemResult(record.item_id, text))
+            results.append(result)
         return Success(ResultPage(head.total, first, tuple(results)))
 
     async def _read_text(self, record: ResultRecord) -> Result[str | None, Problem]:
--- a/src/aspenbridge/store/__init__.py
+++ b/src/aspenbridge/store/__init__.py
@@ -4,7 +4,7 @@
 
 from ._changes import Changes
 from ._group import GroupCommitter
-from ._records import Stored, decode_record, encode_record
+from ._records import Stored, decode_record, encode_record, record_bytes
 from ._store import Store, StoreError
 
 __all__ = [
@@ -15,4 +15,5 @@
     "Stored",
     "decode_record",
     "encode_record",
+    "record_bytes",
 ]
--- a/src/aspenbridge/store/_records.py
+++ b/src/aspenbridge/store/_records.py
@@ -33,6 +33,11 @@
     return token + msgspec.json.encode(record)
 
 
+def record_bytes(record: object) -> int:
+    """Return the size of the value of a row that holds a record, in bytes."""
+    return TOKEN_BYTES + len(msgspec.json.encode(record))
+
+
 def decode_record(value: bytes, record_class: type[Record]) -> Record:
     """
     Return the record in the value of a row.
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -15,6 +15,7 @@
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._progress_saver import MIN_NEW_EVENTS, SAVE_INTERVAL_S
 from aspenbridge.jobs._records import PROGRESS_TABLE, ProgressRecord
+from aspenbridge.platform._decode import encode_results
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
 from tests.support.entry_fleet import (
@@ -321,7 +322,7 @@
     with_fleet(check, events=120)
 
 
-@pytest.mark.parametrize("text", ["t", "x" * 400])
+@pytest.mark.parametrize("text", ["t", "x" * 400, "\x1b" * 60])
 def test_progress_too_large_for_a_transaction_does_not_block_the_release(
     text,
 ):
@@ -456,6 +457,35 @@
     with_fleet(check)
 
 
+# Guards against rows that grow beyond their limit when JSON escapes a text.
+@pytest.mark.parametrize("text", ["\x1b[31m", '"quotes"\\'])
+def test_texts_that_json_lengthens_are_listed_whole(text):
+    async def check(fleet):
+        fleet.engines.text = text * (3_900 // len(text))
+        whole = "\n".join(f"{fleet.engines.text}{n}" for n in range(10))
+        await submit(fleet, "h0", make_job(items=10))
+        listed = await wait_done(fleet, "h1", "j1", 10)
+        assert {result.text for result in listed} == {whole}
+
+    with_fleet(check)
+
+
+# Guards against pages that grow beyond a megabyte in the same way.
+def test_page_of_texts_that_json_lengthens_has_at_most_a_megabyte():
+    async def check(fleet):
+        fleet.engines.text = "\x1b" * 3_000
+        await submit(fleet, "h0", make_job(items=12))
+        results = []
+        for _ in range(30):
+            service = fleet.hosts["h1"].job_service
+            page = (await service.results("j1", len(results), 1.0)).unwrap()
+            assert len(encode_results(page)) <= 1_000_000
+            results += page.results
+        assert len({result.item_id for result in results}) == 12
+
+    with_fleet(check)
+
+
 def test_text_object_that_was_not_read_whole_is_no_result():
     async def check(fleet):
         fleet.engines.text = "x" * 6000
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -46,6 +46,7 @@
 STORE_DELAY_S = 0.004
 CALL_TIMEOUT_S = 1.0  # time after which a call without a reply fails
 MAX_PAGE_ROWS = 500
+ROW_BYTES = 65_536  # of the value of a row; a longer one is refused
 EVENT_S = 0.02  # time between two events of a run
 ENTRY_LIFETIME_S = 3.6  # of an engine that is silent, in the store
 
@@ -100,6 +101,8 @@
         assert len(entries) <= 100, "a transaction has at most 100 entries"
         size_bytes = sum(len(put.value) for put in transaction.puts) * 4 / 3
         assert size_bytes < 1_000_000, "a transaction has at most one megabyte"
+        if any(len(put.value) > ROW_BYTES for put in transaction.puts):
+            return Failure(Unavailable("status 400", maybe_applied=True))
         conflicts = {
             check.key: self.rows_by_key.get(check.key)
             for check in transaction.checks
@@ -711,7 +714,7 @@
             readiness=Address(ip, 81),
             peer_ports=range(7000, 7010),
             store=Address("10.0.2.1", 1),
-            store_limits=StoreLimits(65536, 8_000_000),
+            store_limits=StoreLimits(ROW_BYTES, 8_000_000),
             bounds=TimeBounds(8.0, 120.0),
             engine_heartbeat_s=1.2,
         )
