Send each request to an engine once, whatever its method

The store client repeats reads, and writes of objects, by itself now, as those change nothing the second time. Redirects of the store, of engines and of peers are not followed any more.

--- a/src/aspenbridge/backends/_engines.py
+++ b/src/aspenbridge/backends/_engines.py
@@ -55,7 +55,11 @@
         body = msgspec.json.encode(call)
         try:
             async with self._session.post(
-                url, data=body, headers=_trace_headers(), timeout=self._stream_timeout
+                url,
+                data=body,
+                headers=_trace_headers(),
+                timeout=self._stream_timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != STATUS_OK:
                     reason = f"status {response.status}"
@@ -69,7 +73,9 @@
         """Ask an engine to stop a generation; a failed call is ignored."""
         url = f"http://{engine.address}/v1/cancel/{attempt_id}"
         try:
-            async with self._session.post(url, timeout=self._control_timeout):
+            async with self._session.post(
+                url, timeout=self._control_timeout, allow_redirects=False
+            ):
                 return
         except (aiohttp.ClientError, TimeoutError):
             return
@@ -84,7 +90,7 @@
         url = f"http://{engine.address}/v1/load"
         try:
             async with self._session.get(
-                url, timeout=self._control_timeout
+                url, timeout=self._control_timeout, allow_redirects=False
             ) as response:
                 body = await read_body(response, MAX_REPLY_BYTES)
                 return msgspec.json.decode(body, type=EngineLoad)
@@ -104,7 +110,10 @@
         body = msgspec.json.encode(order)
         try:
             async with self._session.post(
-                url, data=body, timeout=self._control_timeout
+                url,
+                data=body,
+                timeout=self._control_timeout,
+                allow_redirects=False,
             ) as response:
                 return response.status != STATUS_CONFLICT
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/src/aspenbridge/backends/_platform.py
+++ b/src/aspenbridge/backends/_platform.py
@@ -90,7 +90,11 @@
         """
         try:
             async with self._session.request(
-                method, self._base_url + path, data=body, timeout=self._timeout
+                method,
+                self._base_url + path,
+                data=body,
+                timeout=self._timeout,
+                allow_redirects=False,
             ) as response:
                 reply = await read_body(response, MAX_REPLY_BYTES)
                 if response.status in (STATUS_OK, STATUS_NOT_FOUND, STATUS_CONFLICT):
--- a/src/aspenbridge/backends/_session.py
+++ b/src/aspenbridge/backends/_session.py
@@ -4,17 +4,21 @@
 
 import aiohttp
 
-from aspenbridge.client_connections import ClientConnector
+from aspenbridge.client_connections import ClientConnector, open_client_session
 
 MAX_CONNECTIONS_PER_SERVER = 2048
 CONNECT_TIMEOUT_S = 1.0
 
 
 def open_session() -> aiohttp.ClientSession:
-    """Return a new session, which the caller must close."""
+    """
+    Return a session that sends each request once.
+
+    The caller must close it.
+    """
     connector = ClientConnector(limit=0, limit_per_host=MAX_CONNECTIONS_PER_SERVER)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-    return aiohttp.ClientSession(connector=connector, timeout=timeout)
+    return open_client_session(connector=connector, timeout=timeout)
 
 
 def never_sent(error: Exception) -> bool:
--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -140,6 +140,21 @@
         self._factory: Any = partial(self.connection_class, loop=self._loop)
 
 
+def open_client_session(**options: Any) -> aiohttp.ClientSession:
+    """
+    Return a session that sends each request once; the caller must close it.
+
+    aiohttp sends a request with GET, HEAD, OPTIONS, TRACE, PUT or DELETE once
+    more when its connection ends before an answer. Here its server may have
+    run it, and only the caller knows whether it may run twice.
+
+    :param options: those of ``aiohttp.ClientSession``.
+    """
+    session = aiohttp.ClientSession(**options)
+    session._retry_connection = False
+    return session
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """
     Return the whole body of an answer that is not a stream.
@@ -172,5 +187,6 @@
     "ClientConnector",
     "InvalidAnswerError",
     "describe_error",
+    "open_client_session",
     "read_body",
 ]
--- a/src/aspenbridge/peers/transport.py
+++ b/src/aspenbridge/peers/transport.py
@@ -100,7 +100,9 @@
         url = f"http://{address}{PATH}"
         body = encode_message(message)
         try:
-            async with self._session.post(url, data=body, timeout=timeout) as response:
+            async with self._session.post(
+                url, data=body, timeout=timeout, allow_redirects=False
+            ) as response:
                 reply = await read_body(response, MAX_MESSAGE_BYTES)
                 if response.status != OK:
                     reason = f"status {response.status}"
--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -9,7 +9,11 @@
 
 import aiohttp
 
-from aspenbridge.client_connections import ClientConnection, ClientConnector
+from aspenbridge.client_connections import (
+    ClientConnection,
+    ClientConnector,
+    open_client_session,
+)
 
 if TYPE_CHECKING:
     from aiohttp.client_proto import ResponseHandler
@@ -113,9 +117,15 @@
 
 
 def open_store_session() -> aiohttp.ClientSession:
-    """Return a session that reuses its connections to the store."""
-    return aiohttp.ClientSession(
-        connector=NumericConnector(limit=0), cookie_jar=aiohttp.DummyCookieJar()
+    """
+    Return a session that reuses its connections to the store.
+
+    It has no time limit of its own.
+    """
+    return open_client_session(
+        connector=NumericConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None),
     )
 
 
@@ -128,7 +138,7 @@
     affect another request. A ``ConnectionNote`` that a request passes as
     ``trace_request_ctx`` is filled in.
     """
-    return aiohttp.ClientSession(
+    return open_client_session(
         connector=EngineConnector(limit=0, force_close=True),
         auto_decompress=False,
         read_bufsize=ENGINE_BUFFER_BYTES,
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
@@ -40,9 +42,12 @@
 FEED_TIMEOUT_MARGIN_S = 0.8
 # With these statuses the store has not applied the call.
 NOT_APPLIED_STATUSES = (503, 429)
-# aiohttp sends calls with these methods again when a kept connection ends, so
-# the end of the last send doesn't tell whether the first was applied.
-RESENT_METHODS = ("PUT", "DELETE")
+# Calls that are made once more when their connection ends before the reply, as
+# a kept one may. A second time changes nothing: objects are written only once,
+# and a missing one is not an error.
+REPEATED_METHODS = ("GET", "PUT", "DELETE")
+# How aiohttp reports that a connection ended before the head of the reply.
+CONNECTION_ENDS = (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 HISTORY_LOST_STATUS = 410
 MAX_ROWS_PER_CALL = 500  # the maximum number of rows in one response
 # Of a reply that holds no object: eight times the megabyte of rows that the
@@ -252,34 +257,54 @@
         max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> Result[tuple[int, bytes], Unavailable]:
         started_s = time.perf_counter()
-        resent = method in RESENT_METHODS
+        url = self._base_url + path
         sent_headers = {"Content-Type": "application/json"} | (headers or {})
+        options = {
+            "params": query,
+            "data": body,
+            "headers": sent_headers if body is not None else headers,
+        }
+        send = partial(self._send, method, url, max_reply_bytes, options)
+        repeated = False
         try:
-            async with self._session.request(
-                method,
-                self._base_url + path,
-                params=query,
-                data=body,
-                headers=sent_headers if body is not None else headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                reply = await read_body(response, max_reply_bytes)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            _observe_duration(path, "not sent", started_s)
-            return Failure(Unavailable(describe_error(error), maybe_applied=resent))
+            async with asyncio.timeout(timeout_s):
+                try:
+                    status, reply = await send()
+                except CONNECTION_ENDS as error:
+                    if method not in REPEATED_METHODS or _not_sent(error):
+                        raise
+                    repeated = True
+                    status, reply = await send()
         except (aiohttp.ClientError, TimeoutError) as error:
-            _observe_duration(path, "no answer", started_s)
-            return Failure(Unavailable(describe_error(error), maybe_applied=True))
-        _observe_duration(path, str(response.status), started_s)
-        if response.status in expected_statuses:
-            return Success((response.status, reply))
+            sent = repeated or not _not_sent(error)
+            _observe_duration(path, "no answer" if sent else "not sent", started_s)
+            return Failure(Unavailable(describe_error(error), maybe_applied=sent))
+        _observe_duration(path, str(status), started_s)
+        if status in expected_statuses:
+            return Success((status, reply))
         return Failure(
             Unavailable(
-                f"status {response.status}",
-                maybe_applied=resent or response.status not in NOT_APPLIED_STATUSES,
+                f"status {status}",
+                maybe_applied=repeated or status not in NOT_APPLIED_STATUSES,
             )
         )
 
+    async def _send(
+        self, method: str, url: str, max_reply_bytes: int, options: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        """Make a call once; a redirect is not followed."""
+        async with self._session.request(
+            method, url, allow_redirects=False, **options
+        ) as response:
+            return response.status, await read_body(response, max_reply_bytes)
+
+
+def _not_sent(error: Exception) -> bool:
+    """Whether an error shows that the store got nothing of a call."""
+    return isinstance(
+        error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+    )
+
 
 def _decode_reply(
     reply: tuple[int, bytes],
