Order the waiting batch items of hosts for each service by itself

A host that stopped, or had lost the store, went on reporting its last backlog.

Backlogs are kept, reported and ordered per service, and the engines of each service are allocated by themselves. A host that starts no items reports none. The reports keep the sums for hosts of an earlier build, and carry the backlogs in a new last field.

Evidence: three new tests of tests/jobs/test_jobs.py fail before with unlisted items; the fourth (a stopping host) fails without its line of the worker. The fuzz of the kept sums draws backlogs of two services now, and checks the order of each.

--- a/src/aspenbridge/fleet/__init__.py
+++ b/src/aspenbridge/fleet/__init__.py
@@ -17,7 +17,7 @@
     HostTable,
     rank,
 )
-from ._load import NO_BACKLOG, EngineLoad, LoadView
+from ._load import EngineLoad, LoadView
 from ._placement import (
     OTHER_DOMAIN_DELAY_S,
     Candidate,
@@ -42,7 +42,6 @@
     "DIRECT_PEERS",
     "FRESH_LIMIT_S",
     "HOSTS_TABLE",
-    "NO_BACKLOG",
     "OTHER_DOMAIN_DELAY_S",
     "READ_INTERVAL_S",
     "Backlog",
--- a/src/aspenbridge/fleet/_engine_index.py
+++ b/src/aspenbridge/fleet/_engine_index.py
@@ -126,16 +126,13 @@
         best = min(chosen, key=lambda engine: keys[engine.entry.id][:2])
         return best.candidate()
 
-    def free_slots(self, services: Collection[str]) -> dict[str, int]:
-        """Return the free slots for batch items by engine, without zeros."""
-        free: dict[str, int] = {}
-        for service in services:
-            free.update(self._service(service).free)
-        return free
-
-    def free_slot_count(self, services: Collection[str]) -> int:
-        """Return the number of free slots for batch items."""
-        return sum(self._service(service).free_slots for service in services)
+    def free_slots(self, service: str) -> dict[str, int]:
+        """Return a service's free slots for batch items, without zeros."""
+        return dict(self._service(service).free)
+
+    def free_slot_count(self, service: str) -> int:
+        """Return the number of a service's free slots for batch items."""
+        return self._service(service).free_slots
 
     def overfull(self) -> Set[str]:
         """Return the engines with more requests than slots, also draining."""
--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -92,6 +92,7 @@
     due_wall_s: float
     beat_age_s: float
     age_s: float
+    backlogs: tuple[tuple[str, int, float], ...] = ()
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -100,7 +101,9 @@
 
     ``host`` is an incarnation. ``engines`` holds engine ids, each with the
     numbers of online requests and batch items that the host runs there.
-    ``waiting_items`` and ``due_wall_s`` are the host's ``Backlog``.
+    ``backlogs`` holds the host's ``Backlog`` of each service;
+    ``waiting_items`` and ``due_wall_s`` sum them up for builds that don't tell
+    services apart, whose own reports have no ``backlogs``.
     ``beat_age_s`` is the time since the host last renewed its row. ``leaving``
     holds the ids of engines that said that they leave, and their starts in
     milliseconds of Unix time. ``pass_on`` asks the receiver to pass the load
@@ -117,6 +120,7 @@
     leaving: tuple[tuple[str, int], ...] = ()
     pass_on: bool = False
     passed_on: tuple[PassedOnReport, ...] = ()
+    backlogs: tuple[tuple[str, int, float], ...] = ()
 
 
 @attrs.define
@@ -285,8 +289,11 @@
             engine_id: EngineLoad(online, batch)
             for engine_id, online, batch in report.engines
         }
-        backlog = Backlog(report.waiting_items, report.due_wall_s)
-        self._load_view.apply_report(host, loads, backlog, age_s)
+        backlogs = {
+            service: Backlog(items, due_wall_s)
+            for service, items, due_wall_s in report.backlogs
+        }
+        self._load_view.apply_report(host, loads, backlogs, age_s)
         self.on_heartbeat(host, report.beat_age_s + age_s)
 
     def _keep_to_pass_on(
@@ -377,6 +384,7 @@
                 last.due_wall_s,
                 last.beat_age_s,
                 age_s,
+                last.backlogs,
             )
             size_bytes = len(self._encoder.encode(report))
             # One that is larger than all goes alone.
@@ -389,7 +397,10 @@
 
     def _report(self) -> LoadReport:
         self._sequence += 1
-        backlog = self._load_view.own_backlog
+        backlogs = sorted(
+            (service, backlog.items, backlog.due_wall_s)
+            for service, backlog in self._load_view.own_backlogs.items()
+        )
         return LoadReport(
             self._host,
             self._sequence,
@@ -397,11 +408,12 @@
                 (engine_id, load.online, load.batch)
                 for engine_id, load in self._load_view.own_loads().items()
             ],
-            backlog.items,
-            backlog.due_wall_s,
+            sum(items for _, items, _ in backlogs),
+            min((due_wall_s for *_, due_wall_s in backlogs), default=0.0),
             self.heartbeat_age_s(),
             self.notices(),
             tuple(self.leaving()[-MAX_LEAVING_ENGINES:]),
+            backlogs=tuple(backlogs),
         )
 
     def _send_report(self, report: LoadReport, peers: Iterable[PeerAddress]) -> None:
@@ -441,4 +453,4 @@
 
 
 def _load(report: LoadReport | PassedOnReport) -> tuple[object, ...]:
-    return report.engines, report.waiting_items, report.due_wall_s
+    return report.engines, report.backlogs
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,7 +16,7 @@
 from ._slot_assignment import Backlog, items_ahead
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from aspenbridge.ports import Clock
 
@@ -37,6 +38,7 @@
 
 NO_LOAD = EngineLoad()
 NO_BACKLOG = Backlog(0, 0.0)
+Backlogs = Mapping[str, Backlog]  # of one host, by service
 
 
 @attrs.define(eq=False)
@@ -44,12 +46,12 @@
     """The last load report of another host."""
 
     by_engine: Mapping[str, EngineLoad]
-    backlog: Backlog
+    backlogs: Backlogs
     valid_until_s: float
     check_s: float  # when to look whether it has expired, until then or before
 
 
-NO_REPORT = HostLoad({}, NO_BACKLOG, 0.0, float("inf"))
+NO_REPORT = HostLoad({}, {}, 0.0, float("inf"))
 
 
 @attrs.define(eq=False)
@@ -61,6 +63,34 @@
     by_host: dict[str, EngineLoad] = attrs.field(factory=dict)
 
 
+@attrs.define(eq=False)
+class _Queue:
+    """
+    The batch items of the other hosts that wait for one service.
+
+    ``own_turn`` is the place of this host's items in the order of assignment,
+    and ``items_ahead`` the number of items that come before it.
+    """
+
+    by_host: dict[str, Backlog] = attrs.field(factory=dict)  # without empty ones
+    own_turn: tuple[float, str] = (float("-inf"), "")
+    items_ahead: int = 0
+
+    def set_own_turn(self, turn: tuple[float, str]) -> None:
+        if turn != self.own_turn:
+            self.own_turn = turn
+            self.items_ahead = items_ahead(turn, self.by_host)
+
+    def replace(self, host: str, backlog: Backlog) -> None:
+        previous = self.by_host.pop(host, NO_BACKLOG)
+        if backlog.items:
+            self.by_host[host] = backlog
+        if (previous.due_wall_s, host) < self.own_turn:
+            self.items_ahead -= previous.items
+        if (backlog.due_wall_s, host) < self.own_turn:
+            self.items_ahead += backlog.items
+
+
 class LoadView:
     """
     The load on every engine, counted by host and summed over the hosts.
@@ -76,12 +106,8 @@
         # report names its time; most reports are replaced before they expire.
         self._checks: list[tuple[float, str]] = []
         self._sums: dict[str, _EngineSum] = {}  # by engine
-        self._backlogs: dict[str, Backlog] = {}  # that are not empty
-        self._own_backlog = NO_BACKLOG
-        # The place of this host's items in the order of assignment, and the
-        # number of items that come before it.
-        self._own_turn = (float("-inf"), "")
-        self._items_ahead = 0
+        self._queues: dict[str, _Queue] = {}  # by service
+        self._own_backlogs: Backlogs = {}
         self.on_own_change: Callable[[], None] = lambda: None
         # Called with engine, online requests and batch items of all hosts.
         self.on_load_change: Callable[[str, int, int], None] = lambda *load: None
@@ -102,49 +128,52 @@
         self.on_own_change()
         self.on_change()
 
-    def set_backlog(self, backlog: Backlog) -> None:
-        """Set the batch items that wait at this host."""
-        if backlog != self._own_backlog:
-            self._own_backlog = backlog
+    def set_backlogs(self, backlogs: Backlogs) -> None:
+        """Set the batch items that wait at this host, by service."""
+        if backlogs != self._own_backlogs:
+            self._own_backlogs = backlogs
             self.on_own_change()
 
     @property
-    def own_backlog(self) -> Backlog:
-        """The batch items that wait at this host."""
-        return self._own_backlog
+    def own_backlogs(self) -> Backlogs:
+        """The batch items that wait at this host, by service."""
+        return self._own_backlogs
 
-    def backlogs(self, own_host: str) -> dict[str, Backlog]:
+    def backlogs(self, service: str, own_host: str) -> dict[str, Backlog]:
         """
-        Return the backlogs that are not empty, by host.
+        Return the backlogs of a service that are not empty, by host.
 
         Backlogs of other hosts whose last report has expired are left out.
 
         :param own_host: the key for this host's backlog.
         """
         self.drop_expired()
-        backlogs = dict(self._backlogs)
-        if self._own_backlog.items:
-            backlogs[own_host] = self._own_backlog
+        queue = self._queues.get(service)
+        backlogs = {} if queue is None else dict(queue.by_host)
+        own = self._own_backlogs.get(service, NO_BACKLOG)
+        if own.items:
+            backlogs[own_host] = own
         return backlogs
 
-    def items_ahead(self, own_host: str) -> int:
+    def items_ahead(self, service: str, own_host: str) -> int:
         """
-        Return the number of items that get their slots before this host's.
+        Return the items that get slots of a service before this host's.
 
         :param own_host: the key that orders this host among the others.
         """
         self.drop_expired()
-        own_turn = (self._own_backlog.due_wall_s, own_host)
-        if own_turn != self._own_turn:
-            self._own_turn = own_turn
-            self._items_ahead = items_ahead(own_turn, self._backlogs)
-        return self._items_ahead
+        queue = self._queues.get(service)
+        if queue is None:
+            return 0
+        own = self._own_backlogs.get(service, NO_BACKLOG)
+        queue.set_own_turn((own.due_wall_s, own_host))
+        return queue.items_ahead
 
     def apply_report(
         self,
         host: str,
         by_engine: Mapping[str, EngineLoad],
-        backlog: Backlog,
+        backlogs: Backlogs,
         age_s: float = 0.0,
     ) -> None:
         """
@@ -156,11 +185,11 @@
         valid_until_s = self._clock.now_s() + REPORT_LIFETIME_S - age_s
         previous = self._reports.get(host, NO_REPORT)
         check_s = min(previous.check_s, valid_until_s)
-        self._reports[host] = HostLoad(by_engine, backlog, valid_until_s, check_s)
+        self._reports[host] = HostLoad(by_engine, backlogs, valid_until_s, check_s)
         if check_s != previous.check_s:
             heapq.heappush(self._checks, (check_s, host))
         self._replace_loads(host, previous.by_engine, by_engine)
-        self._replace_backlog(host, backlog)
+        self._replace_backlogs(host, previous.backlogs, backlogs)
         self.drop_expired()
         self.on_change()
 
@@ -169,7 +198,7 @@
         report = self._reports.pop(host, None)
         if report is not None:
             self._replace_loads(host, report.by_engine, {})
-            self._replace_backlog(host, NO_BACKLOG)
+            self._replace_backlogs(host, report.backlogs, {})
             self.on_change()
 
     def own_load(self, engine_id: str) -> EngineLoad:
@@ -231,16 +260,17 @@
                 engine_sum.by_host.pop(host, None)
                 self._drop_if_unused(engine_id)
 
-    def _replace_backlog(self, host: str, backlog: Backlog) -> None:
-        previous = self._backlogs.pop(host, NO_BACKLOG)
-        if backlog.items:
-            self._backlogs[host] = backlog
-        elif previous is NO_BACKLOG:
+    def _replace_backlogs(
+        self, host: str, previous: Backlogs, backlogs: Backlogs
+    ) -> None:
+        """Replace the last backlogs of a host in the queues."""
+        if backlogs == previous:
             return
-        if (previous.due_wall_s, host) < self._own_turn:
-            self._items_ahead -= previous.items
-        if (backlog.due_wall_s, host) < self._own_turn:
-            self._items_ahead += backlog.items
+        for service in {*previous, *backlogs}:
+            queue = self._queues.setdefault(service, _Queue())
+            queue.replace(host, backlogs.get(service, NO_BACKLOG))
+            if not queue.by_host:
+                del self._queues[service]
 
     def _add_to_sum(self, engine_id: str, online: int, batch: int) -> _EngineSum:
         engine_sum = self._sums.get(engine_id)
--- a/src/aspenbridge/fleet/_routes.py
+++ b/src/aspenbridge/fleet/_routes.py
@@ -63,6 +63,14 @@
             return self.resumable
         return self.kind is not CallKind.NON_IDEMPOTENT
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that may get a request."""
+        if len(self.targets) == 1:
+            return (self.targets[0].service,)
+        chosen = (target.service for target in self.targets if target.weight > 0)
+        return tuple(dict.fromkeys(chosen))
+
     def pick_service(self, random: Random) -> str:
         """Return a random service, by the weights of the targets."""
         if len(self.targets) == 1:
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -2,9 +2,11 @@
 Assigns the free slots of engines to the batch items of the hosts.
 
 Batch items wait at several hosts, which may all use the same free slots. Every
-host computes the allocation from its own load and backlog and from the load
-reports of the other hosts. Hosts get their slots in the order of
-``Backlog.due_wall_s``.
+host computes the allocation from its own load and backlogs and from the load
+reports of the other hosts. The engines of each service are allocated by
+themselves, to the items that may run there: items of a service without a free
+slot must not wait in front of those of another. Hosts get their slots in the
+order of ``Backlog.due_wall_s``.
 
 Hosts with equal views compute the same allocation, so that each slot is used
 once. While views differ, for example after a lost report, two hosts may use
@@ -28,8 +30,9 @@
 @attrs.frozen
 class Backlog:
     """
-    Batch items of one host that wait for a slot.
+    Batch items of one host that wait for a slot of one service.
 
+    An item of a route with several services counts for each of them.
     ``due_wall_s`` is the due time of the job whose item starts first at the
     host. A penalty is added to it if that item can't complete in time, so that
     the host gets its slots after those whose items can.
@@ -47,8 +50,9 @@
 
     :param own_host: the key of this host in ``backlogs``. Hosts with the same
         ``due_wall_s`` are ordered by key.
-    :param backlogs: the waiting items by host, this host included.
-    :param free: the number of free slots by engine.
+    :param backlogs: the waiting items of one service by host, this host
+        included.
+    :param free: the number of free slots by engine of that service.
     """
     own = backlogs.get(own_host)
     if own is None:
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -74,20 +74,18 @@
             return attrs.evolve(placed, engines=engines)
         return placed
 
-    def free_slots(self, services: Collection[str]) -> dict[str, int]:
+    def free_slots(self, service: str) -> dict[str, int]:
         """
-        Return the number of free slots for batch items, by engine.
+        Return the number of a service's free slots for batch items, by engine.
 
         Engines without a free slot are left out, and so are the slots that are
         reserved for online requests.
-
-        :param services: the services whose engines count.
         """
-        return self._index.free_slots(services)
+        return self._index.free_slots(service)
 
-    def free_slot_count(self, services: Collection[str]) -> int:
-        """Return the number of free slots for batch items."""
-        return self._index.free_slot_count(services)
+    def free_slot_count(self, service: str) -> int:
+        """Return the number of a service's free slots for batch items."""
+        return self._index.free_slot_count(service)
 
     def overfull(self) -> Set[str]:
         """Return the ids of the engines with more requests than slots."""
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 from typing import TYPE_CHECKING
 
-from aspenbridge.fleet import NO_BACKLOG, Backlog, assign_slots
+from aspenbridge.fleet import Backlog, assign_slots
 
 from ._order import completes_in_time
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence, Set
+    from collections.abc import Mapping, Sequence
 
     from aspenbridge.fleet import EngineEntry, EngineView, LoadView, Route
     from aspenbridge.ports import Clock
@@ -27,7 +27,7 @@
 
 class SlotAssignment:
     """
-    Reports this host's backlog and computes the slots it may use.
+    Reports this host's backlogs and computes the slots it may use.
 
     All hosts compute the same assignment from the same reports, so a host
     waits until the others have received its latest report.
@@ -46,9 +46,6 @@
         self._load_view = load_view
         self._estimator = estimator
         self._clock = clock
-        # The services that may run the waiting items. A slot of another one
-        # would count as assigned without being used.
-        self._services: Set[str] = frozenset()
         self._reported_items = 0
         self._report_received_s = 0.0  # when the other hosts have the latest report
 
@@ -57,26 +54,30 @@
         """Time until the other hosts have the latest report; <= 0 after it."""
         return self._report_received_s - self._clock.now_s()
 
-    def report_backlog(
+    def report_backlogs(
         self, waiting: Sequence[tuple[OwnedJob, ItemState, Route]]
     ) -> None:
         """
-        Report the number of waiting items and the first one's due time.
+        Report the waiting items of each service and their first due time.
 
         :param waiting: the items that may start now, in the order of their
             start.
         """
-        self._services = {
-            target.service for _, _, route in waiting for target in route.targets
-        }
-        if not waiting:
-            self._load_view.set_backlog(NO_BACKLOG)
-            return
-        job, state, _ = waiting[0]
-        due_wall_s = job.head.due_wall_s
-        if not completes_in_time(job, state, self._estimator, self._clock.wall_s()):
-            due_wall_s += LATE_PENALTY_S
-        self._load_view.set_backlog(Backlog(len(waiting), due_wall_s))
+        backlogs: dict[str, Backlog] = {}
+        for job, state, route in waiting:
+            for service in route.services:
+                known = backlogs.get(service)
+                backlogs[service] = (
+                    Backlog(1, self._turn_wall_s(job, state))
+                    if known is None
+                    else Backlog(known.items + 1, known.due_wall_s)
+                )
+        self._load_view.set_backlogs(backlogs)
+
+    def _turn_wall_s(self, job: OwnedJob, state: ItemState) -> float:
+        """Return the time that orders a backlog which begins with an item."""
+        in_time = completes_in_time(job, state, self._estimator, self._clock.wall_s())
+        return job.head.due_wall_s + (0.0 if in_time else LATE_PENALTY_S)
 
     def track_backlog(self, count: int) -> bool:
         """
@@ -106,17 +107,20 @@
 
         Costs little, since the answer is no for most load reports.
         """
-        if not self._services or self.report_delay_s > 0:
+        if self.report_delay_s > 0:
             return False
-        free = self._view.free_slot_count(self._services)
-        return free > self._load_view.items_ahead(self._incarnation)
+        return any(
+            self._view.free_slot_count(service)
+            > self._load_view.items_ahead(service, self._incarnation)
+            for service in self._load_view.own_backlogs
+        )
 
     def assigned_slots(self) -> Mapping[str, deque[EngineEntry]]:
         """Return the engines to start items on by service, one a slot."""
-        backlogs = self._load_view.backlogs(self._incarnation)
-        free = self._view.free_slots(self._services)
-        slots = assign_slots(self._incarnation, backlogs, free)
-        by_service: dict[str, deque[EngineEntry]] = defaultdict(deque)
-        for engine in self._view.usable(slots):
-            by_service[engine.service].append(engine)
-        return by_service
+        slots: dict[str, deque[EngineEntry]] = {}
+        for service in self._load_view.own_backlogs:
+            backlogs = self._load_view.backlogs(service, self._incarnation)
+            free = self._view.free_slots(service)
+            assigned = assign_slots(self._incarnation, backlogs, free)
+            slots[service] = deque(self._view.usable(assigned))
+        return slots
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -201,15 +201,19 @@
 
     def _dispatch_items(self) -> bool:
         """
-        Report the backlog and start items on the assigned slots.
+        Report the backlogs and start items on the assigned slots.
+
+        A host that starts no items reports none, since others would wait for
+        them.
 
         :return: whether any item was started.
         """
         configuration = self._configuration()
         if self._stopping or self._reachability.presumed_lost or configuration is None:
+            self._slots.report_backlogs(())
             return False
         waiting = self._dispatchable_items(configuration)
-        self._slots.report_backlog(waiting)
+        self._slots.report_backlogs(waiting)
         if not waiting or not self._slots.track_backlog(len(waiting)):
             return False
         if not self._slots.any_assigned():
@@ -224,7 +228,7 @@
                 unassigned.append((job, state, route))
         if len(unassigned) == len(waiting):
             return False
-        self._slots.report_backlog(unassigned)
+        self._slots.report_backlogs(unassigned)
         return True
 
     def _dispatchable_items(
--- a/src/aspenbridge_bench/_fleet_cost.py
+++ b/src/aspenbridge_bench/_fleet_cost.py
@@ -111,7 +111,7 @@
         await asyncio.Event().wait()
 
 
-_Report = tuple[str, dict[str, EngineLoad], Backlog]
+_Report = tuple[str, dict[str, EngineLoad], dict[str, Backlog]]
 
 
 class _Fleet:
@@ -132,7 +132,7 @@
         for engine in self._make_engines(engines):
             self.host._engine_directory.put(engine)
         self.placement = OnlinePlacement(self.host.view, self._random)
-        self.host.view.free_slots({SERVICE})  # reads the engines
+        self.host.view.free_slots(SERVICE)  # reads the engines
 
     def _two_reports(self, number: int, engines: int) -> tuple[_Report, _Report]:
         """Return reports between which one engine and the backlog change."""
@@ -150,12 +150,12 @@
             (
                 host,
                 {name: load for name, load in loads.items() if name != last},
-                Backlog(items, due_wall_s),
+                {SERVICE: Backlog(items, due_wall_s)},
             ),
             (
                 host,
                 {name: load for name, load in loads.items() if name != first},
-                Backlog(items + (items > 0), due_wall_s),
+                {SERVICE: Backlog(items + (items > 0), due_wall_s)},
             ),
         )
 
@@ -268,7 +268,7 @@
     choice_s = _mean_s(lambda: _choose(fleet), limit_s)
     applied_s = _applied_cost_s(fleet, limit_s)
     after_reports_s = _mean_s(lambda: _choose(fleet), limit_s, fleet.receive_from_all)
-    free_slots_s = _mean_s(lambda: fleet.host.view.free_slots({SERVICE}), limit_s)
+    free_slots_s = _mean_s(lambda: fleet.host.view.free_slots(SERVICE), limit_s)
     async with _working(_Fleet(hosts, engines, seed)) as idle:
         report_idle_s = await _report_cost_s(idle, limit_s)
         round_idle_s = await _round_cost_s(idle, limit_s)
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -156,19 +156,20 @@
     clock = ManualClock()
     load_view = LoadView(clock)
     load_view.add("e1", online=1)
-    load_view.apply_report("h2", {"e1": EngineLoad(2, 3)}, Backlog(4, 9.0))
+    load_view.apply_report("h2", {"e1": EngineLoad(2, 3)}, {"llm": Backlog(4, 9.0)})
     assert load_view.load("e1") == EngineLoad(3, 3)
-    assert load_view.backlogs("h1") == {"h2": Backlog(4, 9.0)}
+    assert load_view.backlogs("llm", "h1") == {"h2": Backlog(4, 9.0)}
     clock.time_s += 3.0
     assert load_view.load("e1") == EngineLoad(1, 0)
-    assert load_view.backlogs("h1") == {}
+    assert load_view.backlogs("llm", "h1") == {}
 
 
 def test_report_that_another_host_passed_on_is_valid_from_when_it_was_made():
     clock = ManualClock()
     load_view = LoadView(clock)
-    load_view.apply_report("h2", {"e1": EngineLoad(2, 3)}, Backlog(4, 9.0))
-    load_view.apply_report("h3", {"e1": EngineLoad(1, 1)}, Backlog(1, 9.0), age_s=1.5)
+    load_view.apply_report("h2", {"e1": EngineLoad(2, 3)}, {"llm": Backlog(4, 9.0)})
+    backlogs = {"llm": Backlog(1, 9.0)}
+    load_view.apply_report("h3", {"e1": EngineLoad(1, 1)}, backlogs, age_s=1.5)
     assert load_view.load("e1") == EngineLoad(3, 4)
     clock.time_s += 1.0
     assert load_view.load("e1") == EngineLoad(2, 3)
--- a/tests/fleet/test_draw.py
+++ b/tests/fleet/test_draw.py
@@ -19,7 +19,6 @@
     draw_engines,
 )
 from aspenbridge.fleet._fanout import SMALL_FLEET_PEERS
-from aspenbridge.fleet._load import NO_BACKLOG
 from tests.fleet.test_decisions import ManualClock
 from tests.support.entry_fleet import EntryFleet, make_engine
 from tests.support.virtual_loop import run_virtual
@@ -62,7 +61,7 @@
         directory.put(make_engine(f"e{n}", failure_domain=domain))
     view = EngineView(directory, load_view, EngineHealth(clock), "a-1", REGIONS)
     by_engine = {f"e{n}": EngineLoad(*load) for n, load in enumerate(loads)}
-    load_view.apply_report("other", by_engine, NO_BACKLOG)
+    load_view.apply_report("other", by_engine, {})
     view.draws = random.Random(1)
     return view
 
--- a/tests/fleet/test_engine_index.py
+++ b/tests/fleet/test_engine_index.py
@@ -85,4 +85,4 @@
                 for engine in directory.usable(service)
             }
             kept = {name: count for name, count in free.items() if count > 0}
-            assert view.free_slots([service]) == kept
+            assert view.free_slots(service) == kept
--- a/tests/fleet/test_load_sums.py
+++ b/tests/fleet/test_load_sums.py
@@ -12,11 +12,15 @@
 LIFETIME_S = 2.2
 NONE = EngineLoad()
 ENGINES = ["e0", "e1", "e2", "e3"]
+SERVICES = ["s0", "s1"]
 loads = st.builds(EngineLoad, st.integers(0, 4), st.integers(0, 4))
 reports = st.tuples(
     st.sampled_from("abcd"),
     st.dictionaries(st.sampled_from(ENGINES), loads),
-    st.builds(Backlog, st.integers(0, 2), st.floats(0, 9)),
+    st.dictionaries(
+        st.sampled_from(SERVICES),
+        st.builds(Backlog, st.integers(0, 2), st.floats(0, 9)),
+    ),
     st.sampled_from([0.0, 0.7, 1.5, 2.5]),
 )
 own_changes = st.tuples(st.sampled_from(ENGINES), st.integers(0, 2), st.integers(0, 2))
@@ -38,8 +42,8 @@
 
     def valid(self):
         return {
-            host: (by_engine, backlog)
-            for host, (by_engine, backlog, until_s) in self.reports.items()
+            host: (by_engine, backlogs)
+            for host, (by_engine, backlogs, until_s) in self.reports.items()
             if self.clock.now_s() < until_s
         }
 
@@ -70,10 +74,10 @@
         plain.own[engine_id] = (online, batch)
         view.add(engine_id, online=online - before[0], batch=batch - before[1])
     else:
-        host, by_engine, backlog, age_s = change
-        view.apply_report(host, by_engine, backlog, age_s)
+        host, by_engine, backlogs, age_s = change
+        view.apply_report(host, by_engine, backlogs, age_s)
         until_s = clock.now_s() + LIFETIME_S - age_s
-        plain.reports[host] = (by_engine, backlog, until_s)
+        plain.reports[host] = (by_engine, backlogs, until_s)
 
 
 @given(st.lists(load_steps, max_size=30))
@@ -82,7 +86,7 @@
     view, plain = LoadView(clock), PlainView(clock)
     for number, step in enumerate(history):
         own = Backlog(1, 3.0 + number // 8)
-        view.set_backlog(own)
+        view.set_backlogs(dict.fromkeys(SERVICES, own))
         apply_step(step, clock, view, plain)
         for engine_id in ENGINES:
             assert view.load(engine_id) == plain.load(engine_id)
@@ -91,11 +95,19 @@
             assert kept == plain.loads_by_host(engine_id)
         valid = plain.valid()
         assert view.reporting_hosts() == len(valid)
-        backlogs = {host: b for host, (_, b) in valid.items() if b.items}
-        assert view.backlogs("own") == {**backlogs, "own": own}
-        turns = {host: (b.due_wall_s, host) for host, b in backlogs.items()}
-        ahead = [host for host, turn in turns.items() if turn < (own.due_wall_s, "own")]
-        assert view.items_ahead("own") == sum(backlogs[host].items for host in ahead)
+        for service in SERVICES:
+            check_queue(view, service, own, valid)
+
+
+def check_queue(view, service, own, valid):
+    """Compare the backlogs of a service with those of all valid reports."""
+    reported = {host: backlogs.get(service) for host, (_, backlogs) in valid.items()}
+    backlogs = {host: b for host, b in reported.items() if b is not None and b.items}
+    assert view.backlogs(service, "own") == {**backlogs, "own": own}
+    turns = {host: (b.due_wall_s, host) for host, b in backlogs.items()}
+    ahead = [host for host, turn in turns.items() if turn < (own.due_wall_s, "own")]
+    items = sum(backlogs[host].items for host in ahead)
+    assert view.items_ahead(service, "own") == items
 
 
 def test_nothing_is_kept_of_hosts_and_engines_without_load():
@@ -105,8 +117,8 @@
         view.add(f"own-{number}", online=1)
         view.add(f"own-{number}", online=-1)
         loads = {f"e{number}": EngineLoad(1, 1), f"idle-{number}": EngineLoad(0, 0)}
-        view.apply_report(f"h{number}", loads, Backlog(1, 9.0))
+        view.apply_report(f"h{number}", loads, {f"s{number}": Backlog(1, 9.0)})
         clock.time_s += LIFETIME_S
     view.reporting_hosts()
-    kept = (view._own, view._reports, view._sums, view._backlogs, view._checks)
+    kept = (view._own, view._reports, view._sums, view._queues, view._checks)
     assert [len(part) for part in kept] == [0] * 5
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -8,7 +8,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from aspenbridge.fleet import CallKind
+from aspenbridge.fleet import CallKind, Target
 from aspenbridge.fleet._hosts import LIVENESS_TIMEOUT_S
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._claims import CLAIM_TURN_S
@@ -89,6 +89,83 @@
     with_fleet(check)
 
 
+def split_configuration(version=1):
+    """Return a configuration with a batch route for each of two services."""
+    routes = [
+        make_route(
+            f"batch-{service}", kind=CallKind.BATCH, targets=(Target(service, 1.0),)
+        )
+        for service in ("small", "llm")
+    ]
+    return make_configuration(version, routes)
+
+
+async def submit_split(fleet, host, service, items):
+    """Submit a job for a service; its id is the name of the service."""
+    items = tuple(
+        SubmittedItem(f"{service}-{n}", f"/batch-{service}/{n}", (), b"body %d" % n)
+        for n in range(items)
+    )
+    entry = fleet.hosts[host]
+    route = entry.configuration.current.route_for("a.example", f"/batch-{service}/")
+    job = JobSubmission(service, "a.example", items)
+    assert isinstance(await entry.job_service.submit(job, route), Success)
+
+
+# Guards against items that wait for a service without engines, or with full
+# ones, and keep the items of another host from the free slots of another.
+@pytest.mark.parametrize("slots", [None, 2])
+def test_items_run_beside_a_longer_backlog_of_another_service(slots):
+    async def check(fleet):
+        fleet.configurations[b"2"] = split_configuration(2)
+        fleet.store.write("op", "config", b"2")
+        if slots is not None:
+            fleet.entries["s0"] = make_engine("s0", service="small", slots=slots)
+            fleet.store.write("servers", "s0", b"s0")
+        await asyncio.sleep(0.5)
+        await submit_split(fleet, "h0", "small", 60)
+        await asyncio.sleep(0.5)
+        started_s = fleet.clock.now_s()
+        await submit_split(fleet, "h1", "llm", 40)
+        await wait_done(fleet, "h1", "llm", 40)
+        assert fleet.clock.now_s() - started_s < 4.0  # 14 slots run them in 1.5 s
+
+    with_fleet(check, events=20)
+
+
+# Guards against the same once the items of both hosts are late.
+def test_late_items_run_beside_late_items_of_a_service_without_engines():
+    async def check(fleet):
+        routes = split_configuration().routes
+        routes = [attrs.evolve(route, completion_goal_s=0.1) for route in routes]
+        fleet.configurations[b"2"] = make_configuration(2, routes)
+        fleet.store.write("op", "config", b"2")
+        await asyncio.sleep(0.5)
+        await submit_split(fleet, "h0", "small", 60)
+        await asyncio.sleep(0.5)
+        await submit_split(fleet, "h1", "llm", 40)
+        await wait_done(fleet, "h1", "llm", 40)
+
+    with_fleet(check)
+
+
+# Guards against a backlog that others wait for while its host starts no items.
+def test_host_that_stops_reports_no_waiting_items():
+    async def check(fleet):
+        await submit(fleet, "h0", make_job(items=200))
+        await asyncio.sleep(0.3)
+        view = fleet.hosts["h1"].load_view
+        assert view.backlogs("llm", "h1")
+        await fleet.hosts["h0"].release_jobs()
+        await asyncio.sleep(0.5)
+        names = {
+            incarnation.partition("-")[0] for incarnation in view.backlogs("llm", "")
+        }
+        assert "h0" not in names
+
+    with_fleet(check, events=200)
+
+
 def test_repeated_submission_is_accepted_once():
     async def check(fleet):
         results = await asyncio.gather(
--- a/tests/jobs/test_load_changes.py
+++ b/tests/jobs/test_load_changes.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from aspenbridge.fleet import NO_BACKLOG, Backlog, EngineLoad
+from aspenbridge.fleet import Backlog, EngineLoad
 from tests.jobs.test_jobs import make_job, submit, with_fleet
 
 OTHER = "other-1"
-DUE_FIRST = Backlog(5, 0.0)
+DUE_FIRST = {"llm": Backlog(5, 0.0)}
 
 
-def report(fleet, online, backlog=NO_BACKLOG):
+def report(fleet, online, backlogs=None):
     loads = {"e0": EngineLoad(online)}
-    fleet.hosts["h0"].load_view.apply_report(OTHER, loads, backlog)
+    fleet.hosts["h0"].load_view.apply_report(OTHER, loads, backlogs or {})
 
 
 def count_rounds(fleet) -> list[int]:
@@ -35,7 +35,7 @@
         await asyncio.sleep(0.3)
         rounds = count_rounds(fleet)
         for number in range(100):
-            report(fleet, 7 + number % 3, Backlog(number % 4, 0.0))
+            report(fleet, 7 + number % 3, {"llm": Backlog(number % 4, 0.0)})
             await asyncio.sleep(0.001)
         assert len(rounds) <= 1  # the look that is due each 0.25 s
         assert not fleet.engines.runs
