Ignore SIGHUP from the first line of a host on

A platform that changes settings while it starts machines sees processes that end by themselves, and their starts begin anew.

The entry point imports the program only after it has the signal ignored; the package of the adapter imports nothing by itself any more. The handlers are set before the settings are read, and the watcher compares the file with its state before that, so that no change falls between. The test of the imports names the module that has them now.

--- a/src/aspenbridge/platform/__init__.py
+++ b/src/aspenbridge/platform/__init__.py
@@ -3,11 +3,11 @@
 
 Everything that the platform sends is decoded here, once, into the types of
 the other packages. Scheduling and routing decisions are made elsewhere.
+
+``__main__`` runs an entry host. This module imports nothing, so that the
+process can take its signals before the imports, which take half a second.
 """
 
 from __future__ import annotations
 
-from ._serve import serve_entry
-from ._settings import SettingsError
-
-__all__ = ["SettingsError", "serve_entry"]
+__all__: list[str] = []
--- a/src/aspenbridge/platform/__main__.py
+++ b/src/aspenbridge/platform/__main__.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from aspenbridge.loop import run_on_loop
-from aspenbridge.observability import configure_logging
-from aspenbridge.platform import SettingsError, serve_entry
-
 EXIT_BAD_SETTINGS = 2
 
 
 def run() -> int:
     """Run an entry host and return the exit code of the process."""
+    # The settings are read later, and a signal that they have changed would
+    # end a process that does not handle it yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from aspenbridge.loop import run_on_loop
+    from aspenbridge.observability import configure_logging
+
+    from ._serve import serve_entry
+    from ._settings import SettingsError
+
     configure_logging("info")
     try:
         return run_on_loop(serve_entry())
--- a/src/aspenbridge/platform/_reload.py
+++ b/src/aspenbridge/platform/_reload.py
@@ -19,15 +19,21 @@
 logger = logging.getLogger(__name__)
 # A third of the time within which a change must take effect.
 POLL_INTERVAL_S = 1.0
+FileVersion = tuple[int, int]  # modification time in nanoseconds, size in bytes
 RELOADABLE_FIELDS = frozenset({"store"})  # other fields need a restart
 
 
 class SettingsWatcher:
-    """Reloads changed settings and applies those that need no restart."""
+    """
+    Reloads changed settings and applies those that need no restart.
+
+    :param file_version: that of the file from which ``settings`` were read.
+    """
 
     def __init__(
         self,
         path: Path,
+        file_version: FileVersion,
         settings: EntrySettings,
         reload_requested: asyncio.Event,
         apply: Callable[[EntrySettings], None],
@@ -36,7 +42,7 @@
         self._settings = settings
         self._reload_requested = reload_requested
         self._apply = apply
-        self._file_version = self._read_file_version()
+        self._file_version = file_version
 
     async def run(self) -> None:
         """Check the file for changes until cancelled."""
@@ -45,10 +51,10 @@
                 async with asyncio.timeout(POLL_INTERVAL_S):
                     await self._reload_requested.wait()
             except TimeoutError:
-                if self._read_file_version() == self._file_version:
+                if read_file_version(self._path) == self._file_version:
                     continue
             self._reload_requested.clear()
-            self._file_version = self._read_file_version()
+            self._file_version = read_file_version(self._path)
             self.reload()
 
     def reload(self) -> None:
@@ -71,15 +77,16 @@
         self._settings = settings
         self._apply(settings)
 
-    def _read_file_version(self) -> tuple[int, int]:
-        """
-        Return the file's modification time and size, to detect changes.
 
-        :return: zeros when the file can't be examined.
-        """
-        try:
-            file_status = self._path.stat()
-        except OSError as error:
-            logger.debug("settings file can't be examined: %s", error)
-            return (0, 0)
-        return (file_status.st_mtime_ns, file_status.st_size)
+def read_file_version(path: Path) -> FileVersion:
+    """
+    Return a file's modification time and size, to detect changes.
+
+    :return: zeros when the file can't be examined.
+    """
+    try:
+        file_status = path.stat()
+    except OSError as error:
+        logger.debug("settings file can't be examined: %s", error)
+        return (0, 0)
+    return (file_status.st_mtime_ns, file_status.st_size)
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -19,7 +19,7 @@
 from ._decode import decode_configuration, decode_engine
 from ._engine_calls import HttpEngineCaller
 from ._ingress import Ingress
-from ._reload import SettingsWatcher
+from ._reload import SettingsWatcher, read_file_version
 from ._settings import load_entry_settings, settings_path
 from ._store import StoreClient
 
@@ -45,8 +45,6 @@
     :return: the exit code of the process; not 0 when a task has failed.
     :raises SettingsError: when the settings are missing or invalid.
     """
-    path = settings_path()
-    settings = load_entry_settings(path)
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     events = {
@@ -56,11 +54,16 @@
     }
     for number, event in events.items():
         loop.add_signal_handler(number, event.set)
+    path = settings_path()
+    # Taken before the settings, so that no change after them is missed.
+    file_version = read_file_version(path)
+    settings = load_entry_settings(path)
     logger.info("host %s starts", settings.host)
     async with AsyncExitStack() as stack:
         host, ingress, store = await _start_host(stack, settings)
         watcher = SettingsWatcher(
             path,
+            file_version,
             settings,
             reloading,
             lambda new_settings: store.set_address(str(new_settings.store)),
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -19,7 +19,7 @@
 
 def test_platform_process_does_not_import_what_the_platform_replaces():
     code = (
-        "import sys, aspenbridge.platform; "
+        "import sys, aspenbridge.platform._serve; "
         f"print([m for m in {REPLACED_MODULES!r} if m in sys.modules])"
     )
     completed = subprocess.run(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -16,13 +16,19 @@
 
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform import _serve
+from aspenbridge.platform._reload import (
+    POLL_INTERVAL_S,
+    SettingsWatcher,
+    read_file_version,
+)
+from aspenbridge.platform._settings import load_entry_settings
 from tests.support.platform_standins import (
     SETTINGS,
     StoreStandIn,
     configuration,
     engine_row,
 )
-from tests.support.processes import free_ports
+from tests.support.processes import START_LIMIT_S, free_ports
 
 SYSTEM_FILE = Path(__file__).parents[2] / "deploy" / "system.toml"
 # The port of the metrics is fixed, and other runs of the tests may use it.
@@ -144,6 +150,57 @@
     assert run_on_loop(check()) == 0
 
 
+async def wait_for_imports(process) -> None:
+    """Wait until a process imports its libraries."""
+    maps = Path(f"/proc/{process.pid}/maps")
+    async with asyncio.timeout(START_LIMIT_S):
+        while "msgspec" not in maps.read_text():
+            await asyncio.sleep(0.001)
+
+
+# Guards against a host that ends by a signal to reload while it starts.
+def test_process_that_starts_outlives_signals_to_reload(tmp_path):
+    async def check():
+        async with (
+            host_process(tmp_path) as (process, ports, _),
+            aiohttp.ClientSession() as session,
+        ):
+            await wait_for_imports(process)
+            ready = asyncio.create_task(
+                wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
+            )
+            while not ready.done():
+                assert process.returncode is None
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.005)
+            await ready
+            async with send_request(session, ports) as response:
+                assert response.status == 200
+            return process.returncode
+
+    assert run_on_loop(check()) is None
+
+
+# Guards against a change between reading the settings and the first check.
+def test_settings_that_changed_after_they_were_read_are_reloaded(tmp_path):
+    async def check():
+        async with host_process(tmp_path) as (_, _, path):
+            old_version, settings = read_file_version(path), load_entry_settings(path)
+            changed = path.read_text().replace("rowBytes = 65536", "rowBytes = 4096")
+            path.write_text(changed)
+            applied = asyncio.Queue()
+            watcher = SettingsWatcher(
+                path, old_version, settings, asyncio.Event(), applied.put_nowait
+            )
+            running = asyncio.create_task(watcher.run())
+            async with asyncio.timeout(2 * POLL_INTERVAL_S):
+                new_settings = await applied.get()
+            running.cancel()
+            return new_settings.store_limits.row_bytes
+
+    assert run_on_loop(check()) == 4096
+
+
 def test_process_serves_reloads_and_stops_without_breaking_a_stream(tmp_path):
     async def check():
         async with (
