Skip rows of hosts that hold no record, and check the form of the store's replies

readable_record skips such a row with a warning; a head or a result that is asked for counts as unavailable (503), never as missing. A host's row needs an address that can be sent to. The replies of the store are decoded into typed structs, once.

--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,7 +11,7 @@
 from returns.result import Failure
 
 from aspenbridge.ports import RowKey
-from aspenbridge.store import Changes, decode_record
+from aspenbridge.store import Changes, readable_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +38,11 @@
 
 @attrs.frozen
 class HostRecord:
-    """One incarnation of a host and the address for its peers."""
+    """
+    One incarnation of a host and the address for its peers.
+
+    :raises ValueError: when nothing can be sent to the address.
+    """
 
     host: str
     incarnation: str
@@ -46,6 +51,11 @@
     failure_domain: str
     beat: int  # counts the heartbeats
 
+    def __attrs_post_init__(self) -> None:
+        IPv4Address(self.ip)
+        if not 0 < self.port < 2**16:
+            raise ValueError(f"port {self.port} is out of range")
+
 
 @attrs.frozen
 class _ListedHost:
@@ -65,19 +75,18 @@
         self.on_removed: Callable[[str], None] = lambda incarnation: None
 
     def replace(self, rows: tuple[Row, ...]) -> None:
-        """Replace all rows."""
-        records = [decode_record(row.value, HostRecord) for row in rows]
-        for host in self._listed.keys() - {record.host for record in records}:
+        """Replace all rows; those that can't be read change nothing."""
+        for host in self._listed.keys() - {row.key.key for row in rows}:
             self._remove(host)
-        for record in records:
-            self._apply(record)
+        for row in rows:
+            self._apply_row(row.key, row.value)
 
     def apply_change(self, change: RowChange) -> None:
         """Apply one change of the table."""
         if change.value is None:
             self._remove(change.key.key)
         else:
-            self._apply(decode_record(change.value, HostRecord))
+            self._apply_row(change.key, change.value)
 
     def record_heartbeat(self, incarnation: str, age_s: float) -> None:
         """
@@ -137,7 +146,10 @@
         oldest_s = self._clock.now_s() - STORE_REACHED_S
         return any(renewed_s >= oldest_s for renewed_s in self._reported_s.values())
 
-    def _apply(self, record: HostRecord) -> None:
+    def _apply_row(self, key: RowKey, value: bytes) -> None:
+        record = readable_record(key, value, HostRecord)
+        if record is None or record.host != key.key:
+            return
         listed = self._listed.get(record.host)
         if listed is not None and listed.record.incarnation != record.incarnation:
             self._remove(record.host)
--- a/src/aspenbridge/jobs/_directory.py
+++ b/src/aspenbridge/jobs/_directory.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
-from aspenbridge.store import Stored, decode_record
+from aspenbridge.store import Stored, readable_record
 
 from ._records import (
     ADMISSION_PART,
@@ -81,16 +81,14 @@
         self._admissions.clear()
         for row in rows:
             if row.key.part == ADMISSION_PART:
-                self.apply_admission(_stored_admission(row.key, row.value, row.version))
+                self._apply_admission_row(row.key, row.value, row.version)
         table_ids = {row.key.key for row in heads}
         for job_id in [
             known_id for known_id in self._heads if known_id not in table_ids
         ]:
             self._remove(job_id)
         for row in heads:
-            self.apply_head(
-                Stored(row.key, decode_record(row.value, JobHead), row.version)
-            )
+            self._apply_head_row(row.key, row.value, row.version)
         for key in list(self._admission_waiters):
             _wake(self._admission_waiters, key)
 
@@ -100,12 +98,9 @@
             if change.value is None:
                 self._admissions.pop(change.key, None)
             else:
-                self.apply_admission(
-                    _stored_admission(change.key, change.value, change.version)
-                )
+                self._apply_admission_row(change.key, change.value, change.version)
         elif change.value is not None:
-            head = decode_record(change.value, JobHead)
-            self.apply_head(Stored(change.key, head, change.version))
+            self._apply_head_row(change.key, change.value, change.version)
         elif change.key.key in self._heads:
             self._remove(change.key.key)
 
@@ -140,6 +135,16 @@
                 return False
         return True
 
+    def _apply_head_row(self, key: RowKey, value: bytes, version: int) -> None:
+        head = readable_record(key, value, JobHead)
+        if head is not None and head.id == key.key:
+            self.apply_head(Stored(key, head, version))
+
+    def _apply_admission_row(self, key: RowKey, value: bytes, version: int) -> None:
+        record = readable_record(key, value, AdmissionRecord)
+        if record is not None:
+            self.apply_admission(Stored(key, record, version))
+
     def _remove(self, job_id: str) -> None:
         del self._heads[job_id]
         self._open.pop(job_id, None)
@@ -150,12 +155,6 @@
         self.on_change(job_id)
 
 
-def _stored_admission(
-    key: RowKey, value: bytes, version: int
-) -> Stored[AdmissionRecord]:
-    return Stored(key, decode_record(value, AdmissionRecord), version)
-
-
 async def _wait(
     waiters: dict[Key, set[asyncio.Event]], key: Key, limit_s: float
 ) -> bool:
--- a/src/aspenbridge/jobs/_repository.py
+++ b/src/aspenbridge/jobs/_repository.py
@@ -10,7 +10,7 @@
 
 from aspenbridge.observability import log_decision
 from aspenbridge.ports import Conflict, Unavailable
-from aspenbridge.store import Changes, Stored, decode_record, record_bytes
+from aspenbridge.store import Changes, Stored, readable_record, record_bytes
 
 from ._messages import decode_items
 from ._records import (
@@ -340,13 +340,13 @@
             if page.complete or not page.rows:
                 break
             start = page.rows[-1].key.key + "\0"
-        return [
-            (
-                int(row.key.key.rpartition("/")[2]),
-                decode_record(row.value, ProgressRecord),
-            )
-            for row in rows
-        ]
+        progress: list[tuple[int, ProgressRecord]] = []
+        for row in rows:
+            index = row.key.key.removeprefix(f"{job_id}/")
+            record = readable_record(row.key, row.value, ProgressRecord)
+            if record is not None and index.isdecimal():
+                progress.append((int(index), record))
+        return progress
 
 
 def _progress_record(state: ItemState) -> ProgressRecord:
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -14,7 +14,7 @@
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
 from aspenbridge.result_codes import Problem, ResultCode
-from aspenbridge.store import Changes, Stored, decode_record
+from aspenbridge.store import Changes, Stored, readable_record
 
 from ._admission import ACCEPT_LIMIT_S, JobTokens, NotAccepted
 from ._messages import ItemResult, ResultPage, encode_items
@@ -43,6 +43,7 @@
 STORE_RETRY_S = 0.5
 OTHER_HOST_RETRY_S = 0.02  # short, since the retry goes to another host
 STORE_UNREACHABLE = Unavailable("the store is unreachable", maybe_applied=False)
+UNREADABLE = Unavailable("a result can't be read", maybe_applied=False)
 # Of the results of one page, as JSON encodes them; callers accept up to one
 # megabyte.
 MAX_PAGE_BYTES = 900_000
@@ -285,7 +286,9 @@
         results: list[ItemResult] = []
         total_bytes = 0
         for row in read.unwrap().rows:
-            record = decode_record(row.value, ResultRecord)
+            record = readable_record(row.key, row.value, ResultRecord)
+            if record is None:
+                return Failure(self._store_problem(UNREADABLE, maybe_applied=False))
             loaded = await self._read_text(record)
             if isinstance(loaded, Failure):
                 return loaded
--- a/src/aspenbridge/platform/_store.py
+++ b/src/aspenbridge/platform/_store.py
@@ -31,11 +31,11 @@
 from . import _names as names
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from aspenbridge.ports import Transaction
 
-Decoded = TypeVar("Decoded")
+Reply = TypeVar("Reply")
 # The store answers in 4 ms, and in a tenth of a second under load.
 CALL_TIMEOUT_S = 1.0
 # Added to the requested wait of a call on the change feed.
@@ -97,7 +97,7 @@
             ],
             "remove": [_encode_key(delete.key) for delete in transaction.deletes],
         }
-        result = await self._call_json(
+        result = await self._call(
             "POST",
             names.TRANSACT_PATH,
             body=msgspec.json.encode(body),
@@ -105,17 +105,16 @@
         )
         if isinstance(result, Failure):
             return result
-        status, fields = result.unwrap()
+        status, reply = result.unwrap()
         if status == 412:
-            rows = _decode(fields, _decode_conflict)
-            if isinstance(rows, Failure):
-                return rows
-            found = rows.unwrap()
+            conflict = _decode(reply, _ConflictReply)
+            if isinstance(conflict, Failure):
+                return conflict
+            found = {row.row_key: row.row for row in conflict.unwrap().rows}
             checked = [check.key for check in transaction.checks]
             return Failure(Conflict({key: found.get(key) for key in checked}))
-        version = _decode(fields, lambda fields: int(fields["ver"]))
-        return version.map(
-            lambda number: Committed({put.key: number for put in transaction.puts})
+        return _decode(reply, _TransactionReply).map(
+            lambda reply: Committed({put.key: reply.ver for put in transaction.puts})
         )
 
     async def read(
@@ -161,21 +160,28 @@
         query = {"table": table, "part": part}
         query |= {"from": start} if start else {}
         query |= {"to": end} if end else {}
-        result = await self._call_json("GET", names.ROWS_PATH, query=query)
-        return result.bind(lambda reply: _decode(reply[1], _decode_range))
+        result = await self._call("GET", names.ROWS_PATH, query=query)
+        page = result.bind(lambda reply: _decode(reply[1], _RangeReply))
+        return page.map(
+            lambda reply: RowRange(
+                rows=tuple(row.row for row in reply.rows),
+                version=reply.ver,
+                complete=not reply.hasMore,
+            )
+        )
 
     async def parts(self, table: str) -> Result[tuple[str, ...], Unavailable]:
         """Return the names of all parts of a table."""
         parts: list[str] = []
         while True:
             query = {"table": table} | ({"after": parts[-1]} if parts else {})
-            result = await self._call_json("GET", names.PARTS_PATH, query=query)
-            page = result.bind(lambda reply: _decode(reply[1], _decode_parts))
+            result = await self._call("GET", names.PARTS_PATH, query=query)
+            page = result.bind(lambda reply: _decode(reply[1], _PartsReply))
             if isinstance(page, Failure):
                 return page
-            found, has_more = page.unwrap()
-            parts.extend(found)
-            if not has_more or not found:
+            reply = page.unwrap()
+            parts.extend(reply.parts)
+            if not reply.hasMore or not reply.parts:
                 return Success(tuple(parts))
 
     async def changes(
@@ -191,7 +197,7 @@
             "after": str(after),
             "waitMs": str(int(wait_s * 1000)),
         }
-        result = await self._call_json(
+        result = await self._call(
             "GET",
             names.CHANGES_PATH,
             query=query,
@@ -200,10 +206,12 @@
         )
         if isinstance(result, Failure):
             return result
-        status, fields = result.unwrap()
+        status, reply = result.unwrap()
         if status == HISTORY_LOST_STATUS:
             return Failure(HistoryLost())
-        return _decode(fields, _decode_page)
+        return _decode(reply, _ChangesReply).map(
+            lambda page: ChangePage(tuple(row.change for row in page.rows), page.ver)
+        )
 
     async def put(self, name: str, body: bytes) -> Result[None, Unavailable]:
         """Write an object unless one of this name exists already."""
@@ -237,13 +245,6 @@
         )
         return result.map(lambda reply: None)
 
-    async def _call_json(
-        self, method: str, path: str, **options: Any
-    ) -> Result[tuple[int, dict[str, Any]], Unavailable]:
-        """Make a call whose reply has a JSON body, if it has one."""
-        result = await self._call(method, path, **options)
-        return result.bind(_decode_reply)
-
     async def _call(
         self,
         method: str,
@@ -306,20 +307,15 @@
     )
 
 
-def _decode_reply(
-    reply: tuple[int, bytes],
-) -> Result[tuple[int, dict[str, Any]], Unavailable]:
+def _decode(body: bytes, reply_type: type[Reply]) -> Result[Reply, Unavailable]:
     """
-    Return the status and the fields of a reply.
+    Return what a reply holds.
 
     A reply without a length may have been cut off.
     """
-    status, body = reply
-    if status == HISTORY_LOST_STATUS:
-        return Success((status, {}))
     try:
-        return Success((status, msgspec.json.decode(body)))
-    except (msgspec.DecodeError, RecursionError) as error:
+        return Success(msgspec.json.decode(body, type=reply_type))
+    except (ValueError, RecursionError) as error:
         reason = f"reply can't be decoded: {describe_error(error)}"
         return Failure(Unavailable(reason, maybe_applied=True))
 
@@ -332,51 +328,62 @@
     metrics.STORE_CALL_S.labels(call, outcome).observe(duration_s)
 
 
-def _decode(
-    fields: Any, decode: Callable[[dict[str, Any]], Decoded]
-) -> Result[Decoded, Unavailable]:
-    """Return what a reply holds, unless it has another form."""
-    try:
-        return Success(decode(fields))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        reason = f"reply has another form: {describe_error(error)}"
-        return Failure(Unavailable(reason, maybe_applied=True))
-
-
 def _encode_key(key: RowKey) -> dict[str, Any]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
 
-def _decode_key(fields: dict[str, Any]) -> RowKey:
-    return RowKey(fields["table"], fields["key"], fields.get("part", ""))
+class _RowReply(msgspec.Struct):
+    """A row, or a change of it, whose ``value`` is base64 on the wire."""
 
+    table: str
+    key: str
+    ver: int
+    part: str = ""
+    value: bytes | None = None
+    tombstone: bool = False
 
-def _decode_row(fields: dict[str, Any]) -> Row:
-    value = base64.b64decode(fields["value"])
-    return Row(_decode_key(fields), value, fields["ver"])
+    def __post_init__(self) -> None:
+        if self.value is None and not self.tombstone:
+            raise ValueError(f"row {self.key!r} has no value")
 
+    @property
+    def row_key(self) -> RowKey:
+        return RowKey(self.table, self.key, self.part)
 
-def _decode_change(fields: dict[str, Any]) -> RowChange:
-    removed = fields.get("tombstone", False)
-    value = None if removed else base64.b64decode(fields["value"])
-    return RowChange(_decode_key(fields), value, fields["ver"])
+    @property
+    def row(self) -> Row:
+        return Row(self.row_key, self.value or b"", self.ver)
 
+    @property
+    def change(self) -> RowChange:
+        value = None if self.tombstone else self.value
+        return RowChange(self.row_key, value, self.ver)
 
-def _decode_range(fields: dict[str, Any]) -> RowRange:
-    return RowRange(
-        rows=tuple(map(_decode_row, fields["rows"])),
-        version=fields["ver"],
-        complete=not fields.get("hasMore", False),
-    )
+
+class _RangeReply(msgspec.Struct):
+    rows: list[_RowReply]
+    ver: int
+    hasMore: bool = False
+
+    def __post_init__(self) -> None:
+        # The next page begins after the last row.
+        if self.hasMore and not self.rows:
+            raise ValueError("a page without rows is not the last one")
+
+
+class _ChangesReply(msgspec.Struct):
+    rows: list[_RowReply]
+    ver: int
 
 
-def _decode_parts(fields: dict[str, Any]) -> tuple[list[str], bool]:
-    return fields["parts"], bool(fields.get("hasMore"))
+class _ConflictReply(msgspec.Struct):
+    rows: list[_RowReply] = []
 
 
-def _decode_page(fields: dict[str, Any]) -> ChangePage:
-    return ChangePage(tuple(map(_decode_change, fields["rows"])), fields["ver"])
+class _TransactionReply(msgspec.Struct):
+    ver: int
 
 
-def _decode_conflict(fields: dict[str, Any]) -> dict[RowKey, Row]:
-    return {row.key: row for row in map(_decode_row, fields.get("rows", ()))}
+class _PartsReply(msgspec.Struct):
+    parts: list[str]
+    hasMore: bool = False
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,7 @@
 from aspenbridge.fleet import FRESH_LIMIT_S, CrashNotices, rank
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
-from aspenbridge.store import decode_record
+from aspenbridge.store import readable_record
 
 from ._ledger import (
     Crash,
@@ -39,12 +40,13 @@
     from random import Random
 
     from aspenbridge.fleet import EngineDirectory, EngineEntry, Follower, HostTable
-    from aspenbridge.ports import Clock, Row, RowChange
+    from aspenbridge.ports import Clock, Row, RowChange, RowKey
     from aspenbridge.store import Store
 
     from ._arrivals import EventArrivals
     from ._subjects import RunSubjects
 
+logger = logging.getLogger(__name__)
 UPDATE_INTERVAL_S = 0.5
 # How long a host repeats a notice; load reports go out each second.
 NOTICE_LIFETIME_S = 5.0
@@ -327,20 +329,15 @@
             if crash.stored and crash_key(key, crash.id).key not in listed:
                 self._ledger.remove(key, crash.id)
         for row in rows:
-            self._apply_row(row.key.key, row.value)
+            self._apply_row(row.key, row.value)
         self._update_held()
 
     def apply_change(self, change: RowChange) -> None:
         """Apply one change of the table of crashes."""
-        key = change.key.key
         if change.value is not None:
-            self._apply_row(key, change.value)
+            self._apply_row(change.key, change.value)
         else:
-            suspect, removed = parse_key(key)
-            if isinstance(removed, CrashId):
-                self._ledger.remove(suspect, removed)
-            else:
-                self._ledger.remove_trial(suspect, removed)
+            self._remove_row(change.key.key)
         self._update_held()
 
     async def run(self) -> None:
@@ -449,14 +446,27 @@
                 crash.write_at_s = min(crash.write_at_s, self._clock.now_s())
         self._rows_due.set()
 
-    def _apply_row(self, key: str, value: bytes) -> None:
-        suspect, subject = parse_key(key)
+    def _remove_row(self, key: str) -> None:
+        suspect, removed = parse_key(key)
+        if isinstance(removed, CrashId):
+            self._ledger.remove(suspect, removed)
+        elif removed is not None:
+            self._ledger.remove_trial(suspect, removed)
+
+    def _apply_row(self, row_key: RowKey, value: bytes) -> None:
+        suspect, subject = parse_key(row_key.key)
+        if subject is None:
+            logger.warning("row %r is of no crash or trial", row_key.key)
+            return
         if not isinstance(subject, CrashId):
-            trial = decode_record(value, TrialRecord)
-            began_s = self._monotonic_s(trial.at_wall_s)
-            self._ledger.record_trial(suspect, subject, began_s)
+            trial = readable_record(row_key, value, TrialRecord)
+            if trial is not None:
+                began_s = self._monotonic_s(trial.at_wall_s)
+                self._ledger.record_trial(suspect, subject, began_s)
+            return
+        record = readable_record(row_key, value, CrashRecord)
+        if record is None:
             return
-        record = decode_record(value, CrashRecord)
         crash = Crash(
             subject,
             self._monotonic_s(record.at_wall_s),
--- a/src/aspenbridge/quarantine/_records.py
+++ b/src/aspenbridge/quarantine/_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import attrs
 
 from aspenbridge.ports import RowKey
@@ -10,6 +12,9 @@
 
 CRASHES_TABLE = "crashes"
 TRIAL = "trial"  # stands in the key of a trial where a crash has a number
+KEY_END = re.compile(
+    rf"{TRIAL}/([0-9]{{1,9}})|([0-9]{{1,16}})/([0-9]{{1,9}})/(.*)", re.DOTALL
+)
 
 
 @attrs.frozen
@@ -54,10 +59,17 @@
     return RowKey(CRASHES_TABLE, f"{fingerprint}/{TRIAL}/{number}")
 
 
-def parse_key(key: str) -> tuple[str, CrashId | int]:
-    """Return the fingerprint and the crash, or the number of the trial."""
-    fingerprint, start, rest = key.split("/", 2)
-    if start == TRIAL:
-        return fingerprint, int(rest)
-    number, _, engine_id = rest.partition("/")
-    return fingerprint, CrashId(engine_id, int(start), int(number))
+def parse_key(key: str) -> tuple[str, CrashId | int | None]:
+    """
+    Return the fingerprint and the crash, or the number of the trial.
+
+    The second is None for a key that is of neither.
+    """
+    fingerprint, _, rest = key.partition("/")
+    found = KEY_END.fullmatch(rest)
+    if found is None:
+        return fingerprint, None
+    trial, started_ms, number, engine_id = found.groups()
+    if trial is not None:
+        return fingerprint, int(trial)
+    return fingerprint, CrashId(engine_id, int(started_ms), int(number))
--- a/src/aspenbridge/store/_records.py
+++ b/src/aspenbridge/store/_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Generic, TypeVar
 
 import attrs
@@ -10,9 +11,14 @@
 from aspenbridge.ports import RowKey
 
 Record = TypeVar("Record")
+logger = logging.getLogger(__name__)
 TOKEN_BYTES = 16
 
 
+class RecordError(ValueError):
+    """The value of a row holds no record of the class that is asked for."""
+
+
 @attrs.frozen
 class Stored(Generic[Record]):
     """A record as read, with the key and version that a later check needs."""
@@ -42,10 +48,28 @@
     """
     Return the record in the value of a row.
 
-    :raises msgspec.ValidationError: when the value doesn't hold a record of
-        the class.
+    :raises RecordError: when the value doesn't hold a record of the class.
+    """
+    try:
+        return msgspec.json.decode(value[TOKEN_BYTES:], type=record_class)
+    except (ValueError, RecursionError) as error:
+        raise RecordError(f"value is no {record_class.__name__}: {error}") from error
+
+
+def readable_record(
+    key: RowKey, value: bytes, record_class: type[Record]
+) -> Record | None:
+    """
+    Return the record in a row, or None with a warning if it holds none.
+
+    For readers that go on without the row, which may be of another writer or
+    of another build.
     """
-    return msgspec.json.decode(value[TOKEN_BYTES:], type=record_class)
+    try:
+        return decode_record(value, record_class)
+    except RecordError as error:
+        logger.warning("row %r of table %s is skipped: %s", key.key, key.table, error)
+        return None
 
 
 def token_of(value: bytes) -> bytes:
--- a/src/aspenbridge/store/_store.py
+++ b/src/aspenbridge/store/_store.py
@@ -8,7 +8,7 @@
 
 from aspenbridge.ports import Committed, Conflict, RowKey, Unavailable
 
-from ._records import TOKEN_BYTES, Stored, decode_record, token_of
+from ._records import TOKEN_BYTES, RecordError, Stored, decode_record, token_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -45,9 +45,17 @@
     async def get(
         self, key: RowKey, record_class: type[Record]
     ) -> Result[Stored[Record] | None, Unavailable]:
-        """Return the record of a row, or None if there is no such row."""
+        """
+        Return the record of a row, or None if there is no such row.
+
+        A row that holds no such record counts as unavailable.
+        """
         result = await self._table.read([key])
-        return result.map(lambda rows: _stored(rows[0], record_class))
+        try:
+            return result.map(lambda rows: _stored(rows[0], record_class))
+        except RecordError as error:
+            reason = f"row {key.key!r} of table {key.table} can't be read: {error}"
+            return Failure(Unavailable(reason, maybe_applied=False))
 
     async def get_many(
         self, keys: Sequence[RowKey], record_class: type[Record]
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -6,8 +6,13 @@
 import json
 
 import aiohttp
+import attrs
+import msgspec
 import pytest
 
+from aspenbridge.fleet import HostRecord
+from aspenbridge.jobs._records import AdmissionRecord, JobHead, JobState
+from aspenbridge.store._records import TOKEN_BYTES
 from tests.platform.test_process import (
     HOST_IP,
     ROUTE,
@@ -53,6 +58,41 @@
 CONFIGURATION_VALUES = odd_values(SOUND_CONFIGURATION, "version")
 
 
+TOKEN = b"t" * TOKEN_BYTES  # precedes the record in a row of a host
+OWN_HOST = HostRecord("other", "other-1", "127.0.0.1", 9, "a-1", 1)
+OWN_HEAD = JobHead("odd-0", "a.example", "other-1", JobState.OPEN, 2, 1.0, 2.0, 3.0)
+
+
+def odd_records(record: object) -> list[bytes]:
+    """Return values that are no record of this class, or of a bad one."""
+    whole = msgspec.json.encode(record).decode()
+    values = [*odd_values(whole, "more").values(), "[]", "{}", "null"]
+    fields = json.loads(whole)
+    for name, value in fields.items():
+        changed = [value] if isinstance(value, str) else str(value)
+        values.append(json.dumps(fields | {name: changed}))
+    return [v if isinstance(v, bytes) else TOKEN + v.encode() for v in values]
+
+
+def own_rows() -> list[tuple[str, str, str, bytes]]:
+    """Return table, part, key and value of rows that hosts write."""
+    rows = [
+        (table, part, f"odd-{number}", value)
+        for table, part, record in (
+            ("hosts", "p1", OWN_HOST),
+            ("job_heads", "p1", OWN_HEAD),
+            ("job_heads", "", AdmissionRecord(())),
+        )
+        for number, value in enumerate(odd_records(record))
+    ]
+    for number, (old, new) in enumerate([(b"127.0.0.1", b"nowhere"), (b":9,", b":0,")]):
+        host = msgspec.json.encode(attrs.evolve(OWN_HOST, host=f"bad-{number}"))
+        rows.append(("hosts", "p2", f"bad-{number}", TOKEN + host.replace(old, new)))
+    keys = ("odd", "odd/x", "odd/trial/x", "odd/trial/1", "odd/1/2", "odd/1/2/i-1")
+    rows += [("crashes", "", key, TOKEN + b"[[") for key in keys]
+    return rows
+
+
 async def serves(session, ports) -> bool:
     async with send_request(session, ports) as response:
         return response.status == 200
@@ -98,3 +138,41 @@
     output = run_on_loop(check())
     skipped = [line for line in output.splitlines() if "engine row is skipped" in line]
     assert len(skipped) >= len(ENGINE_VALUES)
+
+
+# Guards against rows in the tables of hosts that end every host which reads
+# them, as rows of another build would.
+@pytest.mark.parametrize("at_the_start", [True, False])
+def test_host_goes_on_beside_odd_rows_in_the_tables_of_hosts(tmp_path, at_the_start):
+    stores = []
+
+    def write_odd_rows() -> None:
+        for table, part, key, value in own_rows():
+            stores[0].write_value(table, key, value, part)
+        if not at_the_start:
+            stores[0].write_value("crashes", "odd/x", None)
+
+    def fill_store(store) -> None:
+        stores.append(store)
+        if at_the_start:
+            write_odd_rows()
+
+    async def check():
+        async with (
+            host_process(tmp_path, fill_store=fill_store) as (process, ports, _),
+            aiohttp.ClientSession() as session,
+        ):
+            reading = asyncio.create_task(process.stdout.read())
+            await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
+            await asyncio.sleep(READ_S)
+            if not at_the_start:
+                write_odd_rows()
+            await asyncio.sleep(READ_S)
+            assert await serves(session, ports)
+            assert process.returncode is None
+            process.kill()
+            return (await reading).decode()
+
+    output = run_on_loop(check())
+    assert "ended unexpectedly" not in output
+    assert output.count("is skipped") > 30
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -191,3 +191,35 @@
         error = runner.run(main()).failure()
     assert isinstance(error, Unavailable)
     assert error.maybe_applied
+
+
+ODD_REPLIES = [
+    {"rows": "x", "ver": 1},
+    {"rows": [5], "ver": 1},
+    {"rows": [WIRE_ROW | {"value": 5}], "ver": 1},
+    {"rows": [WIRE_ROW | {"value": None}], "ver": 1},
+    {"rows": [WIRE_ROW | {"ver": "new"}], "ver": 1},
+    {"rows": [WIRE_ROW | {"key": 7}], "ver": 1},
+    {"rows": [WIRE_ROW | {"part": None}], "ver": 1},
+    {"rows": [], "ver": "new"},
+    {"rows": [], "ver": None},
+    [],
+    7,
+]
+
+
+# Guards against replies that end the follower of a table, and so the host.
+@pytest.mark.parametrize("reply", ODD_REPLIES)
+@pytest.mark.parametrize(
+    "call", [lambda c: c.rows("t"), lambda c: c.changes("t", 4, 0.5)]
+)
+def test_reply_of_another_form_counts_as_none(reply, call):
+    result, _ = call_store(200, reply, call)
+    assert isinstance(result.failure(), Unavailable)
+
+
+# Guards against a page after which no next one can be asked for.
+def test_page_without_rows_that_is_not_the_last_counts_as_none():
+    reply = {"rows": [], "ver": 7, "hasMore": True}
+    result, _ = call_store(200, reply, lambda c: c.rows("t"))
+    assert isinstance(result.failure(), Unavailable)
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -104,14 +104,16 @@
         """Write or remove a row of the unnamed part, as another client."""
         self.write_value(table, key, None if fields is None else json.dumps(fields))
 
-    def write_value(self, table: str, key: str, text: str | bytes | None) -> None:
-        """Write any value into such a row, or remove it."""
+    def write_value(
+        self, table: str, key: str, text: str | bytes | None, part: str = ""
+    ) -> None:
+        """Write any value into a row, or remove it."""
         value = text.encode() if isinstance(text, str) else text
         old = self.rows.get((table, "", key))
         if (table, key) == ("op", "config") and old is not None:
             self._old_configuration = old
         self.version += 1
-        self._write_row({"table": table, "part": "", "key": key}, value)
+        self._write_row({"table": table, "part": part, "key": key}, value)
         self._wake_feeds()
 
     def drop_history(self) -> None:
