Reject configurations and settings whose values would end a host where they are used

A route whose name is a number was accepted, and the heads of its jobs could not be read any more; of weights without a sum no service can be drawn, which ended the worker's task and with it the host. A settings file that changes to a deeply nested one, to inf for a whole number or to a number for an address ended the host that reloaded it.

The configuration is decoded into typed structs, and an address has to be a numeric IP with a port from 1 to 65535. Errors of any kind in reading the settings keep the old ones.

--- a/src/aspenbridge/entry/_settings.py
+++ b/src/aspenbridge/entry/_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from ipaddress import IPv4Address, IPv6Address
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,6 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+PORT = re.compile(r"[1-9][0-9]{0,4}")
+MAX_PORT = 2**16 - 1
+MAX_SHOWN_CHARACTERS = 60  # of an address that is invalid
+
 
 @attrs.frozen
 class Address:
@@ -22,11 +28,18 @@
         """
         Parse an address of the form ``IP:PORT``.
 
-        :raises ValueError: when the port is missing or not a number.
+        An IPv6 address stands in brackets.
+
+        :raises ValueError: when the IP address is not numeric, or the port is
+            missing, not a number or out of range.
         """
-        ip, separator, port = text.rpartition(":")
-        if not separator:
-            raise ValueError(f"address {text!r} has no port")
+        ip, _, port = text.rpartition(":")
+        if PORT.fullmatch(port) is None or int(port) > MAX_PORT:
+            raise ValueError(f"address {text[:MAX_SHOWN_CHARACTERS]!r} has no port")
+        if ip.startswith("[") and ip.endswith("]"):
+            IPv6Address(ip[1:-1])
+        else:
+            IPv4Address(ip)
         return cls(ip, int(port))
 
     def __str__(self) -> str:
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -40,6 +40,7 @@
 ITEM_PATH_PATTERN = r"^/[!\"$-~]*\Z"
 HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z"
 HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
+NAME_PATTERN = r"^[^\x00-\x1f\x7f]*\Z"
 # What reading a message of another form raises. Deeply nested values raise a
 # RecursionError, numbers of hundreds of digits an OverflowError.
 FORM_ERRORS = (
@@ -56,6 +57,41 @@
     """A message lacks a field, or a field has the wrong type or value."""
 
 
+Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Name = Annotated[str, msgspec.Meta(min_length=1, pattern=NAME_PATTERN)]
+
+
+class _TargetRow(msgspec.Struct):
+    service: Name
+    weight: Count
+
+
+class _RouteRow(msgspec.Struct):
+    """A route on the wire; ``split`` takes precedence over ``service``."""
+
+    name: Name
+    host: str
+    prefix: str
+    routeKind: Literal["idempotent", "non_idempotent", "streaming", "batch"]
+    timeoutMs: Duration
+    latencyGoalMs: Duration
+    maxAttempts: Count
+    service: Name | None = None
+    split: list[_TargetRow] | None = None
+    gapTargetMs: Duration | None = None
+    completionTargetMs: Duration | None = None
+    retainS: Duration | None = None
+    priority: Count | None = None
+    resumable: bool | int | None = None
+
+
+class _LimitsRow(msgspec.Struct):
+    maxHeaderBytes: Count
+    maxBodyBytes: Count
+    idleTimeoutMs: Duration
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """
     Decode the value of the operator's configuration row.
@@ -64,14 +100,14 @@
     """
     try:
         fields = msgspec.json.decode(value)
-        limits = fields["limits"]
+        limits = msgspec.convert(fields["limits"], _LimitsRow)
         return Configuration(
             version=_decode_version(fields["version"]),
             routes=tuple(map(_decode_route, fields["routes"])),
             limits=RequestLimits(
-                header_bytes=int(limits["maxHeaderBytes"]),
-                body_bytes=int(limits["maxBodyBytes"]),
-                idle_s=limits["idleTimeoutMs"] / 1000,
+                header_bytes=int(limits.maxHeaderBytes),
+                body_bytes=int(limits.maxBodyBytes),
+                idle_s=limits.idleTimeoutMs / 1000,
             ),
         )
     except FORM_ERRORS as error:
@@ -88,25 +124,35 @@
 
 
 def _decode_route(fields: dict[str, Any]) -> Route:
-    split = fields.get("split") or [{"service": fields["service"], "weight": 1}]
+    row = msgspec.convert(fields, _RouteRow)
     return Route(
-        name=fields["name"],
-        host=fields["host"].lower(),
-        prefix=fields["prefix"],
-        kind=ROUTE_KINDS[fields["routeKind"]],
-        targets=tuple(Target(t["service"], float(t["weight"])) for t in split),
-        request_limit_s=fields["timeoutMs"] / 1000,
-        latency_goal_s=fields["latencyGoalMs"] / 1000,
-        event_gap_goal_s=(fields.get("gapTargetMs") or 0) / 1000,
-        max_attempts=int(fields["maxAttempts"]),
-        resumable=bool(fields.get("resumable")),
-        priority=int(fields.get("priority") or 0),
-        completion_goal_s=(fields.get("completionTargetMs") or 0) / 1000,
-        retention_s=float(fields.get("retainS") or DEFAULT_RETENTION_S),
+        name=row.name,
+        host=row.host.lower(),
+        prefix=row.prefix,
+        kind=ROUTE_KINDS[row.routeKind],
+        targets=_decode_targets(row),
+        request_limit_s=row.timeoutMs / 1000,
+        latency_goal_s=row.latencyGoalMs / 1000,
+        event_gap_goal_s=(row.gapTargetMs or 0) / 1000,
+        max_attempts=int(row.maxAttempts),
+        resumable=bool(row.resumable),
+        priority=int(row.priority or 0),
+        completion_goal_s=(row.completionTargetMs or 0) / 1000,
+        retention_s=row.retainS or DEFAULT_RETENTION_S,
         max_waiting_tokens=_decode_token_limit(fields),
     )
 
 
+def _decode_targets(row: _RouteRow) -> tuple[Target, ...]:
+    if row.split:
+        if not any(target.weight for target in row.split):
+            raise ValueError(f"no target of route {row.name!r} has a weight")
+        return tuple(Target(target.service, target.weight) for target in row.split)
+    if row.service is None:
+        raise ValueError(f"route {row.name!r} has no service")
+    return (Target(row.service, 1.0),)
+
+
 def _decode_token_limit(fields: dict[str, Any]) -> int:
     limit = fields.get(ROUTE_TOKEN_LIMIT)
     if limit is None:
--- a/src/aspenbridge/platform/_settings.py
+++ b/src/aspenbridge/platform/_settings.py
@@ -9,6 +9,7 @@
 
 from aspenbridge.entry import Address, EntrySettings, StoreLimits, TimeBounds
 
+from ._decode import FORM_ERRORS
 from ._names import SETTINGS_VARIABLE
 
 
@@ -39,7 +40,7 @@
         return _decode_settings(fields)
     except KeyError as error:
         raise SettingsError(f"{path}: key {error} is missing") from error
-    except (OSError, ValueError, TypeError) as error:
+    except (OSError, *FORM_ERRORS) as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -21,6 +21,7 @@
     encode_results,
 )
 from aspenbridge.platform._settings import SettingsError, load_entry_settings
+from tests.support.platform_standins import SETTINGS
 
 ENGINE = {
     "service": "llm",
@@ -160,7 +161,27 @@
         decode_configuration(value)
 
 
-@pytest.mark.parametrize("fields", [{"host": 5}, {"timeoutMs": 10**400}])
+# Guards against values that end a host only where they are used: a name that
+# its job heads store, weights among which no service can be drawn.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"host": 5},
+        {"name": 5},
+        {"prefix": None},
+        {"service": 5},
+        {"service": None},
+        {"split": [{"service": "a", "weight": 0}]},
+        {"split": [{"service": "a", "weight": 2}, {"service": "b", "weight": -1}]},
+        {"split": [{"service": 5, "weight": 1}]},
+        {"split": "a"},
+        {"routeKind": "other"},
+        {"maxAttempts": "many"},
+        {"timeoutMs": 10**400},
+        {"timeoutMs": -1},
+        {"retainS": 10**300},
+    ],
+)
 def test_configuration_with_a_value_of_another_kind_is_rejected(fields):
     with pytest.raises(MessageError):
         configuration(**fields)
@@ -216,3 +237,40 @@
     path.write_text("no toml")
     with pytest.raises(SettingsError, match=r"node\.toml"):
         load_entry_settings(path)
+
+
+SETTINGS_TEXT = SETTINGS.format(
+    name="h1",
+    ip="127.0.0.1",
+    callers=1,
+    ready=2,
+    peers=3,
+    drain_ms=3000,
+    stop_s=8,
+    results_kept_s=120,
+    store="127.0.0.1:4",
+)
+
+
+# Guards against a changed file that ends the host which reloads it.
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('"127.0.0.1:4"', '"127.0.0.1:65536"'),
+        ('"127.0.0.1:4"', '"127.0.0.1:0"'),
+        ('"127.0.0.1:4"', '"store.example:4"'),
+        ('"127.0.0.1:4"', "4"),
+        ("rowBytes = 65536", "rowBytes = inf"),
+        ("portRange = [3,3]", "portRange = 3"),
+        ('[zones]\na-1 = "a"', "zones = 5"),
+        ("[limits]", "deep = " + "[" * 4000 + "]" * 4000 + "\n[limits]"),
+    ],
+)
+def test_settings_with_an_odd_value_are_rejected(tmp_path, old, new):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS_TEXT)
+    assert load_entry_settings(path).store.port == 4
+    assert old in SETTINGS_TEXT
+    path.write_text(SETTINGS_TEXT.replace(old, new))
+    with pytest.raises(SettingsError):
+        load_entry_settings(path)
