Take only entries for engines to which a request can be sent

Beside entries with a port of 65536 or -1, a bad IP address or control characters, a third to a half of sound requests failed: nothing runs at such an engine, so that it is preferred, and the send fails with an error that reads as a broken run. An id that no header holds, 10^9 slots or a start of more than 64 bits did harm elsewhere.

The decoder decides once what a usable entry is: types and bounds of all fields that engines write, an address that one server can have, an id that can be sent.

--- a/src/aspenbridge/entry/_settings.py
+++ b/src/aspenbridge/entry/_settings.py
@@ -28,7 +28,7 @@
         """
         Parse an address of the form ``IP:PORT``.
 
-        An IPv6 address stands in brackets.
+        An IPv6 address stands in brackets, without a zone.
 
         :raises ValueError: when the IP address is not numeric, or the port is
             missing, not a number or out of range.
@@ -36,7 +36,7 @@
         ip, _, port = text.rpartition(":")
         if PORT.fullmatch(port) is None or int(port) > MAX_PORT:
             raise ValueError(f"address {text[:MAX_SHOWN_CHARACTERS]!r} has no port")
-        if ip.startswith("[") and ip.endswith("]"):
+        if ip.startswith("[") and ip.endswith("]") and "%" not in ip:
             IPv6Address(ip[1:-1])
         else:
             IPv4Address(ip)
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
+from ipaddress import ip_address
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from aspenbridge.client_connections import describe_error
+from aspenbridge.entry import Address
 from aspenbridge.fleet import (
     CallKind,
     Configuration,
@@ -28,7 +31,6 @@
     "batch": CallKind.BATCH,
 }
 ROUTE_TOKEN_LIMIT = "maxCount"
-ENGINE_READY = "ready"
 ENGINE_DRAINING = "draining"
 RESULT_COMPLETED = "completed"
 RESULT_FAILED = "dead_letter"  # an item that ended without an output
@@ -40,6 +42,8 @@
 ITEM_PATH_PATTERN = r"^/[!\"$-~]*\Z"
 HEADER_NAME_PATTERN = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z"
 HEADER_VALUE_PATTERN = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
+MAX_SLOTS = 10_000  # an engine runs far fewer requests at once
+ENGINE_ID = re.compile(r"[!-~]{1,200}")  # is sent in a header, and a key of a row
 NAME_PATTERN = r"^[^\x00-\x1f\x7f]*\Z"
 # What reading a message of another form raises. Deeply nested values raise a
 # RecursionError, numbers of hundreds of digits an OverflowError.
@@ -165,6 +169,25 @@
     return limit
 
 
+class _EngineRow(msgspec.Struct):
+    """
+    What an engine's row has to hold so that the engine can be used.
+
+    Other writers leave rows here, too. What is not used is not looked at, but
+    for the fields of which each engine writes one type only.
+    """
+
+    service: Name
+    addr: str
+    zone: Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)] | None = None
+    coldLeftMs: Annotated[float, msgspec.Meta(le=MAX_WHOLE_NUMBER)] | None = None
+    seq: int | None = None
+    version: str | int | float | None = None
+
+
 def decode_engine(engine_id: str, value: bytes) -> EngineEntry:
     """
     Decode the row by which an engine registers.
@@ -172,33 +195,37 @@
     :raises MessageError: when the row does not describe a usable engine.
     """
     try:
-        fields = msgspec.json.decode(value)
-        if fields["state"] not in (ENGINE_READY, ENGINE_DRAINING):
-            raise ValueError(f"unknown engine state {fields['state']!r}")
-        ip, _, port = fields["addr"].rpartition(":")
-        slots = fields["slots"]
-        if type(slots) is not int or slots < 1:
-            raise TypeError(f"slots {slots!r} is not a positive integer")
-        return EngineEntry(
-            id=engine_id,
-            service=_non_empty_string(fields["service"]),
-            ip=_non_empty_string(ip),
-            port=int(port),
-            failure_domain=_non_empty_string(fields["zone"]),
-            slots=slots,
-            draining=fields["state"] == ENGINE_DRAINING,
-            started_ms=int(fields.get("born") or 0),
-            warm_up_s=float(fields.get("coldLeftMs") or 0) / 1000,
-        )
+        if ENGINE_ID.fullmatch(engine_id) is None:
+            raise ValueError("its id can't be sent to it")
+        row = msgspec.convert(msgspec.json.decode(value), _EngineRow)
+        address = _engine_address(row.addr)
     except FORM_ERRORS as error:
         reason = describe_error(error)
-        raise MessageError(f"engine {engine_id!r} is invalid: {reason}") from error
+        raise MessageError(f"engine {shown(engine_id)} is invalid: {reason}") from error
+    return EngineEntry(
+        id=engine_id,
+        service=row.service,
+        ip=address.ip,
+        port=address.port,
+        failure_domain=row.zone,
+        slots=row.slots,
+        draining=row.state == ENGINE_DRAINING,
+        started_ms=row.born or 0,
+        warm_up_s=max(0.0, row.coldLeftMs or 0.0) / 1000,
+    )
 
 
-def _non_empty_string(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
-    return value
+def _engine_address(text: str) -> Address:
+    """
+    Return the address of an engine.
+
+    :raises ValueError: when no single server can have it.
+    """
+    address = Address.parse(text)
+    ip = ip_address(address.ip.strip("[]"))
+    if ip.is_unspecified or ip.is_multicast or (ip.is_reserved and not ip.is_loopback):
+        raise ValueError(f"{text!r} is no address of a server")
+    return address
 
 
 class _Item(msgspec.Struct):
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -131,6 +131,46 @@
         {"zone": None},
         {"coldLeftMs": "soon"},
         {"born": "x"},
+        {"born": 1.5},
+        {"born": -1},
+        {"born": 2**60},
+        {"coldLeftMs": True},
+        {"slots": 10**9},
+        {"service": "a\nb"},
+        {"zone": "\x00"},
+        {"seq": "4"},
+        {"version": ["v1"]},
+        *(
+            {"addr": addr}
+            for addr in (
+                "10.0.0.9:65536",
+                "10.0.0.9:-1",
+                "10.0.0.9:0",
+                "10.0.0.9:+80",
+                "10.0.0.9: 80",
+                "10.0.0.9:8_0",
+                "10.0.0.9:８０",
+                "10.0.0.9:080",
+                "10.0.0.9:",
+                "10.0.0.9:80\n",
+                "10.0.0.9\r\nX: y:80",
+                "10.0.0:80",
+                "10.0.0.256:80",
+                "010.0.0.9:80",
+                "0x0a000009:80",
+                "engine.example:80",
+                "user@10.0.0.9:80",
+                "10.0.0.9/x:80",
+                "10.0.0.9:80:80",
+                "0.0.0.0:80",
+                "224.0.0.1:80",
+                "255.255.255.255:80",
+                "::1:80",
+                "[::]:80",
+                "[fe80::1%eth0]:80",
+                "",
+            )
+        ),
     ],
 )
 def test_engine_row_with_an_invalid_field_is_rejected(changed_field):
@@ -138,6 +178,28 @@
         decode_engine("i-1", json.dumps(ENGINE | changed_field).encode())
 
 
+@pytest.mark.parametrize("engine_id", ["", "a b", "a\nb", "ä", "x" * 201])
+def test_engine_whose_id_no_header_can_hold_is_rejected(engine_id):
+    with pytest.raises(MessageError):
+        decode_engine(engine_id, json.dumps(ENGINE).encode())
+
+
+@pytest.mark.parametrize(
+    ("fields", "address"),
+    [
+        ({}, "10.0.0.9:8080"),
+        ({"born": None, "coldLeftMs": None, "stage": "both"}, "10.0.0.9:8080"),
+        ({"coldLeftMs": 1.5, "version": 3, "more": {}}, "10.0.0.9:8080"),
+        ({"addr": "127.0.0.1:65535", "coldLeftMs": -3}, "127.0.0.1:65535"),
+        ({"addr": "[fd00::9]:1", "slots": 1}, "[fd00::9]:1"),
+    ],
+)
+def test_engine_row_is_usable_whatever_else_it_says(fields, address):
+    engine = decode_engine("i-1", json.dumps(ENGINE | fields).encode())
+    assert engine.address == address
+    assert engine.warm_up_s >= 0
+
+
 NESTED = b"[" * 4096 + b"]" * 4096
 HUGE_NUMBER = b"9" * 400
 
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -95,7 +95,8 @@
 
 async def serves(session, ports) -> bool:
     async with send_request(session, ports) as response:
-        return response.status == 200
+        body = await response.read()
+        return response.status == 200 and body.count(b"data: w") == 20
 
 
 # Guards against rows of other writers that end every host which reads them.
@@ -140,6 +141,39 @@
     assert len(skipped) >= len(ENGINE_VALUES)
 
 
+# Guards against entries that are taken for engines, which get a share of the
+# requests although nothing can be sent to them.
+def test_no_request_fails_beside_entries_that_name_no_engine(tmp_path):
+    addresses = ("127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.256:80", "a\nb:80", "0:80")
+
+    def fill_store(store) -> None:
+        for number, address in enumerate(addresses):
+            row = engine_row(address)
+            store.write("servers", f"odd-{number}", row)
+        store.write("servers", "odd\nid", engine_row("127.0.0.1:9"))
+        store.write(
+            "servers", "odd-slots", engine_row("127.0.0.1:9") | {"slots": 10**9}
+        )
+
+    async def check():
+        async with (
+            host_process(tmp_path, fill_store=fill_store) as (process, ports, _),
+            aiohttp.ClientSession() as session,
+        ):
+            reading = asyncio.create_task(process.stdout.read())
+            await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
+            served = 0
+            for _ in range(5):
+                served += sum(
+                    await asyncio.gather(*(serves(session, ports) for _ in range(6)))
+                )
+            process.kill()
+            await reading
+            return served
+
+    assert run_on_loop(check()) == 30
+
+
 # Guards against rows in the tables of hosts that end every host which reads
 # them, as rows of another build would.
 @pytest.mark.parametrize("at_the_start", [True, False])
