Believe a refusal only with the id of the request

An engine that writes an earlier refusal once more, at the start of a new connection, made a host say 'not run' of a request that the engine then ran, or send it to a second engine. The head of a refusal was taken before the ids were compared; answers alone were checked.

The id is compared first now: a response of another request, or of none, is a broken attempt, and does not tell that its engine leaves. On a kept connection it could not happen, since each carries one request.

--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -165,6 +165,9 @@
     """
     Return the response if it is the engine's own answer to this request.
 
+    The id of the request tells whose answer it is, also of a refusal: an
+    engine may send one that it gave before once more.
+
     :raises AttemptError: REFUSED when the engine did not run the request,
         BROKEN when the response is not the engine's own, belongs to another
         request, or has a content encoding.
@@ -172,14 +175,14 @@
     headers = response.headers
     leaves = _engine_leaves(response, request_id)
     try:
-        if names.NOT_EXECUTED in headers or response.status == HTTP_MISDIRECTED_REQUEST:
-            reason = f"refused with status {response.status}"
-            raise AttemptError(CallOutcome.REFUSED, reason, engine_leaves=leaves)
-        if headers.get(names.REQUEST_ID) != request_id:
+        if headers.get(names.REQUEST_ID, "") != request_id:
             raise AttemptError(
                 CallOutcome.BROKEN,
                 f"response belongs to another request than {request_id!r}",
             )
+        if names.NOT_EXECUTED in headers or response.status == HTTP_MISDIRECTED_REQUEST:
+            reason = f"refused with status {response.status}"
+            raise AttemptError(CallOutcome.REFUSED, reason, engine_leaves=leaves)
         if names.SERVER_STAMP not in headers or "Content-Encoding" in headers:
             raise AttemptError(CallOutcome.BROKEN, "response is not the engine's own")
     except AttemptError:
@@ -200,13 +203,12 @@
     """
     Whether the engine that was asked says in its response that it leaves.
 
-    A misdirected request was answered by another engine. A refusal need not
-    contain the request's id.
+    A misdirected request was answered by another engine.
     """
     headers = response.headers
     if response.status == HTTP_MISDIRECTED_REQUEST:
         return False
-    if headers.get(names.REQUEST_ID, request_id) != request_id:
+    if headers.get(names.REQUEST_ID, "") != request_id:
         return False
     header_names = (names.SERVER_LEAVING, names.SERVER_LEAVING_WITHOUT_PREFIX)
     return any(headers.get(name) == LEAVING for name in header_names)
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -134,10 +134,39 @@
         "HTTP/1.1 429 Slow\r\nX-Aspenbridge-Not-Executed: 1\r\n",
     ],
 )
-def test_response_that_says_the_request_was_not_run_is_refused(head):
+# Without the id of the request it may be a refusal of an earlier one: "not
+# run" would be said of a request that the engine has run.
+@pytest.mark.parametrize(
+    ("id_header", "outcome"),
+    [
+        ("X-Aspenbridge-Attempt-Id: r1\r\n", CallOutcome.REFUSED),
+        ("X-Aspenbridge-Attempt-Id: r0\r\n", CallOutcome.BROKEN),
+        ("X-Aspenbridge-Attempt-Id: \r\n", CallOutcome.BROKEN),
+        ("", CallOutcome.BROKEN),
+    ],
+)
+def test_refusal_is_believed_only_with_the_id_of_the_request(head, id_header, outcome):
+    with pytest.raises(AttemptError) as caught:
+        run_on_loop(call_engine(f"{head}{id_header}Content-Length: 0\r\n\r\n"))
+    assert caught.value.outcome is outcome
+    assert not caught.value.engine_leaves
+
+
+# Guards against the same of an engine that says in it that it leaves.
+@pytest.mark.parametrize(
+    ("request_id", "leaves"), [("r1", True), ("r0", False), ("", False)]
+)
+def test_refusal_of_another_request_does_not_tell_that_an_engine_leaves(
+    request_id, leaves
+):
+    head = (
+        "HTTP/1.1 503 Busy\r\nX-Aspenbridge-Not-Executed: 1\r\n"
+        f"X-Aspenbridge-Attempt-Id: {request_id}\r\n"
+        "X-Aspenbridge-Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+    )
     with pytest.raises(AttemptError) as caught:
-        run_on_loop(call_engine(f"{head}Content-Length: 0\r\n\r\n"))
-    assert caught.value.outcome is CallOutcome.REFUSED
+        run_on_loop(call_engine(head))
+    assert caught.value.engine_leaves is leaves
 
 
 @pytest.mark.parametrize(
@@ -199,7 +228,7 @@
 @pytest.mark.parametrize(
     "head",
     [
-        f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}",
+        f"HTTP/1.1 503 Busy\r\nX-Aspenbridge-Attempt-Id: r1\r\n{NOT_EXECUTED}",
         f"HTTP/1.1 429 Slow\r\n{NOT_EXECUTED}X-Aspenbridge-Attempt-Id: r1\r\n",
     ],
 )
--- a/tests/soak/_engines.py
+++ b/tests/soak/_engines.py
@@ -130,7 +130,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get(ATTEMPT_ID_HEADER, "")
-        refusal = NOT_EXECUTED_HEADERS | self.marks
+        refusal = NOT_EXECUTED_HEADERS | {ATTEMPT_ID_HEADER: request_id} | self.marks
         if request.headers.get("X-Aspenbridge-Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers=refusal)
         if self._active >= SLOTS + QUEUE_LIMIT:
