Continue a stream that has begun with events under its status only

Callers got streams as complete that weren't: after a stream had broken off, the next engine answered with a 4xx that is declared as text/event-stream, and its end was taken for the end of the stream. So were other statuses of success without events, and an empty answer of any type completed a batch item that had begun elsewhere. A failure's text or head in the middle of a stream was not seen.

Whether an answer brings events is told by type and status together, in one place, and the relay and the hand-over from a silent engine ask one question: can it be passed on after what was sent. Content types are compared without case and parameters.

--- a/src/aspenbridge/jobs/_item_run.py
+++ b/src/aspenbridge/jobs/_item_run.py
@@ -135,15 +135,19 @@
     """
     Read the events of an answer into the state of its item.
 
-    :raises AttemptError: when the answer breaks off, no whole event comes in
-        ``EVENT_GAP_LIMIT_S``, or the events exceed ``MAX_ITEM_BYTES``; the
-        item then starts anew, since one of its runs was not sound.
+    :raises AttemptError: when the answer breaks off or is no stream, no whole
+        event comes in ``EVENT_GAP_LIMIT_S``, or the events exceed
+        ``MAX_ITEM_BYTES``; the item then starts anew, since one of its runs
+        was not sound.
     """
     status = answer.head.status
     if status == UNPROCESSABLE:
         return ItemRunResult(ItemOutcome.IMPOSSIBLE, f"status {status}")
     if status != OK:
         return ItemRunResult(ItemOutcome.FAILED, f"status {status}")
+    if not answer.head.brings_events:
+        # An empty one would look like the end of the item.
+        raise AttemptError(CallOutcome.BROKEN, "answer brings no events")
     splitter = EventSplitter(state.last_event_id)
     gap_deadline_s = clock.now_s() + EVENT_GAP_LIMIT_S
     item_bytes = sum(map(_event_bytes, state.events))
--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -40,6 +40,7 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 READ_BYTES = 2 * 1024  # other requests are served between two such parts
 LEAVING = "1"
+EVENT_STREAM = "text/event-stream"
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -192,7 +193,7 @@
     head = AnswerHead(
         status=response.status,
         headers=end_to_end_headers(tuple(headers.items())),
-        streams=content_type.startswith("text/event-stream"),
+        streams=content_type.partition(";")[0].strip().lower() == EVENT_STREAM,
         body_end=_body_end(response),
         engine_leaves=leaves,
     )
--- a/src/aspenbridge/ports/_relayed.py
+++ b/src/aspenbridge/ports/_relayed.py
@@ -55,10 +55,20 @@
 
     status: int
     headers: Headers
-    streams: bool  # whether the body is a stream of events
+    streams: bool  # whether the body is declared as a stream of events
     body_end: BodyEnd
     engine_leaves: bool = False
 
+    @property
+    def brings_events(self) -> bool:
+        """
+        Whether the body holds the events that were asked for.
+
+        A failure may be declared as a stream of events, too. Its body is a
+        message about the failure.
+        """
+        return self.streams and self.status < FIRST_NOT_SUCCESS
+
     @property
     def needs_body(self) -> bool:
         """
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -277,5 +277,5 @@
     if state is not EngineState.SPOKE:
         return state
     head = successor.answer.head
-    unusable = head.status >= SERVER_ERROR or (progress.begun and not head.streams)
-    return EngineState.FAILED if unusable else EngineState.SPOKE
+    usable = head.status < SERVER_ERROR and progress.can_use(head)
+    return EngineState.SPOKE if usable else EngineState.FAILED
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -172,7 +172,7 @@
 
     def _record_completed(self, progress: Progress, attempt: Attempt) -> None:
         head = attempt.answer.head
-        wrote = attempt.arrivals.count > 0 or not head.streams
+        wrote = attempt.arrivals.count > 0 or not head.brings_events
         self._quarantine.record_completed(
             progress.subjects,
             attempt.engine,
@@ -325,7 +325,7 @@
         self._health.record_answer(attempt.engine.id)
         self._quarantine.record_alive(attempt.engine)
         chunks = self._failover.chunks(progress, attempt)
-        if answer.head.streams and answer.head.status < SERVER_ERROR:
+        if answer.head.brings_events and progress.can_use(answer.head):
             await self._relay_events(progress, attempt, chunks)
         else:
             await self._relay_whole(progress, answer.head, chunks)
@@ -352,12 +352,13 @@
     async def _relay_whole(
         self, progress: Progress, head: AnswerHead, chunks: AsyncIterator[bytes]
     ) -> None:
-        """Relay an answer that is not a stream, once it is complete."""
+        """Relay an answer that brings no events, once it is complete."""
+        if not progress.can_use(head):
+            # Its body is not read, since nothing of it can be passed on.
+            raise status_error(head)
         body = await read_whole(head, chunks)
         failed = head.status >= SERVER_ERROR
-        # If a stream has begun, a whole answer can't continue it, whatever its
-        # status.
-        if progress.begun or (failed and progress.may_switch_engine):
+        if failed and progress.may_switch_engine:
             progress.failed_answer = head, body
             raise status_error(head)
         await self._send_whole(progress, head, body)
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -114,6 +114,17 @@
         """Whether the head of an answer was sent to the caller."""
         return self.status is not None
 
+    def can_use(self, head: AnswerHead) -> bool:
+        """
+        Whether an answer can be passed on to the caller.
+
+        Only events under the same status can follow those of a stream that has
+        begun; the status has been sent.
+        """
+        if not self.begun:
+            return True
+        return head.brings_events and head.status == self.status
+
     async def begin(self, head: AnswerHead, length: int | None = None) -> None:
         """Send the head of an engine's answer to the caller."""
         self.status = head.status
