Soak: rows of other writers, and processes that end by themselves

A new plan writes entries that name no engine, and rows without a record into the tables of hosts, beside kills, stops, reloads and an away store; no request may fail by them.

--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -61,14 +61,13 @@
     """A message lacks a field, or a field has the wrong type or value."""
 
 
-Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
-Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Quantity = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 Name = Annotated[str, msgspec.Meta(min_length=1, pattern=NAME_PATTERN)]
 
 
 class _TargetRow(msgspec.Struct):
     service: Name
-    weight: Count
+    weight: Quantity
 
 
 class _RouteRow(msgspec.Struct):
@@ -78,22 +77,22 @@
     host: str
     prefix: str
     routeKind: Literal["idempotent", "non_idempotent", "streaming", "batch"]
-    timeoutMs: Duration
-    latencyGoalMs: Duration
-    maxAttempts: Count
+    timeoutMs: Quantity
+    latencyGoalMs: Quantity
+    maxAttempts: Quantity
     service: Name | None = None
     split: list[_TargetRow] | None = None
-    gapTargetMs: Duration | None = None
-    completionTargetMs: Duration | None = None
-    retainS: Duration | None = None
-    priority: Count | None = None
+    gapTargetMs: Quantity | None = None
+    completionTargetMs: Quantity | None = None
+    retainS: Quantity | None = None
+    priority: Quantity | None = None
     resumable: bool | int | None = None
 
 
 class _LimitsRow(msgspec.Struct):
-    maxHeaderBytes: Count
-    maxBodyBytes: Count
-    idleTimeoutMs: Duration
+    maxHeaderBytes: Quantity
+    maxBodyBytes: Quantity
+    idleTimeoutMs: Quantity
 
 
 def decode_configuration(value: bytes) -> Configuration:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -60,3 +60,14 @@
         crashed_s for name, crashed_s in oracle.crashed_s.items() if "/" not in name
     ]
     assert any(len(crashed_s) >= 3 for crashed_s in parts)
+
+
+# Guards against hosts that end, or send requests nowhere, beside odd rows.
+def test_short_run_goes_on_beside_odd_rows():
+    options = Options(
+        13, SECONDS, 3, first_fault="odd rows", plan="rows", subnet=SUBNET
+    )
+    oracle = run_seed(options)
+    assert oracle.violations == []
+    assert oracle.fault_counts["odd rows"] > 0
+    assert oracle.response_counts["whole"] > 0
