One crash under long prompts doesn't hang a host

Cause: each part of each prompt becomes a suspect. From 2,000 suspects on the ledger searched all of them for the least one, for each part anew, in one step of the loop. The same cause on related paths: when the list of engines confirmed the crash, who is held was decided anew for each part, and parts of the same crashes were compared in pairs; where a forgotten suspect's rows belong was computed without rows; each answer of an engine looked through all crashes though the engine had none.

Change: suspects of one crash stand in the order of their last sighting, and the first one makes room; parts are grouped by their crashes; verdicts are applied before they are logged, so that who is held is decided once.

--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -9,7 +9,8 @@
 clear itself.
 
 For load on which engines crash, of themselves or under requests that come
-again at any host, or that share a part of their prompts.
+again at any host, or that share a part of their prompts, of which each may
+have a thousand.
 """
 
 from __future__ import annotations
@@ -152,6 +153,11 @@
         tags = {c.tag for c in self.crashes.values() if c.counted}
         return len(tags) > 1 or SEVERAL_RUNS in tags
 
+    @property
+    def has_rows(self) -> bool:
+        """Whether the store may hold rows of it."""
+        return bool(self.trials) or any(c.stored for c in self.crashes.values())
+
     @property
     def position(self) -> int:
         """The last place of a part in the prompts of its crashes."""
@@ -237,6 +243,8 @@
 
     def __init__(self) -> None:
         self._suspects: dict[str, Suspect] = {}
+        # Those of one crash, which make room for others; oldest crash first.
+        self._slight: dict[str, None] = {}
         self._cleared_s: dict[str, float] = {}
         self._evicted: list[tuple[str, Suspect]] = []
         self._candidates: dict[str, Suspect] = {}  # that may be held
@@ -324,6 +332,7 @@
             suspect = Suspect(is_part(key), cleared=key in self._cleared_s)
             self._suspects[key] = suspect
         known = suspect.crashes.setdefault(crash.id, crash)
+        self._rank(key, suspect)
         before = known.silent, known.confirmed, known.position, known.tag
         known.silent = known.silent and crash.silent
         known.confirmed = known.confirmed or crash.confirmed
@@ -345,6 +354,9 @@
         requests, which wait for the list.
         """
         from_s, until_s = ALIVE_S
+        _, last_s = self._last_crashes.get((engine_id, started_ms), (0, float("-inf")))
+        if now_s - last_s > until_s:
+            return
         for key, crash in self.crashes():
             if (
                 crash.id[:2] == (engine_id, started_ms)
@@ -404,6 +416,7 @@
             return
         suspect.crashes.pop(crash_id, None)
         if suspect.crashes:
+            self._rank(key, suspect)
             self._weigh(key, suspect)
         else:
             self._drop(key)
@@ -456,14 +469,28 @@
     def _drop(self, key: str) -> Suspect | None:
         if self._candidates.pop(key, None) is not None:
             self._undecided = True
+        self._slight.pop(key, None)
         return self._suspects.pop(key, None)
 
+    def _rank(self, key: str, suspect: Suspect) -> None:
+        """Note whether a suspect has one crash only, the newest of all."""
+        self._slight.pop(key, None)
+        if len(suspect.crashes) == 1:
+            self._slight[key] = None
+
     def _drop_least_suspect(self) -> None:
-        """Drop the suspect with the fewest, oldest crashes to make room."""
-        least = min(
-            self._suspects,
-            key=lambda key: (self._suspects[key].count, self._suspects[key].last_s),
-        )
+        """
+        Drop the suspect with the fewest, oldest crashes to make room.
+
+        One crash may bring thousands of suspects, each of which takes the
+        place of another, so that the least one is not searched for.
+        """
+        least = next(iter(self._slight), None)
+        if least is None:
+            least = min(
+                self._suspects,
+                key=lambda key: (self._suspects[key].count, self._suspects[key].last_s),
+            )
         self._evict(least)
 
     def _evict(self, key: str) -> None:
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -484,6 +484,8 @@
 
     def _judge_crashes(self) -> None:
         """Confirm or drop crashes, as the list of engines tells."""
+        held = self._ledger.held()
+        judged: list[tuple[str, Crash, Verdict]] = []
         for key, crash in self._ledger.crashes():
             if crash.confirmed:
                 continue
@@ -494,8 +496,20 @@
                 self._engine_follower.followed_since_s,
                 self._silence_limit_s,
             )
+            if verdict is Verdict.ALIVE and is_part(key) and key in held:
+                # A feed that hears nothing may leave engines listed that have
+                # ended; a trial soon tells for certain.
+                continue
             if verdict is not Verdict.PENDING:
-                self._apply_verdict(key, crash, verdict)
+                judged.append((key, crash, verdict))
+        own = [(key, crash.id) in self._seen for key, crash, _ in judged]
+        for (key, crash, verdict), is_own in zip(judged, own, strict=True):
+            self._apply_verdict(key, crash, verdict, own=is_own)
+        # A line tells who is held, which is decided once all verdicts count.
+        for (key, crash, verdict), is_own in zip(judged, own, strict=True):
+            if is_own:
+                event = f"engine {verdict.value} after a broken run"
+                self._log(event, key, engine=crash.id.engine_id)
 
     def _judge_short_answers(self) -> None:
         """Clear the parts of answers whose engine the list still shows."""
@@ -507,16 +521,11 @@
             if same and followed.followed_since_s < answer.at_s:
                 self.record_sound(answer.subjects)
 
-    def _apply_verdict(self, key: str, crash: Crash, verdict: Verdict) -> None:
-        if verdict is Verdict.ALIVE and is_part(key) and self.is_quarantined(key):
-            # A feed that hears nothing may leave engines listed that have
-            # ended; a trial soon tells for certain.
-            return
-        own = (key, crash.id) in self._seen
+    def _apply_verdict(
+        self, key: str, crash: Crash, verdict: Verdict, *, own: bool
+    ) -> None:
         if own:
             metrics.QUARANTINE.labels(f"engine {verdict.value}").inc()
-            event = f"engine {verdict.value} after a broken run"
-            self._log(event, key, engine=crash.id.engine_id)
         if verdict is Verdict.ENDED:
             if own:
                 crash.write_at_s = self._clock.now_s()
@@ -544,7 +553,7 @@
             if at_s >= now_s - CLEARED_NOTICE_LIFETIME_S
         }
         for key, suspect in self._ledger.expire(now_s, CLEARING_LIFETIME_S):
-            if self._is_assigned_here(key):
+            if suspect.has_rows and self._is_assigned_here(key):
                 self._rows.discard(key, suspect)
 
     def _is_assigned_here(self, key: str) -> bool:
--- a/src/aspenbridge/quarantine/_verdicts.py
+++ b/src/aspenbridge/quarantine/_verdicts.py
@@ -12,10 +12,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Set
+    from collections.abc import Mapping, Set
 
     from ._ledger import CrashId, Suspect
 
@@ -60,53 +61,50 @@
     """
     crashes = {key: suspect.crash_ids for key, suspect in suspects.items()}
     requests = [key for key, suspect in suspects.items() if not suspect.is_part]
-    held: list[str] = []
     parts = [key for key, suspect in suspects.items() if suspect.is_part]
+    # Parts by their crashes: one prompt may bring a thousand alike.
+    alike = Counter(crashes[key] for key in parts if _may_be_twin(suspects[key]))
+    held: list[str] = []
+    held_alike: set[frozenset[CrashId]] = set()
+    explained: set[CrashId] = set()
     for key in sorted(parts, key=lambda key: _order(key, suspects[key], before)):
-        leading = suspects[key].position == 0
-        unexplained = crashes[key] - _union(crashes[other] for other in held)
-        told_apart = leading or suspects[key].cleared
-        twins = [] if told_apart else _twins(key, suspects, crashes)
-        enough = not twins or len(crashes[key]) >= ALIKE_PART_CRASHES
-        alike = any(twin in held for twin in twins)
+        suspect, own = suspects[key], crashes[key]
+        leading, may_be_twin = suspect.position == 0, _may_be_twin(suspect)
+        told_apart = leading or suspect.cleared
+        has_twins = not told_apart and alike[own] > may_be_twin
+        enough = not has_twins or len(own) >= ALIKE_PART_CRASHES
         # A single request that crashes engines does not incriminate its parts.
-        incriminated = suspects[key].several_runs and (
-            alike or len(unexplained) >= UNEXPLAINED_CRASHES
+        incriminated = suspect.several_runs and (
+            (has_twins and own in held_alike)
+            or len(own - explained) >= UNEXPLAINED_CRASHES
         )
         if (incriminated and enough) or (key in before and not leading):
             held.append(key)
-    explained = _union(crashes[key] for key in held)
-    held = [key for key in held if not _is_explained(key, held, crashes)]
+            explained |= own
+            if may_be_twin:
+                held_alike.add(own)
+    parts_of_more = _explained_sets({crashes[key] for key in held})
+    held = [key for key in held if crashes[key] not in parts_of_more]
     held += [key for key in requests if crashes[key] - explained]
     return frozenset(held)
 
 
-def _twins(
-    key: str,
-    suspects: Mapping[str, Suspect],
-    crashes: Mapping[str, frozenset[CrashId]],
-) -> list[str]:
-    """Return other parts that are not told apart from one by their crashes."""
-    return [
-        other
-        for other, suspect in suspects.items()
-        if other != key
-        and suspect.is_part
-        and suspect.position > 0
-        and not suspect.cleared
-        and suspect.several_runs
-        and crashes[other] == crashes[key]
-    ]
-
-
-def _is_explained(
-    key: str, held: list[str], crashes: Mapping[str, frozenset[CrashId]]
-) -> bool:
-    """Whether another held part has all crashes of a part and enough more."""
-    return any(
-        crashes[key] < crashes[other]
-        and len(crashes[other]) - len(crashes[key]) >= UNEXPLAINED_CRASHES
-        for other in held
+def _may_be_twin(suspect: Suspect) -> bool:
+    """Whether another part of the same crashes is not told apart from it."""
+    return suspect.position > 0 and not suspect.cleared and suspect.several_runs
+
+
+def _explained_sets(
+    held: Set[frozenset[CrashId]],
+) -> frozenset[frozenset[CrashId]]:
+    """Return the crashes that another held part all has, and enough more."""
+    return frozenset(
+        own
+        for own in held
+        if any(
+            own < other and len(other) - len(own) >= UNEXPLAINED_CRASHES
+            for other in held
+        )
     )
 
 
@@ -121,7 +119,3 @@
         -len(suspect.crash_ids),
         key,
     )
-
-
-def _union(sets: Iterable[frozenset[CrashId]]) -> frozenset[CrashId]:
-    return frozenset().union(*sets)
