Batch items run on engines with one slot

Items of a service whose engines have one slot each were never run, and their jobs were never listed (LOST).

Cause: one slot of each engine is kept for online requests, also of an engine that has no other. Then the free slots for items are none at any time.

Evidence: in memory, four items on two idle engines of one slot: none is sent.

Change: an item may take the only slot. An online request preempts it, as on any full engine; the test shows that it does, and that all items end. test_engine_index computed the free slots with the same headroom and follows.

The new test fails before (no item on either engine) and passes now.

--- a/src/aspenbridge/fleet/_engine_index.py
+++ b/src/aspenbridge/fleet/_engine_index.py
@@ -15,7 +15,7 @@
 
 from ._draw import draw_engines
 from ._placement import Candidate, preference_key
-from ._slot_assignment import HEADROOM_SLOTS
+from ._slot_assignment import batch_slots
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Set
@@ -47,7 +47,7 @@
             entry.slots, online, batch, engine.network_delay_s
         )
         self.keys[entry.id] = (delay_s, items, engine.position, engine)
-        free = entry.slots - HEADROOM_SLOTS - online - batch
+        free = batch_slots(entry.slots) - online - batch
         self.free_slots -= self.free.pop(entry.id, 0)
         if free > 0:
             self.free[entry.id] = free
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -27,6 +27,15 @@
 HEADROOM_SLOTS = 1  # slots of each engine reserved for online requests
 
 
+def batch_slots(slots: int) -> int:
+    """
+    Return how many slots of an engine batch items may take.
+
+    An item may take the only slot of an engine; an online request preempts it.
+    """
+    return max(slots - HEADROOM_SLOTS, 1)
+
+
 @attrs.frozen
 class Backlog:
     """
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -89,6 +89,32 @@
     with_fleet(check)
 
 
+# An item never ran where all engines have one slot, which was kept for online
+# requests.
+def test_items_run_on_engines_with_one_slot_and_make_way_for_online_requests():
+    async def check(fleet):
+        for name in list(fleet.entries):
+            fleet.entries[name] = make_engine(name, slots=1)
+            fleet.store.write("servers", name, name.encode())
+        await asyncio.sleep(0.5)
+        fleet.engines.events = 50
+        await submit(fleet, "h0", make_job(items=4))
+        await asyncio.sleep(0.5)
+        loads = [fleet.hosts["h1"].load_view.load(e).batch for e in fleet.entries]
+        assert loads == [1, 1]
+        online = make_request("r1")
+        assert (await fleet.relay("h1", online)).finished
+        cut = [
+            run
+            for run in fleet.engines.runs
+            if run.ended_s and run.target != online.target
+        ]
+        assert any(len(run.events) < 50 for run in cut)
+        await wait_done(fleet, "h0", "j1", 4)
+
+    with_fleet(check)
+
+
 def split_configuration(version=1):
     """Return a configuration with a batch route for each of two services."""
     routes = [
