A prompt of more than fifty held parts gets its trials

Cause: the claim of a trial checks and puts a row for each held part in one transaction, of which the store takes 100 entries. The claim failed each time.

Change: 45 claims are made at most. Runs that share a prompt's held parts share the first ones, too, so that these keep two hosts from one trial.

The new test failed before; now 300 parts are served again after as long as 20.

--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
@@ -25,6 +26,7 @@
 COMMIT_LIMIT_S = 1.0
 TRIAL_CLAIM_LIMIT_S = 0.3  # callers wait for it
 MAX_COMMIT_ROWS = 90  # a transaction may hold 100 rows
+MAX_CLAIMED_TRIALS = MAX_COMMIT_ROWS // 2  # a claim checks a row and puts it
 
 
 class CrashRows:
@@ -72,10 +74,13 @@
         """
         Claim trials together; fails with ``Conflict`` if others have some.
 
+        Of more than fit into one call the first ones stand for all: other
+        runs with these suspects have the first ones, too, as a rule.
+
         :param trials: the number of the trial, by the key of its suspect.
         """
         changes = Changes()
-        for suspect, number in trials.items():
+        for suspect, number in islice(trials.items(), MAX_CLAIMED_TRIALS):
             key = trial_key(suspect, number)
             record = TrialRecord(suspect, number, self._clock.wall_s())
             changes = changes.absent(key).put(key, record)
--- a/tests/entry/test_long_prompts.py
+++ b/tests/entry/test_long_prompts.py
@@ -72,3 +72,33 @@
             return max(steps)
 
     assert run_virtual(main) < MOST_STEP_S
+
+
+# The claim of a trial had a row for each part, more than the store takes at
+# once, so that a prompt of more parts was held for a day.
+def test_prompt_of_hundreds_of_held_parts_is_tried_until_it_is_sound():
+    async def main(clock):
+        async with EntryFleet(clock, hosts=2, engines=6, events=60) as fleet:
+            fleet.engine_down_s = 2.5
+            fleet.engines.crashing_parts.add(GUILTY)
+            parts = ("first", *(f"shared-{n}" for n in range(300)))
+
+            async def send(number):
+                body = b"%d" % number
+                request = make_request(f"r{number}", body=body, **part_fields(*parts))
+                return await fleet.relay(f"h{number % 2}", request)
+
+            for number in range(20):
+                await send(number)
+                await asyncio.sleep(0.5)
+            assert len(fleet.hosts["h0"].quarantine._ledger.held()) == 300
+            crashes = len(fleet.engines.crashes)
+            fleet.engines.crashing_parts.clear()
+            for number in range(20, 80):
+                response = await send(number)
+                if response.finished:
+                    return crashes
+                await asyncio.sleep(0.5)
+            raise AssertionError("the prompt is never tried again")
+
+    assert run_virtual(main) <= 6  # with the trials of the first 10 s
