--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -92,21 +92,21 @@
     loop = asyncio.get_running_loop()
     timer: asyncio.TimerHandle
 
-    def count(steps: int) -> asyncio.TimerHandle:
+    def begin_step(steps_left: int) -> asyncio.TimerHandle:
         due_s = loop.time() + TIMEOUT_STEP_S
-        return loop.call_at(due_s, end_step, steps, due_s)
+        return loop.call_at(due_s, end_step, steps_left, due_s)
 
-    def end_step(steps: int, due_s: float) -> None:
+    def end_step(steps_left: int, due_s: float) -> None:
         nonlocal timer
-        # Late in the last step, what has arrived may still wait to be handled.
+        # If the last step ends late, what has arrived may not be handled yet.
         late = loop.time() > due_s + TIMEOUT_STEP_S
-        if steps > 1 or (steps == 1 and late):
-            timer = count(steps - 1)
+        if steps_left > 0 or (steps_left == 0 and late):
+            timer = begin_step(steps_left - 1)
         else:
             timeout.reschedule(loop.time())
 
     async with asyncio.timeout(None) as timeout:
-        timer = count(round(limit_s / TIMEOUT_STEP_S))
+        timer = begin_step(round(limit_s / TIMEOUT_STEP_S) - 1)
         try:
             yield
         finally:
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -243,7 +243,7 @@
 
     def __init__(self) -> None:
         self._suspects: dict[str, Suspect] = {}
-        # Those of one crash, which make room for others; oldest crash first.
+        # Those of one crash, which make room for others; last seen last.
         self._slight: dict[str, None] = {}
         self._cleared_s: dict[str, float] = {}
         self._evicted: list[tuple[str, Suspect]] = []
@@ -473,7 +473,7 @@
         return self._suspects.pop(key, None)
 
     def _rank(self, key: str, suspect: Suspect) -> None:
-        """Note whether a suspect has one crash only, the newest of all."""
+        """Note whether a suspect that was just seen has one crash only."""
         self._slight.pop(key, None)
         if len(suspect.crashes) == 1:
             self._slight[key] = None
@@ -482,8 +482,8 @@
         """
         Drop the suspect with the fewest, oldest crashes to make room.
 
-        One crash may bring thousands of suspects, each of which takes the
-        place of another, so that the least one is not searched for.
+        It is searched for only if all have several crashes: one crash may
+        bring thousands of suspects, each of which takes the place of another.
         """
         least = next(iter(self._slight), None)
         if least is None:
