A host reads no certificates when it starts

Each start of a host took 0.6 s of processor time and 44.3 MB, of which the certificates of the machine had 0.09 s and 1.9 MB: aiohttp makes two contexts for TLS when it is imported. Nothing on the platform is encrypted.

--- a/src/aspenbridge/platform/__main__.py
+++ b/src/aspenbridge/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 
@@ -13,6 +14,7 @@
     # The settings are read later, and a signal that they have changed would
     # end a process that does not handle it yet.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    skip_certificates()
     from aspenbridge.loop import run_on_loop
     from aspenbridge.observability import configure_logging
 
@@ -27,5 +29,15 @@
         return EXIT_BAD_SETTINGS
 
 
+def skip_certificates() -> None:
+    """
+    Keep the imports from reading the certificates of this machine.
+
+    aiohttp reads them all when it is imported. Nothing that the platform
+    calls or serves is encrypted.
+    """
+    os.environ["SSL_CERT_FILE"] = os.devnull
+
+
 if __name__ == "__main__":
     sys.exit(run())
