Requests that fail together pause an engine once

A host left an engine alone for up to 3 s that it could not reach for a moment, and refused requests if it was so with all of them.

Cause: each request that could not be sent doubled the engine's pause of 0.4 s, also those that had been sent together: three of them made it 1.6 s.

Change: a failure while an engine is paused is of a request that was sent before the pause, and doesn't lengthen it. A test that paused engines for 1.6 s by three failures at once sets the pause instead.

The new test fails before.

--- a/src/aspenbridge/fleet/_health.py
+++ b/src/aspenbridge/fleet/_health.py
@@ -24,7 +24,8 @@
     """
     Pauses an engine after a failed request.
 
-    The pause of an unreachable engine doubles with each failure in a row. The
+    The pause of an unreachable engine doubles if it still is when the pause
+    ends. Requests that were sent together fail together, and count once. The
     pause of an engine that refused a request is short and always the same.
     """
 
@@ -42,10 +43,12 @@
         return {engine_id for engine_id in self._pauses if self.is_paused(engine_id)}
 
     def record_unreachable(self, engine_id: str) -> None:
-        """Record that a request could not be sent; double the last pause."""
+        """Record that a request could not be sent."""
         previous = self._pauses.get(engine_id)
         length_s = FIRST_PAUSE_S
         if previous is not None:
+            if previous.length_s and self.is_paused(engine_id):
+                return  # it was sent before the pause
             length_s = min(max(previous.length_s, FIRST_PAUSE_S / 2) * 2, MAX_PAUSE_S)
         self._pauses[engine_id] = _Pause(self._clock.now_s() + length_s, length_s)
 
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from aspenbridge.fleet._health import _Pause
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.ports import BodyEnd
 from aspenbridge.quarantine._ledger import (
@@ -198,8 +199,8 @@
         task = asyncio.create_task(fleet.relay("h0", request))
         await asyncio.sleep(0.05)
         for engine in fleet.entries:
-            for _ in range(3):  # for 1.6 s
-                fleet.hosts["h0"]._health.record_unreachable(engine)
+            pause = _Pause(fleet.clock.now_s() + 1.6, 1.6)
+            fleet.hosts["h0"]._health._pauses[engine] = pause
         await asyncio.sleep(0.2)
         fleet.engines.crashing_parts.add(GUILTY)
         await hold_part(fleet, play)
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -152,6 +152,24 @@
     assert not health.is_paused("e1")
 
 
+# Each request in hand at an engine that was cut off for a moment doubled its
+# pause, so that the host left it alone for up to 3 s.
+def test_requests_that_fail_together_pause_an_engine_once():
+    clock = ManualClock()
+    health = EngineHealth(clock)
+    for pause_s in (0.4, 0.8):
+        for _ in range(8):
+            health.record_unreachable("e1")
+        clock.time_s += pause_s - 0.01
+        assert health.is_paused("e1")
+        clock.time_s += 0.02
+        assert not health.is_paused("e1")
+    health.record_refusal("e1")
+    health.record_unreachable("e1")
+    clock.time_s += 0.3
+    assert health.is_paused("e1")
+
+
 def test_load_report_of_a_host_counts_only_while_it_is_valid():
     clock = ManualClock()
     load_view = LoadView(clock)
