Soak: a reset behind data ends no answer of an HTTP/1.0 caller

The soak reported three streams that reached their callers as whole with their first events only.

Cause found in the soak: the answer to an HTTP/1.0 caller ends with its connection, which a host that is killed resets. When the reset comes together with data, uvloop reports the data and then an orderly end; the reset stays pending on the socket. The host's clients look at it, the soak's caller did not.

The check is stricter on such answers: they are missing now, not whole. The new test fails before for the reset behind data.

--- a/tests/soak/_connections.py
+++ b/tests/soak/_connections.py
@@ -11,6 +11,8 @@
 import attrs
 from multidict import CIMultiDict
 
+from aspenbridge.loop import pending_error
+
 from ._engines import PARTS_HEADER
 from ._hosts import CALLERS_PORT
 from ._oracle import now_s
@@ -191,6 +193,9 @@
             await self._read_chunks(request)
         else:
             request.body = await self._reader.read()
+            # A reset behind data looks like an orderly end of the connection.
+            if error := pending_error(self._writer.transport):
+                raise error
         request.whole = True
         request.ended_s = now_s()
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+from contextlib import suppress
+from random import Random
+from types import SimpleNamespace
 
+import pytest
+
+from aspenbridge.loop import NumericAddressLoop
+from tests.soak import _connections
 from tests.soak.__main__ import run_seed
+from tests.soak._connections import CallerConnection, SentRequest, Style
 from tests.soak._run import Options
+from tests.support.engine_scripts import Answer, End, Framing, ScriptedEngine, stream_of
 
 SECONDS = 6.0
 SUBNET = 100 + os.getpid() % 150  # differs in tests that run at the same time
@@ -71,3 +81,30 @@
     assert oracle.violations == []
     assert oracle.fault_counts["odd rows"] > 0
     assert oracle.response_counts["whole"] > 0
+
+
+# A host that is killed resets the connection of an HTTP/1.0 caller, which the
+# soak took for the end of an answer if the reset came together with data.
+@pytest.mark.parametrize("end", End)
+def test_caller_of_http_1_0_takes_only_an_orderly_end_for_a_whole_answer(
+    end, monkeypatch
+):
+    async def main():
+        async with ScriptedEngine() as engine:
+            monkeypatch.setattr(_connections, "CALLERS_PORT", engine.port)
+            answer = Answer(stream_of(8), Framing.NONE, end)
+            engine.scripts["r1"] = [answer]
+            host = SimpleNamespace(ip="127.0.0.1")
+            connection = CallerConnection(
+                host, Style.OLD, 200, Random(1), lambda *_: None
+            )
+            request = SentRequest("r1", "/once/x", "/once/", "h1", Style.OLD)
+            with suppress(TimeoutError):
+                async with connection:
+                    await connection.exchange(request)
+            return request
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        request = runner.run(main())
+    assert request.status == 200
+    assert request.whole == (end is End.CLOSE)
