--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -119,6 +119,16 @@
     assert len(ledger.expire(0.0, 10.0)) == 11
 
 
+# Hosts whose lists are stale number the crashes of one start differently.
+def test_engine_that_answers_refutes_a_newer_crash_of_a_lower_number():
+    ledger = CrashLedger()
+    ledger.record("part-a", Crash(CrashId("e0", 1, 1), 10.0))
+    ledger.record("part-b", Crash(CrashId("e0", 1, 0), 12.0))
+    ledger.refute("e0", 1, 12.5)
+    assert ledger.is_suspect("part-a")
+    assert not ledger.is_suspect("part-b")
+
+
 def test_old_crashes_expire():
     ledger = ledger_with(3)
     assert ledger.expire(RETENTION_S, 10.0) == []
