--- a/src/aspenbridge/fleet/_health.py
+++ b/src/aspenbridge/fleet/_health.py
@@ -24,9 +24,9 @@
     """
     Pauses an engine after a failed request.
 
-    The pause of an unreachable engine doubles if it still is when the pause
-    ends. Requests that were sent together fail together, and count once. The
-    pause of an engine that refused a request is short and always the same.
+    The pause of an unreachable engine doubles if a request that is sent after
+    the pause fails, too. Failures of those sent before it count once.
+    The pause of an engine that refused a request is short and always the same.
     """
 
     def __init__(self, clock: Clock) -> None:
--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -222,6 +222,7 @@
     """
     address = Address.parse(text)
     ip = ip_address(address.ip.strip("[]"))
+    # The loopback address of IPv6 is a reserved one.
     if ip.is_unspecified or ip.is_multicast or (ip.is_reserved and not ip.is_loopback):
         raise ValueError(f"{text!r} is no address of a server")
     return address
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -243,8 +243,8 @@
 
     def __init__(self) -> None:
         self._suspects: dict[str, Suspect] = {}
-        # Those of one crash, which make room for others; last seen last.
-        self._slight: dict[str, None] = {}
+        # Suspects of one crash, the least recently seen one first.
+        self._single_crash: dict[str, None] = {}
         self._cleared_s: dict[str, float] = {}
         self._evicted: list[tuple[str, Suspect]] = []
         self._candidates: dict[str, Suspect] = {}  # that may be held
@@ -332,7 +332,7 @@
             suspect = Suspect(is_part(key), cleared=key in self._cleared_s)
             self._suspects[key] = suspect
         known = suspect.crashes.setdefault(crash.id, crash)
-        self._rank(key, suspect)
+        self._track_single_crash(key, suspect)
         before = known.silent, known.confirmed, known.position, known.tag
         known.silent = known.silent and crash.silent
         known.confirmed = known.confirmed or crash.confirmed
@@ -413,7 +413,7 @@
             return
         suspect.crashes.pop(crash_id, None)
         if suspect.crashes:
-            self._rank(key, suspect)
+            self._track_single_crash(key, suspect)
             self._weigh(key, suspect)
         else:
             self._drop(key)
@@ -466,14 +466,14 @@
     def _drop(self, key: str) -> Suspect | None:
         if self._candidates.pop(key, None) is not None:
             self._undecided = True
-        self._slight.pop(key, None)
+        self._single_crash.pop(key, None)
         return self._suspects.pop(key, None)
 
-    def _rank(self, key: str, suspect: Suspect) -> None:
+    def _track_single_crash(self, key: str, suspect: Suspect) -> None:
         """Note whether a suspect that was just seen has one crash only."""
-        self._slight.pop(key, None)
+        self._single_crash.pop(key, None)
         if len(suspect.crashes) == 1:
-            self._slight[key] = None
+            self._single_crash[key] = None
 
     def _drop_least_suspect(self) -> None:
         """
@@ -482,7 +482,7 @@
         It is searched for only if all have several crashes: one crash may
         bring thousands of suspects, each of which takes the place of another.
         """
-        least = next(iter(self._slight), None)
+        least = next(iter(self._single_crash), None)
         if least is None:
             least = min(
                 self._suspects,
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -505,7 +505,8 @@
         own = [(key, crash.id) in self._seen for key, crash, _ in judged]
         for (key, crash, verdict), is_own in zip(judged, own, strict=True):
             self._apply_verdict(key, crash, verdict, own=is_own)
-        # A line tells who is held, which is decided once all verdicts count.
+        # Logged last, since each line needs who is held, and each verdict has
+        # that decided anew.
         for (key, crash, verdict), is_own in zip(judged, own, strict=True):
             if is_own:
                 event = f"engine {verdict.value} after a broken run"
--- a/src/aspenbridge/quarantine/_verdicts.py
+++ b/src/aspenbridge/quarantine/_verdicts.py
@@ -83,8 +83,8 @@
             explained |= own
             if may_be_twin:
                 held_alike.add(own)
-    parts_of_more = _explained_sets({crashes[key] for key in held})
-    held = [key for key in held if crashes[key] not in parts_of_more]
+    explained_by_another = _explained_sets({crashes[key] for key in held})
+    held = [key for key in held if crashes[key] not in explained_by_another]
     held += [key for key in requests if crashes[key] - explained]
     return frozenset(held)
 
@@ -97,7 +97,7 @@
 def _explained_sets(
     held: Set[frozenset[CrashId]],
 ) -> frozenset[frozenset[CrashId]]:
-    """Return the crashes that another held part all has, and enough more."""
+    """Return the sets of which another one has all crashes and enough more."""
     return frozenset(
         own
         for own in held
