--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -31,7 +31,7 @@
     JobSweep,
     JobWorker,
 )
-from aspenbridge.observability import log_decision
+from aspenbridge.observability import log_decision, watch_lateness
 from aspenbridge.quarantine import CRASHES_TABLE, Quarantine
 from aspenbridge.relay import OnlinePlacement, Relay
 from aspenbridge.resources import StackOwner
@@ -300,6 +300,7 @@
             self._sweep.run(),
             self.quarantine.run(),
             self._enable_claims(),
+            watch_lateness(self.ports.clock),
         ):
             self.start(coroutine)
         return self
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -47,6 +47,7 @@
 # Of the results of one page, as JSON encodes them; callers accept up to one
 # megabyte.
 MAX_PAGE_BYTES = 900_000
+MAX_LOGGED_AGE_S = 1e6  # of a copy that was never current
 
 
 class OwnedJobs(Protocol):
@@ -202,6 +203,16 @@
                 break
             await self._directory.wait_change(job_id, remaining_s)
         if first >= listed:
+            if listed < head.total:
+                log_decision(
+                    "no result yet",
+                    job=job_id,
+                    first=first,
+                    listed=listed,
+                    copy_age_ms=round(
+                        min(self._follower.age_s, MAX_LOGGED_AGE_S) * 1000
+                    ),
+                )
             return Success(ResultPage(head.total, first, ()))
         return await self._read_page(head, first, listed)
 
--- a/src/aspenbridge/observability/_metrics.py
+++ b/src/aspenbridge/observability/_metrics.py
@@ -80,6 +80,12 @@
     registry=REGISTRY,
     buckets=LATENCY_BUCKETS_S,
 )
+LOOP_LATENESS_S = Histogram(
+    "loop_lateness_seconds",
+    "How late the event loop wakes a task.",
+    registry=REGISTRY,
+    buckets=LATENCY_BUCKETS_S,
+)
 LINES_DROPPED = Counter(
     "log_lines_dropped",
     "Log lines dropped because of the rate limit or a full pipe.",
