A job accepted by a host that stops runs at once elsewhere

Callers whose batch job came to a host in the notice of its stop got 202, and no item ran until the process of that host was gone and its row counted as lost: up to 11 s.

Cause: a host releases its jobs once, right after SIGTERM, and takes jobs for 2.6 s more. It is the owner of these, runs no items any more, and goes on to renew its row, so that no other host claims them. The memory of "released" was a moment, not a state of the host.

Evidence: in memory, a job submitted 0.5 s or later after the release was not done at another host after 30 s, as long as the process lived.

Change: a stopping host releases every job that it owns, whenever it came, and tries again where the store did not take the write. Three of the four cases of the new test failed before.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -310,13 +310,16 @@
         Release batch jobs to other hosts and leave the table of hosts.
 
         Online requests go on. Ends after ``RELEASE_LIMIT_S``, whatever the
-        store does; other hosts then claim the jobs of a lost host.
+        store does. Jobs that this host accepts or fails to release until then
+        are released as soon as the store allows; those that are left when the
+        host ends are claimed by other hosts.
         """
         deadline_s = self.ports.clock.now_s() + RELEASE_LIMIT_S
         self._claims.enabled = False
+        self.start(self.worker.release_jobs())
         try:
             async with asyncio.timeout(RELEASE_LIMIT_S):
-                await self.worker.release_jobs(deadline_s)
+                await self.worker.released.wait()
                 await self._heartbeat.leave(deadline_s)
         except TimeoutError:
             logger.warning("jobs were not released in %.1f s", RELEASE_LIMIT_S)
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
@@ -44,6 +45,8 @@
 logger = logging.getLogger(__name__)
 DISPATCH_INTERVAL_S = 0.25  # nothing wakes the loop when a retry delay ends
 EXPIRY_SLACK_S = 3.0  # exceeds the clock skew between two hosts
+RELEASE_TRY_S = 1.0  # for one job; others wait for it
+RELEASE_RETRY_S = 0.3
 
 
 class JobWorker:
@@ -89,6 +92,8 @@
             incarnation, view, load_view, self._estimator, clock
         )
         self._stopping = False
+        self._job_added = asyncio.Event()
+        self.released = asyncio.Event()  # set once a stop has released all jobs
 
     def wake(self) -> None:
         """Make the run loop look at once for items to start or to stop."""
@@ -120,6 +125,7 @@
             return running
         job = OwnedJob(stored, items)
         self._jobs[stored.record.id] = job
+        self._job_added.set()
         self.wake()
         return job
 
@@ -189,15 +195,32 @@
         """Save the progress of unfinished items until cancelled."""
         await self._saver.run()
 
-    async def release_jobs(self, deadline_s: float) -> None:
-        """Stop all items; release jobs and their progress to other hosts."""
+    async def release_jobs(self) -> None:
+        """
+        Stop all items; release jobs and their progress until cancelled.
+
+        Also releases jobs that are accepted later, and those whose release
+        failed, again.
+        """
         self._stopping = True
         await self._running.stop_all()
         await self._lister.wait()
-        for job in list(self._jobs.values()):
-            released = await self._repository.release(job, deadline_s)
-            log_decision("job handed over", job=job.head.id, released=released)
-        self._jobs.clear()
+        while True:
+            self._job_added.clear()
+            for job in list(self._jobs.values()):
+                await self._release(job)
+            if not self._jobs:
+                self.released.set()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELEASE_RETRY_S if self._jobs else None):
+                    await self._job_added.wait()
+
+    async def _release(self, job: OwnedJob) -> None:
+        deadline_s = self._clock.now_s() + RELEASE_TRY_S
+        released = await self._repository.release(job, deadline_s)
+        log_decision("job handed over", job=job.head.id, released=released)
+        if released:
+            self._jobs.pop(job.head.id, None)
 
     def _dispatch_items(self) -> bool:
         """
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -485,6 +485,18 @@
     with_fleet(check)
 
 
+# Such a job had an owner that ran no items any more, until its process ended.
+@pytest.mark.parametrize("after_s", [0.0, 0.5, 1.5, 2.5])
+def test_job_accepted_by_a_host_that_stops_runs_at_once_elsewhere(after_s):
+    async def check(fleet):
+        await fleet.hosts["h0"].release_jobs()
+        await asyncio.sleep(after_s)
+        await submit(fleet, "h0", make_job(items=2))
+        await wait_done(fleet, "h1", "j1", 2, limit_s=3)
+
+    with_fleet(check)
+
+
 def test_ended_job_stops_and_keeps_its_listed_results():
     async def check(fleet):
         fleet.engines.event_s = 0.5
