The row of a host that left does not come back

A host that stops removed its row from the table of hosts right after SIGTERM and wrote it again with its next heartbeat, up to a second later. Its row then outlived it: for 3.2 s other hosts took it for live, waited for its turn to claim jobs and sent it their loads, and the row of a host that is gone for good stayed. While the row was away they forgot the load of requests that it still served.

Change: the row is removed after the last request, at the end of a drain, and renewals end with it. The new test fails before with the row back in the list.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -50,6 +50,7 @@
 
 logger = logging.getLogger(__name__)
 RELEASE_LIMIT_S = 3.0  # a part of the time limit of a shutdown
+LEAVE_LIMIT_S = 0.3  # within the margin between a drain and the process's end
 
 
 class EntryHost(StackOwner):
@@ -307,23 +308,35 @@
 
     async def release_jobs(self) -> None:
         """
-        Release batch jobs to other hosts and leave the table of hosts.
+        Release batch jobs to other hosts; online requests go on.
 
-        Online requests go on. Ends after ``RELEASE_LIMIT_S``, whatever the
+        Ends after ``RELEASE_LIMIT_S``, whatever the
         store does. Jobs that this host accepts or fails to release until then
         are released as soon as the store allows; those that are left when the
         host ends are claimed by other hosts.
         """
-        deadline_s = self.ports.clock.now_s() + RELEASE_LIMIT_S
         self._claims.enabled = False
         self.start(self.worker.release_jobs())
         try:
             async with asyncio.timeout(RELEASE_LIMIT_S):
                 await self.worker.released.wait()
-                await self._heartbeat.leave(deadline_s)
         except TimeoutError:
             logger.warning("jobs were not released in %.1f s", RELEASE_LIMIT_S)
 
+    async def leave(self) -> None:
+        """
+        Leave the table of hosts, so that others claim what is left here.
+
+        Comes after the last request, since the other hosts send their loads to
+        listed hosts only. Ends after ``LEAVE_LIMIT_S``.
+        """
+        deadline_s = self.ports.clock.now_s() + LEAVE_LIMIT_S
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                await self._heartbeat.leave(deadline_s)
+        except TimeoutError:
+            logger.warning("host row was not removed in %.1f s", LEAVE_LIMIT_S)
+
     async def _enable_claims(self) -> None:
         """
         Enable claims once the tables that they depend on have been read.
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
@@ -174,6 +175,8 @@
         self._record = record
         self._key = host_key(record.host)
         self._written_s = float("-inf")
+        self._writing = asyncio.Lock()
+        self._left = False
 
     @property
     def age_s(self) -> float:
@@ -181,24 +184,31 @@
         return self._clock.now_s() - self._written_s
 
     async def run(self) -> None:
-        """Renew the row until cancelled."""
+        """Renew the row until cancelled; not any more once this host left."""
         while True:
             due_s = self._clock.now_s() + HEARTBEAT_INTERVAL_S
-            self._record = attrs.evolve(self._record, beat=self._record.beat + 1)
-            written = await self._store.commit(
-                Changes().put(self._key, self._record), deadline_s=due_s
-            )
-            if isinstance(written, Failure):
-                logger.debug("heartbeat was not written: %s", written.failure())
-            else:
-                self._written_s = self._clock.now_s()
+            async with self._writing:
+                if not self._left:
+                    await self._renew(due_s)
             await self._clock.sleep_until(due_s)
 
-    async def leave(self, deadline_s: float) -> None:
-        """Remove the row, so that other hosts take over at once."""
-        removed = await self._store.commit(
-            Changes().delete(self._key), deadline_s=deadline_s
+    async def _renew(self, deadline_s: float) -> None:
+        self._record = attrs.evolve(self._record, beat=self._record.beat + 1)
+        written = await self._store.commit(
+            Changes().put(self._key, self._record), deadline_s=deadline_s
         )
+        if isinstance(written, Failure):
+            logger.debug("heartbeat was not written: %s", written.failure())
+        else:
+            self._written_s = self._clock.now_s()
+
+    async def leave(self, deadline_s: float) -> None:
+        """Remove the row for good, so that other hosts take over at once."""
+        self._left = True
+        async with self._writing:  # a renewal in progress would undo the removal
+            removed = await self._store.commit(
+                Changes().delete(self._key), deadline_s=deadline_s
+            )
         if isinstance(removed, Failure):
             logger.warning("host row was not removed: %s", removed.failure())
 
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -143,3 +143,4 @@
     await host.release_jobs()
     await notice_elapsed
     await ingress.drain(shutdown_deadline_s - clock.now_s())
+    await host.leave()
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -108,6 +108,19 @@
     with_fleet(check)
 
 
+def test_row_of_a_host_that_left_does_not_come_back():
+    async def check(fleet):
+        host = fleet.hosts["h0"]
+        await host.release_jobs()
+        await asyncio.sleep(0.99)  # a renewal is about to be written
+        await host.leave()
+        await asyncio.sleep(2.5)
+        listed = {record.host for record in fleet.hosts["h1"].hosts.listed()}
+        assert listed == {"h1", "h2"}
+
+    with_fleet(check)
+
+
 def test_pauses_of_removed_engines_are_dropped():
     async def check(fleet):
         host = fleet.hosts["h0"]
