A host asks the store before it says that a job has no result yet

Callers that had read a result at one host could get an empty page for its position at another one, for as long as that host's feed brought no news: a result that was accepted seemed to be lost.

Cause: pages are answered from the host's copy of the heads while the last reply of its feed is younger than 2.5 s. That a feed has answered doesn't show that nothing is missing: a feed may hear nothing while changes are made, a whole read is dated by its end, and a host that is late handles its news as late as all else. Class: a copy that is late taken for current.

Change: what the copy has is answered from it; that it has nothing is asked of the store, whose reads are linearizable, and a host that can't ask says so (503). A read costs one call more for each page without results; the lines tell whether the copy was late.

--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -202,17 +202,37 @@
             if first < listed or listed == head.total or remaining_s <= 0:
                 break
             await self._directory.wait_change(job_id, remaining_s)
+        if first < listed:
+            return await self._read_page(head, first, listed)
+        if listed == head.total:
+            return Success(ResultPage(head.total, first, ()))
+        return await self._read_unlisted(job_id, first, listed)
+
+    async def _read_unlisted(
+        self, job_id: str, first: int, copied: int
+    ) -> Result[ResultPage, Problem]:
+        """
+        Return results from a position on that this host's copy lacks.
+
+        The store tells, since callers may have read them at another host: a
+        feed may deliver nothing for seconds, and a host may handle it late.
+
+        :param copied: how many results the copy lists.
+        """
+        head_result = await self._read_head(job_id, current=True)
+        if isinstance(head_result, Failure):
+            return head_result
+        head = head_result.unwrap().record
+        listed = len(head.listed)
+        log_decision(
+            "no result yet" if first >= listed else "copy was late",
+            job=job_id,
+            first=first,
+            copied=copied,
+            listed=listed,
+            copy_age_ms=round(min(self._follower.age_s, MAX_LOGGED_AGE_S) * 1000),
+        )
         if first >= listed:
-            if listed < head.total:
-                log_decision(
-                    "no result yet",
-                    job=job_id,
-                    first=first,
-                    listed=listed,
-                    copy_age_ms=round(
-                        min(self._follower.age_s, MAX_LOGGED_AGE_S) * 1000
-                    ),
-                )
             return Success(ResultPage(head.total, first, ()))
         return await self._read_page(head, first, listed)
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -269,6 +269,32 @@
     with_fleet(check, hosts=5)
 
 
+@pytest.mark.parametrize("wait_s", [0.0, 1.0])
+def test_result_that_one_host_has_shown_is_found_at_a_host_whose_feed_is_silent(wait_s):
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.1)
+        fleet.store.feeds_stalled_until_s = fleet.clock.now_s() + 5.0
+        await wait_done(fleet, "h0", "j1", 3, limit_s=2)
+        service = fleet.hosts["h1"].job_service
+        page = (await service.results("j1", 2, wait_s)).unwrap()
+        assert len(page.results) == 1
+
+    with_fleet(check)
+
+
+def test_host_that_can_not_be_sure_does_not_say_that_there_is_no_result():
+    async def check(fleet):
+        fleet.engines.event_s = 1.0
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.1)
+        fleet.store.unreachable_for = {"h1"}
+        result = await fleet.hosts["h1"].job_service.results("j1", 0, 0.0)
+        assert result.failure().code is ResultCode.STORE_UNAVAILABLE
+
+    with_fleet(check)
+
+
 def test_unknown_job_is_not_reported_missing_while_the_store_is_unreachable():
     async def check(fleet):
         await submit(fleet, "h0", make_job())
