A copy is as old as the beginning of the read of its table

After a lost history a host reads a table part by part, and dated its copy by the end of the last read. Used for results of jobs, claims, admission counts and the verdicts on crashed engines.

The copy is dated by the beginning now. The new test fails before.

--- a/src/aspenbridge/fleet/_follower.py
+++ b/src/aspenbridge/fleet/_follower.py
@@ -121,6 +121,7 @@
 
     async def _read_whole(self) -> bool:
         rows: list[Row] = []
+        started_s = self._clock.now_s()  # rows read first lack later changes
         # The unnamed part is read first, so that its version, from which
         # changes are followed, is older than the list of parts.
         version = await self._read_part("", rows)
@@ -135,7 +136,7 @@
         self._mark_available()
         self._copy.replace(tuple(rows))
         self._version = version
-        self.confirmed_s = self._clock.now_s()
+        self.confirmed_s = started_s
         self.loaded.set()
         return True
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -7,6 +7,7 @@
 
 from aspenbridge.fleet import Follower
 from aspenbridge.ports import Check, Put, RowKey, Transaction
+from tests.support import entry_fleet
 from tests.support.entry_fleet import MemoryStore
 from tests.support.virtual_loop import run_virtual
 
@@ -107,3 +108,13 @@
         assert set(copy.values) == {"in-p1", "in-p2"}
 
     with_follower(check, all_parts=True)
+
+
+def test_copy_is_as_old_as_the_beginning_of_the_read_of_its_table(monkeypatch):
+    monkeypatch.setattr(entry_fleet, "STORE_DELAY_S", 0.5)
+
+    async def check(store, follower, copy):
+        await follower.loaded.wait()  # after a read of the rows and of the parts
+        assert follower.age_s == pytest.approx(1.0)
+
+    with_follower(check, all_parts=True)
