Fuzz: batch jobs beside stops, losses and hosts whose feeds come late

The rule LOST for batch jobs as an oracle: a job that was accepted is known and done, a result that was read comes again at every host in touch, positions hold what they held. Hosts stop one after the other, are lost, lose the store or its history, or handle their feeds 1.2 to 2.2 s late, which is no disturbance.

--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -66,6 +66,8 @@
         self.version = 0
         # Before this time change feeds report neither changes nor an error.
         self.feeds_stalled_until_s = 0.0
+        # How late hosts handle the replies of their feeds, by their names.
+        self.feed_delays_s: dict[str, float] = {}
         # Names of hosts whose calls fail; "*" stands for all hosts. The calls
         # fail after a timeout if ``calls_time_out`` is set, else at once.
         self.unreachable_for: set[str] = set()
@@ -229,9 +231,9 @@
             )
             remaining_s = until_s - asyncio.get_running_loop().time()
             if changes or remaining_s <= 0:
-                return Success(
-                    ChangePage(changes, after if stalled else self._store.version)
-                )
+                page = ChangePage(changes, after if stalled else self._store.version)
+                await asyncio.sleep(self._store.feed_delays_s.get(self._host, 0.0))
+                return Success(page)
             try:
                 async with asyncio.timeout(remaining_s):
                     await self._store.changed.wait()
