--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -269,6 +269,32 @@
     with_fleet(check, hosts=5)
 
 
+@pytest.mark.parametrize("wait_s", [0.0, 1.0])
+def test_result_that_one_host_has_shown_is_found_at_a_host_whose_feed_is_silent(wait_s):
+    async def check(fleet):
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.1)
+        fleet.store.feeds_stalled_until_s = fleet.clock.now_s() + 5.0
+        await wait_done(fleet, "h0", "j1", 3, limit_s=2)
+        service = fleet.hosts["h1"].job_service
+        page = (await service.results("j1", 2, wait_s)).unwrap()
+        assert len(page.results) == 1
+
+    with_fleet(check)
+
+
+def test_host_that_can_not_be_sure_does_not_say_that_there_is_no_result():
+    async def check(fleet):
+        fleet.engines.event_s = 1.0
+        await submit(fleet, "h0", make_job())
+        await asyncio.sleep(0.1)
+        fleet.store.unreachable_for = {"h1"}
+        result = await fleet.hosts["h1"].job_service.results("j1", 0, 0.0)
+        assert result.failure().code is ResultCode.STORE_UNAVAILABLE
+
+    with_fleet(check)
+
+
 def test_unknown_job_is_not_reported_missing_while_the_store_is_unreachable():
     async def check(fleet):
         await submit(fleet, "h0", make_job())
@@ -485,6 +511,18 @@
     with_fleet(check)
 
 
+# Such a job had an owner that ran no items any more, until its process ended.
+@pytest.mark.parametrize("after_s", [0.0, 0.5, 1.5, 2.5])
+def test_job_accepted_by_a_host_that_stops_runs_at_once_elsewhere(after_s):
+    async def check(fleet):
+        await fleet.hosts["h0"].release_jobs()
+        await asyncio.sleep(after_s)
+        await submit(fleet, "h0", make_job(items=2))
+        await wait_done(fleet, "h1", "j1", 2, limit_s=3)
+
+    with_fleet(check)
+
+
 def test_ended_job_stops_and_keeps_its_listed_results():
     async def check(fleet):
         fleet.engines.event_s = 0.5
