A target with an empty query reaches its engine unchanged

Callers of /a/x? had /a/x run: the query's mark was lost on the way, and an engine must get the path and query that the caller sent.

Cause: the target was parsed as part of a URL, which has no empty query. All of it is sent as the path now.

The test fails before for /a/x?.

--- a/src/aspenbridge/platform/_engine_calls.py
+++ b/src/aspenbridge/platform/_engine_calls.py
@@ -115,7 +115,10 @@
         timeout_s = answer_deadline_s - now_s
         if min(timeout_s, call.deadline_s - now_s) <= 0:
             raise AttemptError(CallOutcome.EXPIRED, "deadline passed before the send")
-        url = URL(f"http://{address}{call.target}", encoded=True)
+        # The target as one path, since a URL loses an empty query.
+        url = URL.build(
+            scheme="http", authority=address, path=call.target, encoded=True
+        )
         note = ConnectionNote()
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -72,7 +72,7 @@
     return b"".join(parts)
 
 
-async def call_engine(answer: str, **options):
+async def call_engine(answer: str, call: RelayedCall | None = None, **options):
     async with (
         engine(answer, **options) as (address, requests),
         open_engine_session() as session,
@@ -80,7 +80,7 @@
         clock = SystemClock()
         caller = HttpEngineCaller(session, clock)
         engine_response = await caller.open(
-            "i-1", address, make_call(), clock.now_s() + 5
+            "i-1", address, call or make_call(), clock.now_s() + 5
         )
         try:
             body = await read_whole(engine_response)
@@ -89,6 +89,13 @@
         return engine_response.head, body, requests
 
 
+@pytest.mark.parametrize("target", ["/a/x?", "/a/x??", "/a/x?y=%2f&z", "//b/c?d=a:b"])
+def test_target_reaches_the_engine_as_its_caller_wrote_it(target):
+    answer = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}Content-Length: 2\r\n\r\nok"
+    _, _, requests = run_on_loop(call_engine(answer, make_call(target=target)))
+    assert requests[0].startswith(f"POST {target} HTTP/1.1\r\n".encode())
+
+
 def test_request_reaches_the_engine_unchanged():
     answer = f"HTTP/1.1 200 OK\r\n{OWN_HEADERS}Content-Length: 2\r\n\r\nok"
     head, body, requests = run_on_loop(call_engine(answer))
