A stop counts from its signal, not from when the loop handled it

Callers saw: in a stop beside a store that does not answer, a request that came 2.8 s after SIGTERM was passed on (200); one that outlasted the rest of the time was cut.

Cause: the drain began after the release of the jobs (3 s at most, counted from when the loop had handled the signal), and the time limit of the shutdown counted from the same late moment. A flag set by the drain's task decided what was refused, so that a late loop added its lateness once more.

Change: the interpreter notes when the signal arrives; notice and time limit are deadlines from there. The clock decides whether a request is taken. The release goes on beside the notice.

Evidence: tests/platform/test_late_stops.py. On the sources before, all its tests fail: the request at 2.8 s gets 200 from a real process, and a shutdown asked for 6.5 s earlier takes 4.9 s more instead of ending within 1.5 s. With a loop blocked for 0.5 s the signal is noted within 0.1 s.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
@@ -70,7 +71,9 @@
         self._metrics_address = metrics
         self._caller_listeners: list[asyncio.Server] = []
         self._running_requests: set[asyncio.Timeout] = set()
-        self._draining = False
+        # When this host refuses all requests that it has not passed on. The
+        # clock decides, since the task that begins a drain may run late.
+        self.refuse_from_s = math.inf
         self._caller_server = CallerServer(
             self._handle,
             handler_cancellation=True,
@@ -111,8 +114,9 @@
         :param timeout_s: how long to wait for requests to end, in seconds.
         :return: whether all requests ended in time.
         """
-        deadline_s = self._host.ports.clock.now_s() + timeout_s
-        self._draining = True
+        now_s = self._host.ports.clock.now_s()
+        deadline_s = now_s + timeout_s
+        self.refuse_from_s = min(self.refuse_from_s, now_s)
         for listener in self._caller_listeners:
             listener.close()
         complete = await self._close_connections(deadline_s - LAST_RESPONSES_S)
@@ -140,6 +144,10 @@
             await asyncio.sleep(min(remaining_s, CLOSE_INTERVAL_S))
         return True
 
+    @property
+    def _refuses_new(self) -> bool:
+        return self._host.ports.clock.now_s() >= self.refuse_from_s
+
     @property
     def running_requests(self) -> int:
         """The number of requests that are being served now."""
@@ -217,7 +225,7 @@
         received_s: float,
         writer: HttpResponseWriter,
     ) -> web.StreamResponse:
-        if self._draining or connection_of(request).close_announced:
+        if self._refuses_new or connection_of(request).close_announced:
             return self._refuse_stopping(request)
         # Read after the body, since a slow body may outlast a configuration.
         configuration = self._host.configuration.current
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -21,6 +21,7 @@
 from ._ingress import Ingress
 from ._reload import SettingsWatcher, read_file_version
 from ._settings import load_entry_settings, settings_path
+from ._stop_signal import STOP_SIGNALS, StopSignal
 from ._store import StoreClient
 
 if TYPE_CHECKING:
@@ -45,15 +46,10 @@
     :return: the exit code of the process; not 0 when a task has failed.
     :raises SettingsError: when the settings are missing or invalid.
     """
-    stopping, reloading = asyncio.Event(), asyncio.Event()
+    stop_signal, reloading = StopSignal(SystemClock()), asyncio.Event()
+    stop_signal.watch()
     loop = asyncio.get_running_loop()
-    events = {
-        signal.SIGTERM: stopping,
-        signal.SIGINT: stopping,
-        signal.SIGHUP: reloading,
-    }
-    for number, event in events.items():
-        loop.add_signal_handler(number, event.set)
+    loop.add_signal_handler(signal.SIGHUP, reloading.set)
     path = settings_path()
     # Taken before the settings, so that no change after them is missed.
     file_version = read_file_version(path)
@@ -71,10 +67,10 @@
         host.start(watcher.run())
         tune_garbage_collector()
         logger.info("host %s listens on %s", settings.host, settings.callers)
-        await _wait_for_stop(stopping, host)
+        await _wait_for_stop(stop_signal.arrived, host)
         logger.info("host %s stops", settings.host)
-        await _shut_down(host, ingress, settings)
-    for number in events:
+        await _shut_down(host, ingress, settings, stop_signal.arrived_s)
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
         # A signal between the end of the loop and of the process would
         # otherwise make a clean stop look like a crash.
         loop.remove_signal_handler(number)
@@ -125,22 +121,25 @@
 
 
 async def _shut_down(
-    host: EntryHost, ingress: Ingress, settings: EntrySettings
+    host: EntryHost, ingress: Ingress, settings: EntrySettings, asked_s: float | None
 ) -> None:
     """
     Shut down after the running requests have ended, if they do so in time.
 
-    First the host reports that it is not ready, releases its jobs and serves
-    what still arrives. Then it refuses requests, so that each one that it has
-    accepted has most of the shutdown's time limit.
+    First the host reports that it is not ready and serves what still arrives.
+    Then it refuses requests, so that each one that it has accepted has most of
+    the shutdown's time limit. Its jobs are released meanwhile, however long
+    the store takes.
+
+    :param asked_s: when the platform asked for it; None for now.
     """
     clock = host.ports.clock
-    shutdown_deadline_s = clock.now_s() + settings.bounds.shutdown_s - EXIT_MARGIN_S
     host.leaving = True
-    notice_elapsed = asyncio.create_task(
-        clock.sleep_until(clock.now_s() + READINESS_NOTICE_S)
-    )
-    await host.release_jobs()
-    await notice_elapsed
+    begun_s = clock.now_s() if asked_s is None else asked_s
+    shutdown_deadline_s = begun_s + settings.bounds.shutdown_s - EXIT_MARGIN_S
+    ingress.refuse_from_s = begun_s + READINESS_NOTICE_S
+    releasing = asyncio.create_task(host.release_jobs())
+    await clock.sleep_until(ingress.refuse_from_s)
     await ingress.drain(shutdown_deadline_s - clock.now_s())
+    await releasing
     await host.leave()
