A drain reads what waits in the system before it closes

Callers saw: a request sent on an idle kept connection, or on a new one, just before a drain began got a closed connection.

Cause: the loop runs timers before it reads sockets. When it is late, the drain's task closes listener and idle connections while what came meanwhile is still unread.

Change: the loop looks at its sockets between the timer and each close.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -53,6 +53,8 @@
 # so that their callers get an error instead of a closed connection.
 LAST_RESPONSES_S = 0.2
 CLOSE_INTERVAL_S = 0.05  # how often a drain looks for idle connections
+# Passes of the loop in which a connection is accepted, and then read.
+SOCKET_PASSES = 4
 RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no time budget
 
@@ -117,6 +119,9 @@
         now_s = self._host.ports.clock.now_s()
         deadline_s = now_s + timeout_s
         self.refuse_from_s = min(self.refuse_from_s, now_s)
+        # Connections and requests that came while the loop was late are read
+        # before their listener or connection is closed.
+        await _look_at_sockets()
         for listener in self._caller_listeners:
             listener.close()
         complete = await self._close_connections(deadline_s - LAST_RESPONSES_S)
@@ -142,6 +147,7 @@
             if remaining_s <= 0:
                 return False
             await asyncio.sleep(min(remaining_s, CLOSE_INTERVAL_S))
+            await _look_at_sockets()
         return True
 
     @property
@@ -260,6 +266,12 @@
     return web.Response(body=metrics_text(), content_type="text/plain")
 
 
+async def _look_at_sockets() -> None:
+    """Have the loop accept and read what waits, which it does after timers."""
+    for _ in range(SOCKET_PASSES):
+        await asyncio.sleep(0)
+
+
 def _close_connections(server: web.Server) -> None:
     """Close all connections; a request read now would get no response."""
     for connection in server.connections:
--- a/tests/platform/test_late_stops.py
+++ b/tests/platform/test_late_stops.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import time
 
 import aiohttp
@@ -104,6 +105,29 @@
     with_host(check)
 
 
+@pytest.mark.parametrize("accepted", [False, True])
+def test_request_that_a_late_loop_has_not_read_when_a_drain_begins_is_refused(accepted):
+    """Guards against a request that waits in the system and is cut."""
+
+    async def check(host):
+        host.host.leaving = True
+        request_id = host.add_script([sound()])
+        with socket.socket() as sock:
+            # The loop does not run between these calls and the drain.
+            sock.connect((host.callers.ip, host.callers.port))
+            if accepted:
+                await asyncio.sleep(0.1)
+            sock.send(whole_request("once", request_id))
+            sock.setblocking(False)
+            assert await host.ingress.drain(1.0)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            assert is_refusal(await read_response(reader))
+            writer.close()
+        assert sends(host, request_id) == 0
+
+    with_host(check)
+
+
 async def submit_job(callers) -> int:
     """Submit a job with one item; return the status."""
     item = {"id": "i1", "path": "/batch/i1", "headers": {}, "tokens": 10}
