A host that stops refuses at once what nobody else has

Callers saw: a request that waited in a stopping host, and that no engine had got, was held to the end of the time limit and told 502, outcome unknown. A request that an engine turned away, or whose trial was claimed, during the drain was passed on then, and might be cut at the end, also one that may run once.

Cause: a drain ended what still ran without knowing what had been passed on, and only at its end; nothing kept a request that it still had from being sent late.

Change: Custody knows who has a request. It is asked before a request goes to an engine and before the head of a job is written or ended. A drain ends at its beginning what was not passed on (503, to be sent again elsewhere at once) and at its end the rest (502). What a host reads after the notice is refused before its body is read, and a response that ends a connection no longer drops the rest of a body.

--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -13,7 +13,7 @@
 from aspenbridge.fleet import FRESH_LIMIT_S
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import Conflict, Unavailable
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Problem, ResultCode, stopping_problem
 from aspenbridge.store import Changes, Stored, readable_record
 
 from ._admission import ACCEPT_LIMIT_S, JobTokens, NotAccepted
@@ -50,6 +50,10 @@
 MAX_LOGGED_AGE_S = 1e6  # of a copy that was never current
 
 
+def _always() -> bool:
+    return True
+
+
 class OwnedJobs(Protocol):
     """The batch jobs that this host owns."""
 
@@ -92,7 +96,10 @@
         self._configuration_version = configuration_version
 
     async def submit(
-        self, submission: JobSubmission, route: Route
+        self,
+        submission: JobSubmission,
+        route: Route,
+        may_write: Callable[[], bool] = _always,
     ) -> Result[None, Problem]:
         """
         Accept a job; a repeated submission succeeds and has no effect.
@@ -100,6 +107,9 @@
         Items are stored before the head, so every head has its items. So is
         room on the route reserved, if the tokens that may wait there are
         limited; a job that does not fit is refused before that.
+
+        :param may_write: asked before the head is written; without a head the
+            job does not exist.
         """
         if self._directory.get(submission.id) is not None:
             return Success(None)
@@ -126,6 +136,8 @@
             # Without a head the object has no effect, even if it was written.
             not_applied = Unavailable(reason, maybe_applied=False)
             return self._not_accepted(submission.id, not_applied)
+        if not may_write():
+            return Failure(stopping_problem())
         head = self._new_head(submission, route)
         accepted = await self._write_head(head, deadline_s)
         if isinstance(accepted, Failure):
@@ -253,14 +265,22 @@
         detail = f"batch job {job_id!r} has no item {item_id!r}"
         return Failure(Problem(ResultCode.NOT_FOUND, detail))
 
-    async def end(self, job_id: str) -> Result[None, Problem]:
-        """End a job: its listed results stay, its other items are not run."""
+    async def end(
+        self, job_id: str, may_write: Callable[[], bool] = _always
+    ) -> Result[None, Problem]:
+        """
+        End a job: its listed results stay, its other items are not run.
+
+        :param may_write: asked before the head is written.
+        """
         head_result = await self._read_head(job_id, current=True)
         deadline_s = self._clock.now_s() + END_LIMIT_S
         while not isinstance(head_result, Failure):
             stored = head_result.unwrap()
             if stored.record.state is not JobState.OPEN:
                 return Success(None)
+            if not may_write():
+                return Failure(stopping_problem())
             ended = attrs.evolve(stored.record, state=JobState.ENDED)
             committed = await self._store.commit(
                 Changes().unchanged(stored).put(stored.key, ended),
--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -128,7 +128,9 @@
         finished = await super().finish_response(request, resp, start_time)
         if resp.headers.get(CONNECTION) == CLOSE:
             self.close_announced = True
-            if not self._messages:
+            # The rest of a body is read first: to close before it has come
+            # would reset the connection and lose the response.
+            if not self._messages and request.content.is_eof():
                 self.close()
         self._finished_responses += 1
         if self._departure_watch is not None and self._all_answered:
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -7,13 +7,14 @@
 import math
 from typing import TYPE_CHECKING, Self
 
+import attrs
 from aiohttp import web
 
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import log_decision, metrics_text
-from aspenbridge.relay import CallerRequest
+from aspenbridge.relay import CallerRequest, Custody
 from aspenbridge.resources import StackOwner
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Problem, ResultCode, stopping_problem
 
 from . import _names as names
 from ._caller_connections import (
@@ -55,10 +56,24 @@
 CLOSE_INTERVAL_S = 0.05  # how often a drain looks for idle connections
 # Passes of the loop in which a connection is accepted, and then read.
 SOCKET_PASSES = 4
-RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no time budget
 
 
+@attrs.define(eq=False)
+class RunningCall:
+    """A caller's request that this host handles."""
+
+    request_id: str
+    custody: Custody
+    limit: asyncio.Timeout = attrs.field(factory=lambda: asyncio.timeout(None))
+
+    def give_up(self) -> None:
+        """End the handling of the request, which happens a moment later."""
+        if not self.custody.given_up:
+            self.custody.give_up()
+            self.limit.reschedule(asyncio.get_running_loop().time())
+
+
 class Ingress(StackOwner):
     """Serves callers, readiness probes and metrics on separate addresses."""
 
@@ -72,7 +87,7 @@
         self._readiness_address = readiness
         self._metrics_address = metrics
         self._caller_listeners: list[asyncio.Server] = []
-        self._running_requests: set[asyncio.Timeout] = set()
+        self._running_calls: set[RunningCall] = set()
         # When this host refuses all requests that it has not passed on. The
         # clock decides, since the task that begins a drain may run late.
         self.refuse_from_s = math.inf
@@ -110,8 +125,9 @@
         Wait until the accepted requests have ended and refuse all others.
 
         Each connection is closed once its requests are answered. Requests that
-        still run ``LAST_RESPONSES_S`` before the timeout are given up; their
-        callers get an error if their response has not begun.
+        nobody else has are refused at once, as not run. Those that still run
+        ``LAST_RESPONSES_S`` before the timeout are given up; their callers get
+        an error if their response has not begun.
 
         :param timeout_s: how long to wait for requests to end, in seconds.
         :return: whether all requests ended in time.
@@ -124,12 +140,14 @@
         await _look_at_sockets()
         for listener in self._caller_listeners:
             listener.close()
+        for call in self._running_calls:
+            if not call.custody.passed_on:
+                call.give_up()
         complete = await self._close_connections(deadline_s - LAST_RESPONSES_S)
         if not complete:
             logger.warning("giving up %d running requests", self.running_requests)
-            now_s = asyncio.get_running_loop().time()
-            for limit in self._running_requests:
-                limit.reschedule(now_s)
+            for call in self._running_calls:
+                call.give_up()
             await self._close_connections(deadline_s)
         return complete
 
@@ -157,16 +175,19 @@
     @property
     def running_requests(self) -> int:
         """The number of requests that are being served now."""
-        return len(self._running_requests)
+        return len(self._running_calls)
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._host.ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        limit = asyncio.timeout(None)
-        self._running_requests.add(limit)
+        call = RunningCall(
+            request.headers.get(names.REQUEST_ID, ""),
+            Custody(lambda: self._refuses_new),
+        )
+        self._running_calls.add(call)
         try:
-            response = await self._serve_until(limit, request)
+            response = await self._serve_until(call, request)
             if self._host.leaving and not response.prepared:
                 connection_of(request).announce_close(response)
             return response
@@ -181,21 +202,24 @@
             )
             raise
         finally:
-            self._running_requests.discard(limit)
+            self._running_calls.discard(call)
 
     async def _serve_until(
-        self, limit: asyncio.Timeout, request: web.BaseRequest
+        self, call: RunningCall, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Serve a request unless a drain gives it up before it has ended."""
         waited_s = connection_of(request).take_age_s()
         received_s = self._host.ports.clock.now_s() - waited_s
         writer = HttpResponseWriter(request, self._host)
-        body = None
         try:
-            async with limit:
+            async with call.limit:
+                if self._refuses_new:
+                    return refuse_call(request, stopping_problem())
                 send_continue(request)
                 body = await read_body(request, self._idle_limit_s())
-                return await self._serve(request, body, received_s, writer)
+                return await self._serve(
+                    request, body, received_s, writer, call.custody
+                )
         except BodyStalledError as error:
             response = refuse_call(
                 request, Problem(ResultCode.BODY_TOO_SLOW, str(error))
@@ -206,10 +230,10 @@
             problem = Problem(ResultCode.INVALID_PARAMETER, str(error))
             return refuse_call(request, problem)
         except TimeoutError:
-            if not limit.expired():
+            if not call.limit.expired():
                 raise
-        if body is None:
-            return self._refuse_stopping(request)
+        if not call.custody.passed_on:
+            return refuse_call(request, stopping_problem())
         if writer.response is not None:
             writer.abort()
             return writer.response
@@ -230,9 +254,10 @@
         body: bytes,
         received_s: float,
         writer: HttpResponseWriter,
+        custody: Custody,
     ) -> web.StreamResponse:
         if self._refuses_new or connection_of(request).close_announced:
-            return self._refuse_stopping(request)
+            return refuse_call(request, stopping_problem())
         # Read after the body, since a slow body may outlast a configuration.
         configuration = self._host.configuration.current
         if configuration is None:
@@ -246,21 +271,14 @@
                 f"body has {len(body)} bytes, limit {configuration.limits.body_bytes}"
             )
             return refuse_call(request, Problem(ResultCode.TOO_LARGE, detail))
-        job_call = self._job_endpoints.dispatch(request, configuration, body)
+        job_call = self._job_endpoints.dispatch(request, configuration, body, custody)
         if job_call is not None:
             return await job_call
         caller_request = _caller_request(request, body, received_s)
-        await self._host.relay.serve(caller_request, configuration, writer)
+        await self._host.relay.serve(caller_request, configuration, writer, custody)
         assert writer.response is not None
         return writer.response
 
-    def _refuse_stopping(self, request: web.BaseRequest) -> web.Response:
-        detail = "this host is stopping"
-        return refuse_call(
-            request,
-            Problem(ResultCode.SHUTTING_DOWN, detail, retry_after_s=RETRY_ELSEWHERE_S),
-        )
-
 
 async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=metrics_text(), content_type="text/plain")
--- a/src/aspenbridge/platform/_job_endpoints.py
+++ b/src/aspenbridge/platform/_job_endpoints.py
@@ -25,6 +25,7 @@
 
     from aspenbridge.fleet import Configuration, Route
     from aspenbridge.jobs import JobService
+    from aspenbridge.relay import Custody
 
 MAX_WAIT_S = 5.0  # bounds the wait for results that a caller asks for
 JSON_CONTENT_TYPE = "application/json"
@@ -37,7 +38,11 @@
         self._job_service = job_service
 
     def dispatch(
-        self, request: web.BaseRequest, configuration: Configuration, body: bytes
+        self,
+        request: web.BaseRequest,
+        configuration: Configuration,
+        body: bytes,
+        custody: Custody,
     ) -> Awaitable[web.StreamResponse] | None:
         """
         Return the handling of a request about a batch job, to be awaited.
@@ -46,6 +51,7 @@
         and item bodies have fixed path prefixes; a configured route that
         matches the path takes precedence over them.
 
+        :param custody: asked before the store gets a change.
         :return: None when the request is not about a batch job, or has another
             method than POST on a batch route.
         :raises ParameterError: when the path holds no id of a batch job, or
@@ -56,14 +62,14 @@
         route = configuration.route_for(host, path)
         if route is not None and route.kind is CallKind.BATCH:
             if request.method == "POST":
-                return self._submit_job(request, host, route, body)
+                return self._submit_job(request, host, route, body, custody)
             return None
         if route is not None:
             return None
         if path.startswith(names.RESULTS_PATH):
             job_id = job_id_of(path.removeprefix(names.RESULTS_PATH))
             if request.method == "DELETE":
-                return self._end_job(request, job_id)
+                return self._end_job(request, job_id, custody)
             return self._read_results(request, job_id)
         if path.startswith(names.ITEM_BODIES_PATH):
             job_id = job_id_of(path.removeprefix(names.ITEM_BODIES_PATH))
@@ -76,6 +82,7 @@
         host: str,
         route: Route,
         body: bytes,
+        custody: Custody,
     ) -> web.StreamResponse:
         job_id = check_job_id(
             names.REQUEST_ID, request.headers.get(names.REQUEST_ID, "")
@@ -85,7 +92,7 @@
         except MessageError as error:
             problem = Problem(ResultCode.MALFORMED_BODY, str(error))
             return refuse_call(request, problem)
-        result = await self._job_service.submit(submission, route)
+        result = await self._job_service.submit(submission, route, custody.pass_on)
         return response_from_result(request, result, lambda _: web.Response(status=202))
 
     async def _read_results(
@@ -116,7 +123,7 @@
         )
 
     async def _end_job(
-        self, request: web.BaseRequest, job_id: str
+        self, request: web.BaseRequest, job_id: str, custody: Custody
     ) -> web.StreamResponse:
-        result = await self._job_service.end(job_id)
+        result = await self._job_service.end(job_id, custody.pass_on)
         return response_from_result(request, result, lambda _: web.Response(status=200))
--- a/src/aspenbridge/relay/__init__.py
+++ b/src/aspenbridge/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._custody import Custody
 from ._events import EventError, EventSplitter, StreamEvent
 from ._placement import OnlinePlacement
 from ._reading import EmptyAnswerError, read_chunks, read_events
@@ -10,6 +11,7 @@
 
 __all__ = [
     "CallerRequest",
+    "Custody",
     "EmptyAnswerError",
     "EventError",
     "EventSplitter",
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -14,10 +14,11 @@
     RelayedCall,
 )
 from aspenbridge.quarantine import is_part, request_fingerprint, run_subjects
-from aspenbridge.result_codes import Problem, ResultCode
+from aspenbridge.result_codes import Problem, ResultCode, stopping_problem
 
 from ._attempt import Attempt, HandedOverError
 from ._attempts import Attempts
+from ._custody import Custody
 from ._events import EventSplitter
 from ._failover import (
     MIN_ATTEMPT_S,
@@ -81,8 +82,13 @@
         request: CallerRequest,
         configuration: Configuration,
         writer: ResponseWriter,
+        custody: Custody | None = None,
     ) -> None:
-        """Write the answer to a request, or a refusal, with ``writer``."""
+        """
+        Write the answer to a request, or a refusal, with ``writer``.
+
+        :param custody: asked before the request is sent to an engine.
+        """
         host = virtual_host(request.host)
         route = configuration.route_for(host, request.path)
         if route is None or route.kind is CallKind.BATCH:
@@ -110,6 +116,7 @@
                 request.prompt_parts,
             ),
             prompt_parts=request.prompt_parts,
+            custody=custody or Custody(),
         )
         outcome = "cancelled"
         try:
@@ -138,6 +145,8 @@
                 return attempt
             if await self._answer(progress, attempt):
                 return "answered"
+            if not (progress.may_have_run or progress.begun):
+                progress.custody.take_back()
             if not self._may_retry(progress):
                 return await self._fail(progress, Refused(RETRY_AFTER_S))
             if progress.lost_connections >= QUICK_LOSSES:
@@ -192,6 +201,9 @@
             return await self._fail(progress, placed)
         if not await self._quarantine.begin_run(progress.subjects):
             return await self._fail_quarantined(progress)
+        if not progress.custody.pass_on():
+            self._quarantine.record_not_run(progress.subjects, reached=False)
+            return await self._fail(progress, Refused(0.0), stopping_problem())
         return self._attempts.start(progress, placed)
 
     async def _await_place(self, progress: Progress) -> EngineEntry | Refused:
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ._custody import Custody
+
 if TYPE_CHECKING:
     from aspenbridge.fleet import Refused, Route
     from aspenbridge.ports import AnswerHead, Headers, RelayedCall
@@ -73,6 +75,7 @@
     events: EventSplitter
     received_s: float
     subjects: RunSubjects  # what a crash of its engine may be blamed on
+    custody: Custody = attrs.field(factory=Custody)
     prompt_parts: tuple[str, ...] = ()  # as in ``CallerRequest``
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
--- a/src/aspenbridge/result_codes/__init__.py
+++ b/src/aspenbridge/result_codes/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._codes import CodeInfo, Execution, ResultCode, code_table
-from ._problem import Problem, ProblemError
+from ._problem import Problem, ProblemError, stopping_problem
 from ._reference import codes_page
 
 __all__ = [
@@ -14,4 +14,5 @@
     "ResultCode",
     "code_table",
     "codes_page",
+    "stopping_problem",
 ]
--- a/src/aspenbridge/result_codes/_problem.py
+++ b/src/aspenbridge/result_codes/_problem.py
@@ -6,6 +6,8 @@
 
 from ._codes import Execution, ResultCode, code_table
 
+RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
+
 
 @attrs.frozen
 class Problem:
@@ -40,3 +42,12 @@
     def __init__(self, problem: Problem) -> None:
         super().__init__(f"{problem.code.name} ({problem.code}): {problem.detail}")
         self.problem = problem
+
+
+def stopping_problem() -> Problem:
+    """Return the refusal of a host that stops."""
+    return Problem(
+        ResultCode.SHUTTING_DOWN,
+        "this host is stopping",
+        retry_after_s=RETRY_ELSEWHERE_S,
+    )
--- a/tests/platform/test_late_stops.py
+++ b/tests/platform/test_late_stops.py
@@ -28,9 +28,11 @@
 )
 from tests.support.platform_standins import configuration
 from tests.support.raw_callers import (
+    BODY,
     call_plainly,
     connection,
     read_response,
+    request_head,
     whole_request,
 )
 
@@ -177,3 +179,44 @@
     late, engine_sends = run_on_loop(check())
     assert is_refusal(late) or (late.status == 0 and not late.body)
     assert "late" not in engine_sends
+
+
+def test_callers_that_wait_in_a_stopping_process_are_told_so_after_the_notice(tmp_path):
+    """Guards against calls that are held to the end and told 502."""
+
+    def fill_store(store):
+        store.write("op", "config", configuration(4, [ROUTE, BATCH_ROUTE]))
+
+    async def answer_of(callers, data, stopped_s):
+        async with connection(callers) as (reader, writer):
+            writer.write(data)
+            return await read_response(reader), time.monotonic() - stopped_s
+
+    async def check():
+        async with (
+            host_process(tmp_path, SilentEngine(), fill_store) as (process, ports, _),
+            aiohttp.ClientSession() as session,
+        ):
+            await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
+            reading = asyncio.create_task(process.stdout.read())
+            callers = _serve.Address(HOST_IP, ports[0])
+            assert await submit_job(callers) == 202
+            process.send_signal(signal.SIGTERM)
+            stopped_s = time.monotonic()
+            await asyncio.sleep(2.4)
+            results = (
+                b"GET /lots/j1?after=0 HTTP/1.1\r\nHost: a.example\r\n"
+                b"X-Aspenbridge-Wait-Ms: 5000\r\n\r\n"
+            )
+            body = request_head("a", "r1", f"Content-Length: {len(BODY)}") + BODY[:3]
+            answers = await asyncio.gather(
+                answer_of(callers, results, stopped_s),
+                answer_of(callers, body, stopped_s),
+            )
+            assert await process.wait() == 0
+            await reading
+            return answers
+
+    for reply, after_s in run_on_loop(check()):
+        assert is_refusal(reply)
+        assert after_s < LATE_S + BLOCK_S
