Callers that send no request hold bounded bytes together

64 callers that each sent a request line, a field name, a field value, field lines or trailers without end had a host hold 540 to 1,350 MB within seconds; a host on the smallest machine may have 128 MB. Beside a chunk size without end, other requests got no head of an answer in 2 s.

Cause: all bytes that had arrived together, up to 256 KiB, were parsed at once, and bytes behind an error were parsed again and raised the next one. That the tracebacks of these errors keep the bytes until the garbage collector finds them is taken from the like fault of clients' connections, not traced here. Line ends, chunk extensions and trailers had no bound.

Change: callers' connections parse 16 KiB at a time, read nothing behind bytes that are no request, and close when a head or framing has more than 64 KiB and twice the payload.

--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import HttpVersion11, web
+from aiohttp.http import RawRequestMessage
+
+from aspenbridge.observability import log_decision
 
 from ._departures import DepartureWatch
 
@@ -18,6 +21,14 @@
 # The server's own limit lies above any that an operator configures, by a
 # factor of four.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# What a caller may send besides the payload of one request: its head and the
+# framing of its chunks. Framing may take twice the payload, since a chunk may
+# hold a few bytes only.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_SHARE = 2
+# Of the bytes that arrive together, so many are parsed before the limits are
+# checked again.
+PARSED_BYTES = 16 * 1024
 
 
 class BodyStalledError(Exception):
@@ -30,6 +41,10 @@
 
     aiohttp's own one drops the requests behind a response after which it
     closes, and all requests of a caller that ends its side of the connection.
+
+    A caller that sends bytes without end that are neither a head nor payload
+    gets its connection closed. What follows bytes that are no request is not
+    read.
     """
 
     __slots__ = (
@@ -37,6 +52,8 @@
         "_departure_watch",
         "_finished_responses",
         "_last_request",
+        "_overhead_bytes",
+        "_payload_bytes",
         "close_announced",
     )
 
@@ -49,17 +66,69 @@
         self._finished_responses = 0
         # The head that was read last, and the body behind it.
         self._last_request: tuple[object, StreamReader] | None = None
+        # What has come since the last head, besides and in its body.
+        self._overhead_bytes = 0
+        self._payload_bytes = 0
         # Set once the caller has ended its side of the connection.
         self._departure_watch: DepartureWatch | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Read data; note when each head of a request is complete."""
+        """Parse received bytes; without any, go on with those held back."""
+        start = 0
+        while True:
+            if self._invalid or self.transport is None:
+                break
+            # What comes while reading is paused is held back in one piece.
+            end = len(data) if self._held_back else start + PARSED_BYTES
+            self._parse(data[start:end])
+            start = end
+            if start >= len(data):
+                break
+        # The traceback of a parser's error would keep it until the garbage
+        # collector finds the error.
+        del data
+
+    @property
+    def _held_back(self) -> bool:
+        return self._reading_paused or self._buffer_paused
+
+    @property
+    def _invalid(self) -> bool:
+        """Whether bytes have come that are no request."""
+        request = self._last_request
+        return request is not None and not isinstance(request[0], RawRequestMessage)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; note when each head of a request is complete."""
         known = self._request_count
         super().data_received(data)
         arrived = self._request_count - known
         self._arrivals_s.extend([self._loop.time()] * arrived)
         if arrived and self._messages:
             self._last_request = self._messages[-1]
+            self._overhead_bytes = self._payload_bytes = 0
+        else:
+            self._overhead_bytes += len(data)
+        if not self._held_back:  # else some bytes are not parsed yet
+            self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        """Close the connection if too little of what has come is payload."""
+        if self._last_request is not None:
+            body = self._last_request[1]
+            new_payload_bytes = body.total_bytes - self._payload_bytes
+            self._payload_bytes += new_payload_bytes
+            self._overhead_bytes = max(0, self._overhead_bytes - new_payload_bytes)
+            limit_bytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * self._payload_bytes
+        else:
+            limit_bytes = MAX_OVERHEAD_BYTES
+        if self._overhead_bytes > limit_bytes:
+            log_decision(
+                "caller sent no request",
+                overhead_bytes=self._overhead_bytes,
+                payload_bytes=self._payload_bytes,
+            )
+            self.force_close()
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """
