The bodies of many callers together fit into a host's memory

64 callers that each sent a body without end had a host hold 1.2 GB within 2.5 s, where a host on the smallest machine may have 128 MB; every request of others on it would end with the process.

Cause: each body had a bound of its own, 16 MiB whatever the operator configures, and nothing bounded their sum; the configured limit was looked at only after the whole body had come.

Change: a body is read up to the configured limit, and all bodies share a budget of 24 MiB (aspenbridge.limits.MemoryBudget). No body may exceed what is left, so that small ones find room beside large ones, and one alone gets half. A request whose body doesn't fit has reached no engine and gets 503 ("not run", come back elsewhere at once).

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -31,6 +31,7 @@
     JobSweep,
     JobWorker,
 )
+from aspenbridge.limits import MemoryBudget
 from aspenbridge.observability import log_decision, watch_lateness
 from aspenbridge.quarantine import CRASHES_TABLE, Quarantine
 from aspenbridge.relay import OnlinePlacement, Relay
@@ -76,6 +77,7 @@
         )
         engine_directory = self._engine_directory = EngineDirectory(clock)
         self._engine_copy = EngineCopy(engine_directory, ports.tables.decode_engine)
+        self.body_memory = MemoryBudget()
         self.load_view = LoadView(clock)
         health = self._health = EngineHealth(clock)
         self.view = EngineView(
--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -10,12 +10,15 @@
 from aiohttp.http import RawRequestMessage
 
 from aspenbridge.observability import log_decision
+from aspenbridge.result_codes import Problem, ResultCode
 
 from ._departures import DepartureWatch
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
 
+    from aspenbridge.limits import HeldMemory
+
 CONNECTION = "Connection"
 CLOSE = "close"
 # The server's own limit lies above any that an operator configures, by a
@@ -29,10 +32,19 @@
 # Of the bytes that arrive together, so many are parsed before the limits are
 # checked again.
 PARSED_BYTES = 16 * 1024
+RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
+
+
+class BodyError(Exception):
+    """
+    The body of a request is not read to its end.
 
+    :ivar problem: what the caller is told.
+    """
 
-class BodyStalledError(Exception):
-    """A part of a request's body took too long to come."""
+    def __init__(self, code: ResultCode, detail: str, **options: Any) -> None:
+        super().__init__(detail)
+        self.problem = Problem(code, detail, **options)
 
 
 class CallerConnection(web.RequestHandler):
@@ -220,13 +232,16 @@
     return connection
 
 
-async def read_body(request: web.BaseRequest, idle_limit_s: float) -> bytes:
+async def read_body(
+    request: web.BaseRequest, idle_limit_s: float, max_bytes: int, memory: HeldMemory
+) -> bytes:
     """
     Return the body of a caller's request.
 
     :param idle_limit_s: how long each part may take to come, in seconds.
-    :raises BodyStalledError: when one takes longer.
-    :raises HTTPRequestEntityTooLarge: over ``MAX_BODY_BYTES``.
+    :param memory: what the body holds.
+    :raises BodyError: when a part takes longer, the body has more than
+        ``max_bytes`` or ``memory`` can't grow any more.
     """
     body = bytearray()
     while True:
@@ -235,9 +250,15 @@
                 part = await request.content.readany()
         except TimeoutError as error:
             detail = f"the body stalled after {len(body)} bytes"
-            raise BodyStalledError(detail) from error
+            raise BodyError(ResultCode.BODY_TOO_SLOW, detail) from error
         body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES)
+        if len(body) > max_bytes:
+            detail = f"body has more than {max_bytes} bytes"
+            raise BodyError(ResultCode.TOO_LARGE, detail)
+        if not memory.grow(len(part)):
+            detail = f"no memory is left for a body with {len(body)} bytes"
+            raise BodyError(
+                ResultCode.OVERLOADED, detail, retry_after_s=RETRY_ELSEWHERE_S
+            )
         if not part:
             return bytes(body)
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -16,7 +16,9 @@
 
 from . import _names as names
 from ._caller_connections import (
-    BodyStalledError,
+    MAX_BODY_BYTES,
+    RETRY_ELSEWHERE_S,
+    BodyError,
     CallerConnection,
     CallerServer,
     connection_of,
@@ -52,7 +54,6 @@
 # so that their callers get an error instead of a closed connection.
 LAST_RESPONSES_S = 0.2
 CLOSE_INTERVAL_S = 0.05  # how often a drain looks for idle connections
-RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no time budget
 
 
@@ -180,12 +181,13 @@
         try:
             async with limit:
                 send_continue(request)
-                body = await read_body(request, self._idle_limit_s())
-                return await self._serve(request, body, received_s, writer)
-        except BodyStalledError as error:
-            response = refuse_call(
-                request, Problem(ResultCode.BODY_TOO_SLOW, str(error))
-            )
+                with self._host.body_memory.hold() as memory:
+                    body = await read_body(
+                        request, self._idle_limit_s(), self._max_body_bytes(), memory
+                    )
+                    return await self._serve(request, body, received_s, writer)
+        except BodyError as error:
+            response = refuse_call(request, error.problem)
             response.force_close()
             return response
         except ParameterError as error:
@@ -210,6 +212,12 @@
             else configuration.limits.idle_s
         )
 
+    def _max_body_bytes(self) -> int:
+        configuration = self._host.configuration.current
+        if configuration is None:
+            return MAX_BODY_BYTES
+        return min(MAX_BODY_BYTES, configuration.limits.body_bytes)
+
     async def _serve(
         self,
         request: web.BaseRequest,
--- a/tests/platform/test_endless_callers.py
+++ b/tests/platform/test_endless_callers.py
@@ -100,3 +100,16 @@
     memory_kib, statuses = run(serve_beside(tmp_path, endless))
     assert memory_kib < MAX_MEMORY_KIB
     assert set(statuses) == {200}
+
+
+BODIES = (
+    Endless("body with a length", HEAD + b"Content-Length: 999999999\r\n\r\n", b"x"),
+    Endless("body in chunks", CHUNKED, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+)
+
+
+@pytest.mark.parametrize("endless", BODIES, ids=str)
+def test_host_holds_bounded_bytes_of_the_bodies_of_many_callers(tmp_path, endless):
+    memory_kib, statuses = run(serve_beside(tmp_path, endless))
+    assert memory_kib < MAX_MEMORY_KIB
+    assert set(statuses) == {200}
