--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -7,21 +7,44 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import HttpVersion11, web
+from aiohttp.http import RawRequestMessage
+
+from aspenbridge.observability import log_decision
+from aspenbridge.result_codes import Problem, ResultCode
 
 from ._departures import DepartureWatch
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
 
+    from aspenbridge.limits import HeldMemory
+
 CONNECTION = "Connection"
 CLOSE = "close"
 # The server's own limit lies above any that an operator configures, by a
 # factor of four.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# What a caller may send besides the payload of one request: its head and the
+# framing of its chunks. Framing may take twice the payload, since a chunk may
+# hold a few bytes only.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_SHARE = 2
+# Of the bytes that arrive together, so many are parsed before the limits are
+# checked again.
+PARSED_BYTES = 16 * 1024
+RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
+
+
+class BodyError(Exception):
+    """
+    The body of a request is not read to its end.
 
+    :ivar problem: what the caller is told.
+    """
 
-class BodyStalledError(Exception):
-    """A part of a request's body took too long to come."""
+    def __init__(self, code: ResultCode, detail: str, **options: Any) -> None:
+        super().__init__(detail)
+        self.problem = Problem(code, detail, **options)
 
 
 class CallerConnection(web.RequestHandler):
@@ -30,6 +53,10 @@
 
     aiohttp's own one drops the requests behind a response after which it
     closes, and all requests of a caller that ends its side of the connection.
+
+    A caller that sends bytes without end that are neither a head nor payload
+    gets its connection closed. What follows bytes that are no request is not
+    read.
     """
 
     __slots__ = (
@@ -37,6 +64,8 @@
         "_departure_watch",
         "_finished_responses",
         "_last_request",
+        "_overhead_bytes",
+        "_payload_bytes",
         "close_announced",
     )
 
@@ -49,17 +78,69 @@
         self._finished_responses = 0
         # The head that was read last, and the body behind it.
         self._last_request: tuple[object, StreamReader] | None = None
+        # What has come since the last head, besides and in its body.
+        self._overhead_bytes = 0
+        self._payload_bytes = 0
         # Set once the caller has ended its side of the connection.
         self._departure_watch: DepartureWatch | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Read data; note when each head of a request is complete."""
+        """Parse received bytes; without any, go on with those held back."""
+        start = 0
+        while True:
+            if self._invalid or self.transport is None:
+                break
+            # What comes while reading is paused is held back in one piece.
+            end = len(data) if self._held_back else start + PARSED_BYTES
+            self._parse(data[start:end])
+            start = end
+            if start >= len(data):
+                break
+        # The traceback of a parser's error would keep it until the garbage
+        # collector finds the error.
+        del data
+
+    @property
+    def _held_back(self) -> bool:
+        return self._reading_paused or self._buffer_paused
+
+    @property
+    def _invalid(self) -> bool:
+        """Whether bytes have come that are no request."""
+        request = self._last_request
+        return request is not None and not isinstance(request[0], RawRequestMessage)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; note when each head of a request is complete."""
         known = self._request_count
         super().data_received(data)
         arrived = self._request_count - known
         self._arrivals_s.extend([self._loop.time()] * arrived)
         if arrived and self._messages:
             self._last_request = self._messages[-1]
+            self._overhead_bytes = self._payload_bytes = 0
+        else:
+            self._overhead_bytes += len(data)
+        if not self._held_back:  # else some bytes are not parsed yet
+            self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        """Close the connection if too little of what has come is payload."""
+        if self._last_request is not None:
+            body = self._last_request[1]
+            new_payload_bytes = body.total_bytes - self._payload_bytes
+            self._payload_bytes += new_payload_bytes
+            self._overhead_bytes = max(0, self._overhead_bytes - new_payload_bytes)
+            limit_bytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * self._payload_bytes
+        else:
+            limit_bytes = MAX_OVERHEAD_BYTES
+        if self._overhead_bytes > limit_bytes:
+            log_decision(
+                "caller sent no request",
+                overhead_bytes=self._overhead_bytes,
+                payload_bytes=self._payload_bytes,
+            )
+            self.force_close()
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """
@@ -153,13 +234,16 @@
     return connection
 
 
-async def read_body(request: web.BaseRequest, idle_limit_s: float) -> bytes:
+async def read_body(
+    request: web.BaseRequest, idle_limit_s: float, max_bytes: int, memory: HeldMemory
+) -> bytes:
     """
     Return the body of a caller's request.
 
     :param idle_limit_s: how long each part may take to come, in seconds.
-    :raises BodyStalledError: when one takes longer.
-    :raises HTTPRequestEntityTooLarge: over ``MAX_BODY_BYTES``.
+    :param memory: what the body holds.
+    :raises BodyError: when a part takes longer, the body has more than
+        ``max_bytes`` or ``memory`` can't grow any more.
     """
     body = bytearray()
     while True:
@@ -168,9 +252,15 @@
                 part = await request.content.readany()
         except TimeoutError as error:
             detail = f"the body stalled after {len(body)} bytes"
-            raise BodyStalledError(detail) from error
+            raise BodyError(ResultCode.BODY_TOO_SLOW, detail) from error
         body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES)
+        if len(body) > max_bytes:
+            detail = f"body has more than {max_bytes} bytes"
+            raise BodyError(ResultCode.TOO_LARGE, detail)
+        if not memory.grow(len(part)):
+            detail = f"no memory is left for a body with {len(body)} bytes"
+            raise BodyError(
+                ResultCode.OVERLOADED, detail, retry_after_s=RETRY_ELSEWHERE_S
+            )
         if not part:
             return bytes(body)
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -18,7 +18,8 @@
 
 from . import _names as names
 from ._caller_connections import (
-    BodyStalledError,
+    MAX_BODY_BYTES,
+    BodyError,
     CallerConnection,
     CallerServer,
     connection_of,
@@ -216,14 +217,15 @@
                 if self._refuses_new:
                     return refuse_call(request, stopping_problem())
                 send_continue(request)
-                body = await read_body(request, self._idle_limit_s())
-                return await self._serve(
-                    request, body, received_s, writer, call.custody
-                )
-        except BodyStalledError as error:
-            response = refuse_call(
-                request, Problem(ResultCode.BODY_TOO_SLOW, str(error))
-            )
+                with self._host.body_memory.hold() as memory:
+                    body = await read_body(
+                        request, self._idle_limit_s(), self._max_body_bytes(), memory
+                    )
+                    return await self._serve(
+                        request, body, received_s, writer, call.custody
+                    )
+        except BodyError as error:
+            response = refuse_call(request, error.problem)
             response.force_close()
             return response
         except ParameterError as error:
@@ -248,6 +250,12 @@
             else configuration.limits.idle_s
         )
 
+    def _max_body_bytes(self) -> int:
+        configuration = self._host.configuration.current
+        if configuration is None:
+            return MAX_BODY_BYTES
+        return min(MAX_BODY_BYTES, configuration.limits.body_bytes)
+
     async def _serve(
         self,
         request: web.BaseRequest,
