A host reads the changes of all jobs five times a second at most

Each result that a host lists changes the head of its job, and each change ended the waiting feed call of every other host.

Reads of the heads begin 0.2 s after the last one at the earliest.

An ended job stops up to 0.2 s later of the 3 s it has.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -22,6 +22,7 @@
     Reachability,
 )
 from aspenbridge.jobs import (
+    HEADS_READ_INTERVAL_S,
     HEADS_TABLE,
     JobAdmission,
     JobClaims,
@@ -129,8 +130,13 @@
         )
         host_follower.on_recovery = self.hosts.store_recovered
         head_follower = Follower(
-            *feed_options, HEADS_TABLE, self._job_directory, all_parts=True
+            *feed_options,
+            HEADS_TABLE,
+            self._job_directory,
+            all_parts=True,
+            interval_s=HEADS_READ_INTERVAL_S,
         )
+        self._job_directory.on_late = head_follower.read_now
         self.quarantine = Quarantine(
             settings.host,
             engine_directory,
--- a/src/aspenbridge/fleet/_follower.py
+++ b/src/aspenbridge/fleet/_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 from typing import TYPE_CHECKING, Protocol
 
 from returns.result import Failure
@@ -41,7 +42,8 @@
     Without ``all_parts``, only the unnamed part of the table is read at first.
 
     :param interval_s: the least time between two reads of changes, so that one
-        read brings the changes that many rows had meanwhile.
+        read brings the changes that many rows had meanwhile. ``read_now``
+        ends it early.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._all_parts = all_parts
         self._interval_s = interval_s
         self._next_read_s = float("-inf")
+        self._read_now = asyncio.Event()
         self._version: int | None = None
         self._unavailable = False
         self.confirmed_s = float("-inf")  # when the copy was last known to be current
@@ -78,6 +81,10 @@
         """The time since the copy was last known to be up to date."""
         return self._clock.now_s() - self.confirmed_s
 
+    def read_now(self) -> None:
+        """Read at once what has changed, since someone waits for a change."""
+        self._read_now.set()
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         retry_s = FIRST_RETRY_S
@@ -114,10 +121,14 @@
 
     async def _wait_for_interval(self) -> float:
         """Wait until the next read may start; return how long that took."""
-        delay_s = max(0.0, self._next_read_s - self._clock.now_s())
-        if delay_s:
-            await self._clock.sleep_until(self._next_read_s)
-        return delay_s
+        started_s = self._clock.now_s()
+        delay_s = self._next_read_s - started_s
+        if delay_s > 0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(delay_s):
+                    await self._read_now.wait()
+        self._read_now.clear()
+        return self._clock.now_s() - started_s
 
     async def _read_whole(self) -> bool:
         rows: list[Row] = []
--- a/src/aspenbridge/jobs/__init__.py
+++ b/src/aspenbridge/jobs/__init__.py
@@ -10,7 +10,7 @@
 
 from ._admission import JobAdmission
 from ._claims import JobClaims, should_claim
-from ._directory import JobDirectory
+from ._directory import HEADS_READ_INTERVAL_S, JobDirectory
 from ._messages import ItemResult, JobSubmission, ResultPage, SubmittedItem
 from ._records import HEADS_TABLE
 from ._repository import JobRepository
@@ -19,6 +19,7 @@
 from ._worker import JobWorker
 
 __all__ = [
+    "HEADS_READ_INTERVAL_S",
     "HEADS_TABLE",
     "ItemResult",
     "JobAdmission",
--- a/src/aspenbridge/jobs/_directory.py
+++ b/src/aspenbridge/jobs/_directory.py
@@ -22,6 +22,10 @@
     from aspenbridge.ports import Row, RowChange, RowKey
 
 Key = TypeVar("Key")
+# Between two reads of the changes of all jobs, so that the reads of a host
+# don't grow with the results that all hosts list. A host learns up to this
+# much later that a job was ended, released or listed elsewhere.
+HEADS_READ_INTERVAL_S = 0.2
 
 
 class JobDirectory:
@@ -40,6 +44,8 @@
         self.replacements = 0  # how often the whole table was applied
         self._admission_waiters: dict[RowKey, set[asyncio.Event]] = {}
         self.on_change: Callable[[str], None] = lambda job_id: None
+        # Called when a change is waited for that the store has already.
+        self.on_late: Callable[[], None] = lambda: None
         # Called with a route and the reservations that its row has now.
         self.on_admission: Callable[[str, tuple[Reservation, ...]], None] = (
             lambda route, reservations: None
@@ -131,6 +137,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + limit_s
         while self.admission(route).version < version:
+            self.on_late()
             if not await _wait(self._admission_waiters, key, deadline_s - loop.time()):
                 return False
         return True
--- a/src/aspenbridge_bench/_host_profile.py
+++ b/src/aspenbridge_bench/_host_profile.py
@@ -42,6 +42,7 @@
 REQUESTS_PER_S = 3.0
 IDLE_CHANGES_PER_S = 1.0  # the repeated reports
 LOADED_CHANGES_PER_S = 7.0  # of each host, on a grown deployment's heavy day
+HEADS_PER_S = 30.0  # changes of all hosts' jobs on such a day
 OK = 200
 WARM_UP_S = 4.0  # longer than a silent host is live
 SETTINGS = """
@@ -74,11 +75,12 @@
 
 @attrs.frozen
 class Phase:
-    """Which causes of work are on: renewed rows, reports, requests."""
+    """Which causes of work are on: renewed rows, reports, heads, requests."""
 
     name: str
     renewing: bool = True
     changes_per_s: float = 0.0  # of the load of each other host
+    heads_per_s: float = 0.0  # changes of the jobs of the other hosts
     requests_per_s: float = 0.0
 
 
@@ -87,9 +89,15 @@
     Phase("rows renewed"),
     Phase("idle fleet", changes_per_s=IDLE_CHANGES_PER_S),
     Phase("reports of a loaded fleet", changes_per_s=LOADED_CHANGES_PER_S),
+    Phase(
+        "jobs of other hosts",
+        changes_per_s=LOADED_CHANGES_PER_S,
+        heads_per_s=HEADS_PER_S,
+    ),
     Phase(
         "requests",
         changes_per_s=LOADED_CHANGES_PER_S,
+        heads_per_s=HEADS_PER_S,
         requests_per_s=REQUESTS_PER_S,
     ),
 )
@@ -207,6 +215,7 @@
     async def measure(self, phase: Phase, seconds: float) -> PhaseCost:
         """Run a phase for a number of seconds and return its cost."""
         self._peers.renewing = phase.renewing
+        self._peers.heads_per_s = phase.heads_per_s
         self._peers.traffic = traffic(self._hosts - 1, phase.changes_per_s)
         callers = self._start(self._call(phase.requests_per_s))
         await asyncio.sleep(WARM_UP_S)
--- a/src/aspenbridge_standins/entry_platform.py
+++ b/src/aspenbridge_standins/entry_platform.py
@@ -32,6 +32,8 @@
     direct_interval_s,
     plan_fanout,
 )
+from aspenbridge.jobs import HEADS_TABLE
+from aspenbridge.jobs._records import JobHead, JobState
 from aspenbridge.platform import _names as names
 from aspenbridge.store import encode_record
 from aspenbridge.store._records import TOKEN_BYTES
@@ -47,6 +49,9 @@
 ENGINES_IN_REPORT = 4
 PASSED_ON_AGE_S = 0.1
 PASSED_ON_BYTES = 112  # of a report with so many engines
+OPEN_JOBS = 40
+JOB_ITEMS = 10
+JOB_LIFETIME_S = 60.0
 EVENTS = 20
 EVENT_INTERVAL_S = 0.02
 
@@ -168,6 +173,7 @@
     The other hosts: they renew their rows and report their load to one host.
 
     :ivar renewing: whether they renew their rows each second.
+    :ivar heads_per_s: how often the heads of their batch jobs change.
     :ivar traffic: the reports that the measured host receives.
     :ivar counts: datagrams and bytes sent to and by the measured host.
     """
@@ -176,6 +182,7 @@
     target: tuple[str, int]
     engine_ids: list[str]
     renewing: bool = False
+    heads_per_s: float = 0.0
     traffic: Traffic = attrs.field(factory=lambda: Traffic(0.0, 0.0))
     counts: Counter[str] = attrs.field(factory=Counter)
     _peers: list[_Peer] = attrs.field(factory=list)
@@ -210,18 +217,23 @@
     async def run(self) -> None:
         """Renew rows and send reports, spread over time, until cancelled."""
         last_s = time.monotonic()
-        rows_due = reports_due = 0.0
-        row_number = 0
+        rows_due = heads_due = reports_due = 0.0
+        row_number = head_number = 0
         while True:
             await asyncio.sleep(TICK_S)
             now_s = time.monotonic()
             elapsed_s, last_s = now_s - last_s, now_s
             rows_due += self.renewing * len(self._peers) * elapsed_s / HEARTBEAT_S
+            heads_due += self.heads_per_s * elapsed_s
             reports_due += self.traffic.messages_per_s * elapsed_s
             while rows_due >= 1:
                 rows_due -= 1
                 row_number += 1
                 self._renew(self._peers[row_number % len(self._peers)])
+            while heads_due >= 1:
+                heads_due -= 1
+                head_number += 1
+                self._list_result(head_number % OPEN_JOBS)
             while reports_due >= 1:
                 reports_due -= 1
                 self._report(self.traffic)
@@ -231,6 +243,23 @@
         row = encode_record(peer.record, bytes(TOKEN_BYTES))
         self.store.write(HOSTS_TABLE, peer.record.host, row)
 
+    def _list_result(self, number: int) -> None:
+        """Change the head of a job as its owner does to list a result."""
+        peer = self._peers[number % len(self._peers)]
+        now_s = time.time()
+        head = JobHead(
+            id=f"job-{number:012x}",
+            host="a.example",
+            owner=peer.record.incarnation,
+            state=JobState.OPEN,
+            total=JOB_ITEMS,
+            accepted_wall_s=now_s,
+            due_wall_s=now_s + JOB_LIFETIME_S,
+            expires_wall_s=now_s + JOB_LIFETIME_S,
+            listed=tuple(range(JOB_ITEMS // 2)),
+        )
+        self.store.write(HEADS_TABLE, head.id, encode_record(head, bytes(TOKEN_BYTES)))
+
     def _report(self, traffic: Traffic) -> None:
         """Send one report, as a near host does or as one of another domain."""
         peer, near = self._random.choice(self._peers), self._random.random()
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -6,6 +6,7 @@
 import pytest
 
 from aspenbridge.fleet import Follower
+from aspenbridge.fleet._follower import POLL_WAIT_S
 from aspenbridge.ports import Check, Put, RowKey, Transaction
 from tests.support.entry_fleet import MemoryStore
 from tests.support.virtual_loop import run_virtual
@@ -25,16 +26,11 @@
             self.values[change.key.key] = change.value
 
 
-def with_follower(check, *, all_parts=False):
+def with_follower(check, **options):
     async def main(clock):
         store, copy = MemoryStore(), RecordingCopy()
         follower = Follower(
-            store.client("h"),
-            clock,
-            random.Random(1),
-            "t",
-            copy,
-            all_parts=all_parts,
+            store.client("h"), clock, random.Random(1), "t", copy, **options
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.1)
@@ -107,3 +103,82 @@
         assert set(copy.values) == {"in-p1", "in-p2"}
 
     with_follower(check, all_parts=True)
+
+
+INTERVAL_S = 0.2
+CALL_S = 0.02  # more than a read takes
+
+
+def count_reads(follower) -> list[float]:
+    """Return a list that grows with each read of changes."""
+    read, times_s = follower._feed.changes, []
+
+    async def changes(*arguments):
+        times_s.append(asyncio.get_running_loop().time())
+        return await read(*arguments)
+
+    follower._feed.changes = changes
+    return times_s
+
+
+def test_first_change_after_a_pause_is_applied_at_once_also_when_reads_are_spaced():
+    async def check(store, follower, copy):
+        await asyncio.sleep(2.0)
+        store.write("t", "a", b"1")
+        await asyncio.sleep(CALL_S)
+        assert copy.values == {"a": b"1"}
+
+    with_follower(check, interval_s=INTERVAL_S)
+
+
+def test_spaced_reads_don_t_grow_with_the_changes_and_bring_each_in_time():
+    async def check(store, follower, copy):
+        reads = count_reads(follower)
+        late = 0
+        for number in range(200):  # in two seconds
+            store.write("t", f"k{number}", b"1")
+            await asyncio.sleep(0.01)
+            known = max((int(key[1:]) for key in copy.values), default=-1)
+            late = max(late, number - known)
+        assert len(reads) <= 2.0 / INTERVAL_S + 1
+        assert late * 0.01 <= INTERVAL_S + CALL_S
+
+    with_follower(check, interval_s=INTERVAL_S)
+
+
+def test_change_that_is_waited_for_is_read_before_the_interval_is_over():
+    async def check(store, follower, copy):
+        store.write("t", "a", b"1")
+        await asyncio.sleep(CALL_S)
+        store.write("t", "b", b"2")
+        await asyncio.sleep(CALL_S)
+        assert copy.values == {"a": b"1"}
+        follower.read_now()
+        await asyncio.sleep(CALL_S)
+        assert copy.values == {"a": b"1", "b": b"2"}
+        reads = count_reads(follower)
+        for number in range(20):
+            store.write("t", f"k{number}", b"1")
+            await asyncio.sleep(0.05)
+        assert len(reads) <= 1.0 / INTERVAL_S + 1  # it ends one interval only
+
+    with_follower(check, interval_s=INTERVAL_S)
+
+
+def test_interval_does_not_prolong_the_wait_of_a_read():
+    async def check(store, follower, copy):
+        waits_s = []
+        read = follower._feed.changes
+
+        async def changes(table, after, wait_s):
+            waits_s.append(wait_s)
+            return await read(table, after, wait_s)
+
+        follower._feed.changes = changes
+        for number in range(20):
+            store.write("t", f"k{number}", b"1")
+            await asyncio.sleep(0.05)
+        assert len(waits_s) > 1
+        assert max(waits_s[1:]) <= POLL_WAIT_S - INTERVAL_S + CALL_S
+
+    with_follower(check, interval_s=INTERVAL_S)
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -11,6 +11,7 @@
 from aspenbridge.fleet import CallKind
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._admission import ACCEPT_LIMIT_S
+from aspenbridge.jobs._directory import HEADS_READ_INTERVAL_S
 from aspenbridge.jobs._records import HEADS_TABLE, AdmissionRecord, admission_key
 from aspenbridge.result_codes import ResultCode
 from aspenbridge.store import Changes
@@ -89,6 +90,17 @@
     with_fleet(check, events=SLOW_EVENTS)
 
 
+def test_hosts_that_race_read_at_once_what_they_have_missed():
+    async def check(fleet):
+        started_s = fleet.clock.now_s()
+        jobs = [submit(fleet, f"h{n}", f"j{n}", 10) for n in range(8)]
+        assert await asyncio.gather(*jobs) == [Success(None)] * 8
+        # Each of them loses to seven others at most.
+        assert fleet.clock.now_s() - started_s < 2 * HEADS_READ_INTERVAL_S
+
+    with_fleet(check, hosts=8, events=SLOW_EVENTS)
+
+
 def test_job_whose_reply_was_lost_counts_once_when_it_is_sent_again():
     async def check(fleet):
         fleet.store.replies_to_lose, fleet.store.lossy_table = 1, HEADS_TABLE
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -12,9 +12,10 @@
 from aspenbridge.fleet._hosts import LIVENESS_TIMEOUT_S
 from aspenbridge.jobs import JobSubmission, SubmittedItem
 from aspenbridge.jobs._claims import CLAIM_TURN_S
+from aspenbridge.jobs._directory import HEADS_READ_INTERVAL_S
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._progress_saver import MIN_NEW_EVENTS, SAVE_INTERVAL_S
-from aspenbridge.jobs._records import PROGRESS_TABLE, ProgressRecord
+from aspenbridge.jobs._records import HEADS_TABLE, PROGRESS_TABLE, ProgressRecord
 from aspenbridge.platform._decode import encode_results
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
@@ -541,6 +542,45 @@
     with_fleet(check)
 
 
+def test_end_at_another_host_stops_items_after_one_interval_of_reads_at_most():
+    async def check(fleet):
+        fleet.engines.event_s = 0.5
+        await submit(fleet, "h0", make_job(items=3))
+        # The heads have changed just before, so the owner has just read them.
+        await asyncio.sleep(1.0)
+        await submit(fleet, "h1", make_job("j2"))
+        await asyncio.sleep(0.02)
+        assert await fleet.hosts["h1"].job_service.end("j1") == Success(None)
+        await asyncio.sleep(HEADS_READ_INTERVAL_S + 0.05)
+        runs = [run for run in fleet.engines.runs if run.request_id.startswith("j1-")]
+        assert runs
+        assert all(run.ended_s is not None for run in runs)
+
+    with_fleet(check)
+
+
+def test_reads_of_a_host_do_not_grow_with_the_changes_of_all_jobs():
+    async def check(fleet):
+        calls = 0
+        client = fleet.hosts["h0"].ports.feed
+        read = client.changes
+
+        async def changes(table, *arguments):
+            nonlocal calls
+            calls += table == HEADS_TABLE
+            return await read(table, *arguments)
+
+        client.changes = changes
+        versions = fleet.store.version
+        for number in range(60):
+            await submit(fleet, f"h{1 + number % 2}", make_job(f"j{number}", 1))
+            await asyncio.sleep(0.02)
+        assert fleet.store.version - versions > 60
+        assert calls <= 60 * 0.03 / HEADS_READ_INTERVAL_S + 1
+
+    with_fleet(check, engines=8)
+
+
 def test_ended_job_stays_ended_though_its_owner_missed_a_reply_and_the_end():
     """Guards against an owner that takes the end for its own write."""
 
