A refused body without end is not read on

Beside 64 callers whose chunked bodies had no end, sound requests got no head of an answer in 2 s, and the host's memory reached 138 MB of 128 MB.

A connection that is to close stays open until the rest of its request's body has come, so that a host that stops does not lose its response; a body that is refused as too large, too slow or without room has no end to wait for.

--- a/src/aspenbridge/platform/_caller_connections.py
+++ b/src/aspenbridge/platform/_caller_connections.py
@@ -67,12 +67,15 @@
         "_overhead_bytes",
         "_payload_bytes",
         "close_announced",
+        "drops_body",
     )
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         # Whether the caller was told that no other response follows.
         self.close_announced = False
+        # Whether the rest of a body that was refused is not read.
+        self.drops_body = False
         # When the heads came that are not handled yet, by the loop's clock.
         self._arrivals_s: deque[float] = deque()
         self._finished_responses = 0
@@ -211,7 +214,8 @@
             self.close_announced = True
             # The rest of a body is read first: to close before it has come
             # would reset the connection and lose the response.
-            if not self._messages and request.content.is_eof():
+            complete = self.drops_body or request.content.is_eof()
+            if not self._messages and complete:
                 self.close()
         self._finished_responses += 1
         if self._departure_watch is not None and self._all_answered:
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -226,6 +226,7 @@
                     )
         except BodyError as error:
             response = refuse_call(request, error.problem)
+            connection_of(request).drops_body = True
             response.force_close()
             return response
         except ParameterError as error:
