A stop tells how late it is and which requests it ended

Operators saw: "giving up N running requests", without ids, and nothing of how long after its signal a drain began.

Evidence: the test of a stopping process reads the lines; it failed before (no such line).

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -67,11 +67,18 @@
     custody: Custody
     limit: asyncio.Timeout = attrs.field(factory=lambda: asyncio.timeout(None))
 
-    def give_up(self) -> None:
+    def give_up(self, reason: str) -> None:
         """End the handling of the request, which happens a moment later."""
-        if not self.custody.given_up:
-            self.custody.give_up()
-            self.limit.reschedule(asyncio.get_running_loop().time())
+        if self.custody.given_up:
+            return
+        log_decision(
+            "request given up",
+            request=self.request_id,
+            reason=reason,
+            passed_on=self.custody.passed_on,
+        )
+        self.custody.give_up()
+        self.limit.reschedule(asyncio.get_running_loop().time())
 
 
 class Ingress(StackOwner):
@@ -140,15 +147,27 @@
         await _look_at_sockets()
         for listener in self._caller_listeners:
             listener.close()
-        for call in self._running_calls:
-            if not call.custody.passed_on:
-                call.give_up()
+        waiting = [c for c in self._running_calls if not c.custody.passed_on]
+        log_decision(
+            "drain begins",
+            late_ms=round((now_s - self.refuse_from_s) * 1000),
+            running=self.running_requests,
+            waiting=len(waiting),
+        )
+        for call in waiting:
+            call.give_up("new work is refused")
         complete = await self._close_connections(deadline_s - LAST_RESPONSES_S)
         if not complete:
             logger.warning("giving up %d running requests", self.running_requests)
             for call in self._running_calls:
-                call.give_up()
+                call.give_up("time is over")
             await self._close_connections(deadline_s)
+        log_decision(
+            "drain ended",
+            complete=complete,
+            running=self.running_requests,
+            drain_ms=round((self._host.ports.clock.now_s() - now_s) * 1000),
+        )
         return complete
 
     async def _close_connections(self, deadline_s: float) -> bool:
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -13,6 +13,7 @@
 from aspenbridge.entry import Address, EntryHost, EntryPorts, OperatorTables
 from aspenbridge.fleet import UdpDatagrams
 from aspenbridge.loop import tune_garbage_collector
+from aspenbridge.observability import log_decision
 
 from . import _names as names
 from ._connections import open_engine_session, open_store_session
@@ -136,6 +137,11 @@
     clock = host.ports.clock
     host.leaving = True
     begun_s = clock.now_s() if asked_s is None else asked_s
+    log_decision(
+        "stop begins",
+        signal=asked_s is not None,
+        late_ms=round((clock.now_s() - begun_s) * 1000),
+    )
     shutdown_deadline_s = begun_s + settings.bounds.shutdown_s - EXIT_MARGIN_S
     ingress.refuse_from_s = begun_s + READINESS_NOTICE_S
     releasing = asyncio.create_task(host.release_jobs())
--- a/tests/platform/test_late_stops.py
+++ b/tests/platform/test_late_stops.py
@@ -214,9 +214,16 @@
                 answer_of(callers, body, stopped_s),
             )
             assert await process.wait() == 0
-            await reading
-            return answers
+            return answers, [json.loads(line) for line in (await reading).splitlines()]
 
-    for reply, after_s in run_on_loop(check()):
+    answers, lines = run_on_loop(check())
+    for reply, after_s in answers:
         assert is_refusal(reply)
         assert after_s < LATE_S + BLOCK_S
+    told = {line["event"]: line for line in lines}
+    assert told["stop begins"]["signal"]
+    assert told["drain begins"]["waiting"] == 2
+    given_up = [line for line in lines if line["event"] == "request given up"]
+    assert {line["request"] for line in given_up} == {"", "r1"}
+    assert not any(line["passed_on"] for line in given_up)
+    assert told["drain ended"]["running"] == 0
