Whole bodies of many engines together fit into a host's memory

64 engines that each sent a body without end, under its bound of 2 MiB, had a host hold 139 MB more than in calm (183 MB in all), where a host on the smallest machine may have 128 MB; requests of others would end with it.

Cause: the bound was one of each answer, and nothing bounded their sum.

Change: whole bodies of engines share the budget of callers' bodies. An answer that finds no room is broken: it may have run, and is sent again where that is allowed. What a broken attempt held is free again.

--- a/src/aspenbridge/limits/_memory_budget.py
+++ b/src/aspenbridge/limits/_memory_budget.py
@@ -45,8 +45,7 @@
         return self
 
     def __exit__(self, *error: object) -> None:
-        self._budget.add(-self._held_bytes)
-        self._held_bytes = 0
+        self.shrink(self._held_bytes)
 
     def grow(self, size_bytes: int) -> bool:
         """
@@ -61,5 +60,10 @@
         self._held_bytes += size_bytes
         return True
 
+    def shrink(self, size_bytes: int) -> None:
+        """Hold so many bytes less."""
+        self._budget.add(-size_bytes)
+        self._held_bytes -= size_bytes
+
 
 __all__ = ["MAX_HELD_BYTES", "HeldMemory", "MemoryBudget"]
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -42,6 +42,7 @@
     from aiohttp.web_protocol import RequestHandler
 
     from aspenbridge.entry import Address, EntryHost
+    from aspenbridge.limits import HeldMemory
 
 logger = logging.getLogger(__name__)
 # The server's own limit lies above any that an operator configures, by a
@@ -185,7 +186,7 @@
                     body = await read_body(
                         request, self._idle_limit_s(), self._max_body_bytes(), memory
                     )
-                    return await self._serve(request, body, received_s, writer)
+                    return await self._serve(request, body, received_s, writer, memory)
         except BodyError as error:
             response = refuse_call(request, error.problem)
             response.force_close()
@@ -224,6 +225,7 @@
         body: bytes,
         received_s: float,
         writer: HttpResponseWriter,
+        memory: HeldMemory,
     ) -> web.StreamResponse:
         if self._draining or connection_of(request).close_announced:
             return self._refuse_stopping(request)
@@ -243,7 +245,7 @@
         job_call = self._job_endpoints.dispatch(request, configuration, body)
         if job_call is not None:
             return await job_call
-        caller_request = _caller_request(request, body, received_s)
+        caller_request = _caller_request(request, body, received_s, memory)
         await self._host.relay.serve(caller_request, configuration, writer)
         assert writer.response is not None
         return writer.response
@@ -284,7 +286,7 @@
 
 
 def _caller_request(
-    request: web.BaseRequest, body: bytes, received_s: float
+    request: web.BaseRequest, body: bytes, received_s: float, memory: HeldMemory
 ) -> CallerRequest:
     """
     Return the request that a caller sent.
@@ -317,4 +319,5 @@
         deadline_s=received_s + time_budget_s,
         resume_after=resume_after_id,
         prompt_parts=shared_prompt_parts(header_fields),
+        memory=memory,
     )
--- a/src/aspenbridge/relay/_failover.py
+++ b/src/aspenbridge/relay/_failover.py
@@ -231,7 +231,8 @@
         deadline_s = self._clock.now_s() + HANDOVER_LIMIT_S
         chunks = read_chunks(attempt.answer, lambda: deadline_s - self._clock.now_s())
         try:
-            progress.failed_answer = head, await read_whole(head, chunks)
+            body = await read_whole(head, chunks, progress.memory)
+            progress.failed_answer = head, body
         except AttemptError as error:
             log_decision(
                 "server error not kept",
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from aspenbridge.limits import HeldMemory
     from aspenbridge.ports import AnswerHead, RelayedAnswer
 
     from ._events import EventSplitter, StreamEvent
@@ -91,21 +92,31 @@
         raise EmptyAnswerError
 
 
-async def read_whole(head: AnswerHead, chunks: AsyncIterator[bytes]) -> bytes:
+async def read_whole(
+    head: AnswerHead, chunks: AsyncIterator[bytes], memory: HeldMemory
+) -> bytes:
     """
     Return the body of an answer that is not a stream.
 
-    :raises AttemptError: when the answer breaks off, or has more than
-        ``MAX_WHOLE_BODY_BYTES``.
+    :param memory: what the body holds.
+    :raises AttemptError: when the answer breaks off, has more than
+        ``MAX_WHOLE_BODY_BYTES``, or ``memory`` can't grow any more.
     :raises EmptyAnswerError: when the body is empty, and nothing but the end
         of the connection tells so.
     """
     body = bytearray()
-    async for chunk in chunks:
-        body += chunk
-        if len(body) > MAX_WHOLE_BODY_BYTES:
-            reason = f"body has more than {MAX_WHOLE_BODY_BYTES} bytes"
-            raise AttemptError(CallOutcome.BROKEN, reason)
+    try:
+        async for chunk in chunks:
+            if not memory.grow(len(chunk)):
+                reason = f"no memory is left behind {len(body)} bytes of a body"
+                raise AttemptError(CallOutcome.BROKEN, reason)
+            body += chunk
+            if len(body) > MAX_WHOLE_BODY_BYTES:
+                reason = f"body has more than {MAX_WHOLE_BODY_BYTES} bytes"
+                raise AttemptError(CallOutcome.BROKEN, reason)
+    except BaseException:
+        memory.shrink(len(body))
+        raise
     if not body and head.needs_body:
         raise EmptyAnswerError
     return bytes(body)
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -110,6 +110,7 @@
                 request.prompt_parts,
             ),
             prompt_parts=request.prompt_parts,
+            memory=request.memory,
         )
         outcome = "cancelled"
         try:
@@ -356,7 +357,7 @@
         if not progress.can_use(head):
             # Its body is not read, since nothing of it can be passed on.
             raise status_error(head)
-        body = await read_whole(head, chunks)
+        body = await read_whole(head, chunks, progress.memory)
         failed = head.status >= SERVER_ERROR
         if failed and progress.may_switch_engine:
             progress.failed_answer = head, body
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from aspenbridge.limits import HeldMemory, MemoryBudget
+
 if TYPE_CHECKING:
     from aspenbridge.fleet import Refused, Route
     from aspenbridge.ports import AnswerHead, Headers, RelayedCall
@@ -36,6 +38,10 @@
     resume_after: int | None  # the id of the last event the caller has
     # Ids of the parts of the prompt that other requests may share, in order.
     prompt_parts: tuple[str, ...] = ()
+    # What its body and answers that are not streams hold.
+    memory: HeldMemory = attrs.field(
+        factory=lambda: MemoryBudget().hold(), eq=False, repr=False
+    )
 
     @property
     def path(self) -> str:
@@ -73,6 +79,7 @@
     events: EventSplitter
     received_s: float
     subjects: RunSubjects  # what a crash of its engine may be blamed on
+    memory: HeldMemory  # as in ``CallerRequest``
     prompt_parts: tuple[str, ...] = ()  # as in ``CallerRequest``
     status: int | None = None  # of the answer, once its head was sent on
     failed_sends: int = 0  # failed attempts that may have reached an engine
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -30,6 +30,7 @@
 )
 from aspenbridge.jobs._messages import SubmittedItem
 from aspenbridge.jobs._owned import ItemState
+from aspenbridge.limits import MemoryBudget
 from aspenbridge.loop import NumericAddressLoop
 from aspenbridge.platform._connections import open_engine_session, open_store_session
 from aspenbridge.platform._engine_calls import HttpEngineCaller
@@ -97,7 +98,7 @@
                 async for _ in read_events(answer.head, chunks, EventSplitter()):
                     pass
             else:
-                await read_whole(answer.head, chunks)
+                await read_whole(answer.head, chunks, MemoryBudget().hold())
         finally:
             answer.close()
     except AttemptError as error:
--- a/tests/platform/test_endless_process.py
+++ b/tests/platform/test_endless_process.py
@@ -70,6 +70,10 @@
     return max(delays_s)
 
 
+MANY = 64
+MAX_PEAK_KIB = 128_000  # of a host on the smallest machine
+
+
 async def call_endless(ports, number) -> None:
     """Send a request to an endless engine and discard the answer."""
     reader, writer = await asyncio.open_connection(HOST_IP, ports[0])
@@ -157,6 +161,22 @@
     assert trouble_s < calm_s + MAX_DELAY_S
 
 
+def test_host_holds_bounded_bytes_of_many_bodies_without_end(tmp_path):
+    async def check():
+        async with (
+            EndlessServer(BODIES[-1]) as server,
+            ready_host(tmp_path, server.port) as (process, ports, session),
+        ):
+            callers = [asyncio.create_task(keep_calling(ports, 0)) for _ in range(MANY)]
+            await longest_delay_s(session, ports, TROUBLE_S)
+            for caller in callers:
+                caller.cancel()
+            await asyncio.gather(*callers, return_exceptions=True)
+            return peak_memory_kib(process)
+
+    assert run(check()) < MAX_PEAK_KIB
+
+
 def test_trickle_of_an_engine_ends_with_the_time_limit_of_its_route(tmp_path):
     async def check():
         async with (
