--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -117,6 +117,7 @@
             ),
             prompt_parts=request.prompt_parts,
             custody=custody or Custody(),
+            memory=request.memory,
         )
         outcome = "cancelled"
         try:
@@ -368,7 +369,7 @@
         if not progress.can_use(head):
             # Its body is not read, since nothing of it can be passed on.
             raise status_error(head)
-        body = await read_whole(head, chunks)
+        body = await read_whole(head, chunks, progress.memory)
         failed = head.status >= SERVER_ERROR
         if failed and progress.may_switch_engine:
             progress.failed_answer = head, body
--- a/src/aspenbridge/relay/_request.py
+++ b/src/aspenbridge/relay/_request.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from aspenbridge.limits import HeldMemory, MemoryBudget
+
 from ._custody import Custody
 
 if TYPE_CHECKING:
@@ -38,6 +40,10 @@
     resume_after: int | None  # the id of the last event the caller has
     # Ids of the parts of the prompt that other requests may share, in order.
     prompt_parts: tuple[str, ...] = ()
+    # What its body and answers that are not streams hold.
+    memory: HeldMemory = attrs.field(
+        factory=lambda: MemoryBudget().hold(), eq=False, repr=False
+    )
 
     @property
     def path(self) -> str:
@@ -75,6 +81,7 @@
     events: EventSplitter
     received_s: float
     subjects: RunSubjects  # what a crash of its engine may be blamed on
+    memory: HeldMemory  # as in ``CallerRequest``
     custody: Custody = attrs.field(factory=Custody)
     prompt_parts: tuple[str, ...] = ()  # as in ``CallerRequest``
     status: int | None = None  # of the answer, once its head was sent on
