A job that ends before the reply to its owner's write stays ended

Cause: a host that accepts or claims a job starts to run it when the reply to its write comes, and took the head that it had written for the newest. If the end of the job came to it before the reply, nothing told it a second time. A listing that conflicted then wrote over the end.

Change: whoever adds a job looks at the newest head known; results of a job that is not open are not listed.

Both cases of the new test fail before.

--- a/src/aspenbridge/jobs/_result_lister.py
+++ b/src/aspenbridge/jobs/_result_lister.py
@@ -42,10 +42,15 @@
         A job that is not open any more is removed from the owned jobs.
         """
         try:
-            while job.finished and job.head.id in self._owned:
+            while self._is_listed_here(job):
                 if not await self._repository.write_results(job):
                     await asyncio.sleep(RETRY_S)
         finally:
             job.listing = False
         if job.head.state is not JobState.OPEN:
             self._owned.pop(job.head.id, None)
+
+    def _is_listed_here(self, job: OwnedJob) -> bool:
+        if job.head.state is not JobState.OPEN or not job.finished:
+            return False
+        return job.head.id in self._owned
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -127,6 +127,8 @@
         self._jobs[stored.record.id] = job
         self._job_added.set()
         self.wake()
+        # A newer head may have come before the reply to this host's write.
+        self.head_changed(job.head.id)
         return job
 
     def head_changed(self, job_id: str) -> None:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -15,7 +15,12 @@
 from aspenbridge.jobs._directory import HEADS_READ_INTERVAL_S
 from aspenbridge.jobs._owned import FinishedItem, ItemState
 from aspenbridge.jobs._progress_saver import MIN_NEW_EVENTS, SAVE_INTERVAL_S
-from aspenbridge.jobs._records import HEADS_TABLE, PROGRESS_TABLE, ProgressRecord
+from aspenbridge.jobs._records import (
+    HEADS_TABLE,
+    PROGRESS_TABLE,
+    JobState,
+    ProgressRecord,
+)
 from aspenbridge.platform._decode import encode_results
 from aspenbridge.ports import CallOutcome
 from aspenbridge.result_codes import ResultCode
@@ -581,6 +586,44 @@
     with_fleet(check, engines=8)
 
 
+@pytest.mark.parametrize("by_claim", [False, True])
+def test_job_that_ends_before_the_reply_to_its_owners_write_stays_ended(by_claim):
+    async def check(fleet):
+        fleet.engines.event_s = 0.2
+        if by_claim:
+            await submit(fleet, "h0", make_job(items=20))
+            await asyncio.sleep(0.1)
+        client = fleet.hosts["h1"].ports.table
+        transact = client.transact
+
+        async def reply_late(transaction):
+            result = await transact(transaction)
+            await asyncio.sleep(0.9)
+            return result
+
+        client.transact = reply_late
+        if by_claim:
+            fleet.hosts["h2"]._claims.enabled = False  # so that h1 claims the job
+            await fleet.kill("h0")
+        else:
+            submitting = asyncio.create_task(submit(fleet, "h1", make_job(items=20)))
+        ending = fleet.hosts["h2"]
+        while (known := ending._job_directory.get("j1")) is None or (
+            known.record.owner != fleet.hosts["h1"].incarnation
+        ):
+            await asyncio.sleep(0.02)
+        assert await ending.job_service.end("j1") == Success(None)
+        ended_s = fleet.clock.now_s()
+        await asyncio.sleep(8.0)
+        if not by_claim:
+            await submitting
+        late = [run for run in fleet.engines.runs if run.started_s > ended_s + 3.0]
+        assert late == []
+        assert ending._job_directory.get("j1").record.state is JobState.ENDED
+
+    with_fleet(check)
+
+
 def test_ended_job_stays_ended_though_its_owner_missed_a_reply_and_the_end():
     """Guards against an owner that takes the end for its own write."""
 
