A host that stops releases each job that names it as its owner

Cause: the release went over the jobs in memory, after all listings. Class as in "A job accepted by a host that stops runs at once elsewhere": work that is accepted by a host that has stopped to do it.

Change: the heads that name this host are released as well, and each job once its own listing has ended. Both new tests fail before.

--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -206,17 +206,25 @@
         """
         self._stopping = True
         await self._running.stop_all()
-        await self._lister.wait()
         while True:
             self._job_added.clear()
-            for job in list(self._jobs.values()):
-                await self._release(job)
+            for job in [*self._jobs.values(), *self._unknown_jobs()]:
+                if not job.listing:  # its results come first
+                    await self._release(job)
             if not self._jobs:
                 self.released.set()
             with suppress(TimeoutError):
-                async with asyncio.timeout(RELEASE_RETRY_S if self._jobs else None):
+                async with asyncio.timeout(RELEASE_RETRY_S):
                     await self._job_added.wait()
 
+    def _unknown_jobs(self) -> list[OwnedJob]:
+        """Return jobs that this host owns without having had the reply."""
+        return [
+            OwnedJob(stored, ())
+            for stored in self._directory.open_heads()
+            if self._is_owned_here(stored.record) and not self.owns(stored.record.id)
+        ]
+
     async def _release(self, job: OwnedJob) -> None:
         deadline_s = self._clock.now_s() + RELEASE_TRY_S
         released = await self._repository.release(job, deadline_s)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -517,6 +517,34 @@
     with_fleet(check)
 
 
+def test_job_whose_owner_stops_without_the_reply_to_its_write_runs_at_once_elsewhere():
+    async def check(fleet):
+        fleet.store.replies_to_lose, fleet.store.lossy_table = 1, "job_heads"
+        submitting = asyncio.create_task(submit(fleet, "h0", make_job(items=1)))
+        while fleet.hosts["h0"]._job_directory.get("j1") is None:
+            await asyncio.sleep(0.005)
+        submitting.cancel()  # its caller has left
+        await fleet.hosts["h0"].release_jobs()
+        await wait_done(fleet, "h1", "j1", 1, limit_s=3)
+
+    with_fleet(check)
+
+
+def test_listing_that_fails_does_not_keep_other_jobs_from_their_release():
+    async def check(fleet):
+        host = fleet.hosts["h0"]
+        await submit(fleet, "h0", make_job("j0", items=1))
+        host.worker._jobs["j0"].listing = True  # for as long as the host lives
+        fleet.engines.event_s = 0.5
+        await submit(fleet, "h0", make_job("j1", items=1))
+        host.worker._lister._tasks.add(asyncio.create_task(asyncio.sleep(60)))
+        await host.release_jobs()
+        fleet.engines.event_s = 0.02
+        await wait_done(fleet, "h1", "j1", 1, limit_s=2)
+
+    with_fleet(check)
+
+
 # Such a job had an owner that ran no items any more, until its process ended.
 @pytest.mark.parametrize("after_s", [0.0, 0.5, 1.5, 2.5])
 def test_job_accepted_by_a_host_that_stops_runs_at_once_elsewhere(after_s):
