Hosts that stop have no turn in the claims of jobs

Change: the row says that its host is stopping, and the order leaves it out.

The new test fails before: with four of six hosts stopping some of twelve jobs had no running owner after 0.9 s.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -318,15 +318,18 @@
         """
         Release batch jobs to other hosts; online requests go on.
 
-        Ends after ``RELEASE_LIMIT_S``, whatever the
-        store does. Jobs that this host accepts or fails to release until then
-        are released as soon as the store allows; those that are left when the
-        host ends are claimed by other hosts.
+        Ends after ``RELEASE_LIMIT_S``, whatever the store does. Jobs that this
+        host accepts or fails to release until then are released as soon as the
+        store allows; those that are left when the host ends are claimed by
+        other hosts.
         """
         self._claims.enabled = False
-        self.start(self.worker.release_jobs())
+        deadline_s = self.ports.clock.now_s() + RELEASE_LIMIT_S
         try:
             async with asyncio.timeout(RELEASE_LIMIT_S):
+                telling = self._heartbeat.tell_stopping(deadline_s)
+                self.start(self.worker.release_jobs())
+                await telling
                 await self.worker.released.wait()
         except TimeoutError:
             logger.warning("jobs were not released in %.1f s", RELEASE_LIMIT_S)
--- a/src/aspenbridge/fleet/_hosts.py
+++ b/src/aspenbridge/fleet/_hosts.py
@@ -42,6 +42,8 @@
     """
     One incarnation of a host and the address for its peers.
 
+    ``stopping`` is set once the host releases its jobs; it claims none.
+
     :raises ValueError: when nothing can be sent to the address.
     """
 
@@ -51,6 +53,7 @@
     port: int
     failure_domain: str
     beat: int  # counts the heartbeats
+    stopping: bool = False
 
     def __attrs_post_init__(self) -> None:
         IPv4Address(self.ip)
@@ -122,6 +125,10 @@
         """Return the listed hosts that are live."""
         return [r for r in self.listed() if self.is_live(r.incarnation)]
 
+    def live_names(self) -> list[str]:
+        """Return the names of the live hosts that take over work."""
+        return [record.host for record in self.live() if not record.stopping]
+
     def listed(self) -> list[HostRecord]:
         """Return the listed hosts, live or not."""
         return [listed.record for listed in self._listed.values()]
@@ -202,6 +209,13 @@
         else:
             self._written_s = self._clock.now_s()
 
+    async def tell_stopping(self, deadline_s: float) -> None:
+        """Have the other hosts leave this one out when they share out work."""
+        async with self._writing:
+            self._record = attrs.evolve(self._record, stopping=True)
+            if not self._left:
+                await self._renew(deadline_s)
+
     async def leave(self, deadline_s: float) -> None:
         """Remove the row for good, so that other hosts take over at once."""
         self._left = True
--- a/src/aspenbridge/jobs/_claims.py
+++ b/src/aspenbridge/jobs/_claims.py
@@ -87,9 +87,15 @@
         while True:
             if self.enabled and self._reachability.hosts_current:
                 for stored in self._jobs_to_claim():
-                    await self._claim(stored)
+                    if self._is_newest(stored) and self.enabled:
+                        await self._claim(stored)
             await self._clock.sleep_until(self._clock.now_s() + CLAIM_INTERVAL_S)
 
+    def _is_newest(self, stored: Stored[JobHead]) -> bool:
+        """Whether nobody has changed a head while others were claimed."""
+        known = self._directory.get(stored.record.id)
+        return known is not None and known.version == stored.version
+
     def _jobs_to_claim(self) -> list[Stored[JobHead]]:
         """
         Update the orphaned jobs; return those that this host may claim now.
@@ -103,7 +109,7 @@
             for stored in self._directory.open_heads()
             if self._is_orphaned(stored.record)
         ]
-        live_hosts = [record.host for record in self._hosts.live()] if orphaned else []
+        live_hosts = self._hosts.live_names() if orphaned else []
         due: list[Stored[JobHead]] = []
         orphans: dict[str, _Orphan] = {}
         for stored in orphaned:
--- a/src/aspenbridge/jobs/_sweep.py
+++ b/src/aspenbridge/jobs/_sweep.py
@@ -57,7 +57,7 @@
             old = [s for s in self._directory if self._is_past_retention(s.record)]
             live_hosts = {self._host}
             if old:
-                live_hosts.update(record.host for record in self._hosts.live())
+                live_hosts.update(self._hosts.live_names())
             for stored in old:
                 if self._is_assigned_here(stored.record.id, live_hosts):
                     await self._remove(stored)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -517,6 +517,20 @@
     with_fleet(check)
 
 
+def test_released_jobs_do_not_wait_for_the_turn_of_hosts_that_stop():
+    async def check(fleet):
+        fleet.engines.event_s = 0.5
+        for number in range(12):
+            await submit(fleet, "h0", make_job(f"j{number}", items=1))
+        await asyncio.gather(*(fleet.hosts[f"h{n}"].release_jobs() for n in range(4)))
+        await asyncio.sleep(0.9)
+        rest = {fleet.hosts[f"h{n}"].incarnation for n in (4, 5)}
+        heads = fleet.hosts["h4"]._job_directory.open_heads()
+        assert {stored.record.owner for stored in heads} <= rest
+
+    with_fleet(check, hosts=6)
+
+
 def test_job_whose_owner_stops_without_the_reply_to_its_write_runs_at_once_elsewhere():
     async def check(fleet):
         fleet.store.replies_to_lose, fleet.store.lossy_table = 1, "job_heads"
