--- a/src/aspenbridge/jobs/_result_lister.py
+++ b/src/aspenbridge/jobs/_result_lister.py
@@ -31,10 +31,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def wait(self) -> None:
-        """Wait until the writes in progress have ended."""
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     async def _list_results(self, job: OwnedJob) -> None:
         """
         List finished items until none is left or the job is no longer owned.
