Review: case 6, a request with a long prompt crashes engines without end

A request with 2,200 prompt parts that crashes engines is never held back, since its own parts drop it from the ledger of suspects.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -32,6 +32,7 @@
 MAX_RANGE_ROWS = 500
 MAX_RANGE_BYTES = 1_000_000
 RESTART_DELAY_S = 0.5
+MAX_HEAD_BYTES = 32 * 1024
 LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 4194304,
@@ -375,11 +376,22 @@
         return status == 200
 
 
+def http_server(handler) -> web.Server:
+    """Return a server that takes heads up to `maxHeaderBytes` and more."""
+    return web.Server(
+        handler,
+        access_log=None,
+        keepalive_timeout=75.0,
+        max_field_size=MAX_HEAD_BYTES,
+        max_line_size=MAX_HEAD_BYTES,
+    )
+
+
 class Port:
     """An HTTP server on a port of 127.0.0.1 that can crash and come back."""
 
     def __init__(self, handler) -> None:
-        self._server = web.Server(handler, access_log=None, keepalive_timeout=75.0)
+        self._server = http_server(handler)
         self._listener: asyncio.Server | None = None
         self._port = 0
 
@@ -404,7 +416,7 @@
 
 async def serve(stack: contextlib.AsyncExitStack, handler) -> str:
     """Serve HTTP on a free port of 127.0.0.1; return the address."""
-    server = web.Server(handler, access_log=None, keepalive_timeout=75.0)
+    server = http_server(handler)
     listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
     stack.callback(listener.close)
     ip, port = listener.sockets[0].getsockname()[:2]
@@ -480,3 +492,24 @@
 def temporary_folder(stack: contextlib.AsyncExitStack) -> Path:
     """Return a folder that is removed at the end."""
     return Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="review-")))
+
+
+async def wait_ready(hosts: list[Host], limit_s: float = 20.0) -> None:
+    """
+    Wait until all hosts report that they are ready.
+
+    :raises TimeoutError: when they don't in time.
+    """
+    async with asyncio.timeout(limit_s):
+        while not all([await host.is_ready() for host in hosts]):
+            await asyncio.sleep(0.1)
+
+
+async def end_all(hosts: list[Host]) -> None:
+    """Kill the processes of all hosts and wait for their ends."""
+    for host in hosts:
+        host.send(signal.SIGCONT)
+        host.send(signal.SIGKILL)
+    for host in hosts:
+        if host.process is not None:
+            await host.process.wait()
