Review: case 6, hosts that are left end again and again for their memory

Eight accepted jobs of 200 items with long prompts, then the loss of nine of eleven hosts: the two left exceed 170 MB at each start.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 	exit 2
 }
 mkdir -p target/review-2
-for file in review/standins-2/*.py review/6/case.py review/7/hang.py; do
+for file in review/standins-2/*.py review/6/memory.py review/7/case.py review/8/hang.py; do
 	PYTHONPYCACHEPREFIX=target/review-2 PYTHONPATH=target/deps \
 		python3 -m py_compile "$file"
 done
