--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -137,7 +137,6 @@
         self._changed = asyncio.Event()
         self._history_from = 0
         self.address = ""
-        self.connections = 0
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Listen on a free port."""
@@ -293,7 +292,6 @@
         self.process: asyncio.subprocess.Process | None = None
         self.kept = True  # whether it is started again when it has ended
         self.peak_mb = 0.0
-        self.own_ends = 0
         self.over_limit = 0
 
     async def start(self) -> None:
