--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -13,6 +13,7 @@
 
 STAMP = "X-Aspenbridge-Server-Stamp"
 ATTEMPT = "X-Aspenbridge-Attempt-Id"
+PLAIN_PREFIX = "/plain/"  # of requests whose answers are no streams
 
 
 class Engine:
@@ -34,7 +35,7 @@
         self.service = "llm"
         self._store = store
         self._record = record
-        self._sequence = 0
+        self._beat_s = 0.0  # when the entry was last written
         self.born = int(time.time() * 1000)
         self.address = ""
         self.listed = True
@@ -51,7 +52,7 @@
 
     def register(self) -> None:
         """Write the entry of this engine."""
-        self._sequence += 1
+        self._beat_s = time.monotonic()
         self._store.write(
             "servers",
             self.name,
@@ -110,7 +111,9 @@
             self._record.write(f"{self.name} ends {attempt}: {run['end'] or 'failed'}")
 
     async def answer(self, request, run, body) -> web.StreamResponse:
-        """Stream the events that are due."""
+        """Answer with the events that are due."""
+        if request.path.startswith(PLAIN_PREFIX):
+            return await self._answer_whole(request, run, body)
         response = web.StreamResponse(
             headers={
                 ATTEMPT: run["id"],
@@ -130,6 +133,13 @@
         await response.write_eof()
         return response
 
+    async def _answer_whole(self, request, run, body) -> web.StreamResponse:
+        """Answer with one body, as engines do on a route that is no stream."""
+        await asyncio.sleep(self.gap_s * self.events)
+        texts = whole_text(request.method, request.raw_path, body, self.events)
+        headers = {ATTEMPT: run["id"], STAMP: f"{self.name}.{run['id']}"}
+        return web.Response(headers=headers, text="\n".join(texts))
+
 
 def event_text(method: str, target: str, body: bytes, number: int) -> str:
     """Return the data of one event of a request."""
@@ -147,8 +157,8 @@
     Crashes when it begins to run a request with a certain body.
 
     It resets its connections, refuses new ones and renews its entry no more,
-    which the store drops after three heartbeats. After `down_s` it is back at
-    its address as a new incarnation with a new id.
+    which the store drops three heartbeats after the last renewal. After `down_s`
+    it is back at its address as a new incarnation with a new id.
     """
 
     deadly = b""
@@ -173,8 +183,8 @@
         self.listed = False
         self.port.crash()
         loop, name = asyncio.get_running_loop(), self.name
-        lapse_s = min(3 * HEARTBEAT_S, self.down_s)
-        loop.call_later(lapse_s, self._store.write, "servers", name, None)
+        lapse_s = self._beat_s + 3 * HEARTBEAT_S - time.monotonic()
+        loop.call_later(max(0.0, lapse_s), self._store.write, "servers", name, None)
         loop.call_later(
             self.down_s, lambda: self.tasks.append(asyncio.create_task(self._return()))
         )
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -33,6 +33,7 @@
 MAX_RANGE_BYTES = 1_000_000
 RESTART_DELAY_S = 0.5
 MAX_HEAD_BYTES = 32 * 1024
+CASE_LIMIT_S = 115.0  # for one run of a case; its end takes a moment more
 LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 4194304,
@@ -237,7 +238,11 @@
             if after < self._history_from:
                 return web.json_response({}, status=410)
             first = bisect.bisect_right(self._changes, after, key=lambda r: r["ver"])
-            rows = [r for r in self._changes[first:] if r["table"] == query["table"]]
+            rows = [
+                {name: value for name, value in row.items() if name != "at_s"}
+                for row in self._changes[first:]
+                if row["table"] == query["table"]
+            ]
             remaining_s = until_s - time.monotonic()
             if rows or remaining_s <= 0:
                 return web.json_response(
@@ -503,6 +508,13 @@
             await asyncio.sleep(0.1)
 
 
+async def stop_tasks(tasks: list[asyncio.Task]) -> None:
+    """Cancel tasks and wait for their ends."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def end_all(hosts: list[Host]) -> None:
     """Kill the processes of all hosts and wait for their ends."""
     for host in hosts:
