--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -23,14 +23,28 @@
 PARSED_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
 MAX_REASON_CHARS = 200  # a reason may quote what a server has sent
-SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+VALID_STATUSES = range(100, 600)  # HTTP has no other classes
+SWITCHING_PROTOCOLS = 101  # which no client here asks for
 
 
 class InvalidAnswerError(aiohttp.ClientPayloadError):
     """A server sent bytes that are no answer, so its connection was closed."""
 
 
+def _head_fault(message: RawResponseMessage) -> str | None:
+    """
+    Return why a parsed head is no answer, or None if it is one.
+
+    aiohttp takes any three digits for a status, and those below 100 for the
+    status of a final answer.
+    """
+    status = message.code
+    if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
+        return f"status {status:03} is no answer"
+    return None
+
+
 class ClientConnection(ResponseHandler):
     """
     A connection on which a body that its server resets is an error.
@@ -39,6 +53,8 @@
     connection in an orderly way. aiohttp takes any end of the connection for
     the end of such a body.
 
+    An answer whose head is invalid is an error, and its connection is closed.
+
     A server that sends bytes without end that are neither a head nor payload
     gets its connection closed, and so does one that sends more after its
     answer. aiohttp itself limits each line of a head or trailer to 8190 bytes
@@ -59,11 +75,16 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
     ) -> None:
-        """Add a parsed head and its body to the queue of this connection."""
-        status = data[0].code
-        final = status >= FIRST_FINAL_STATUS or status == SWITCHING_PROTOCOLS
-        if final and self._body is None:
-            self._body = data[1]
+        """Add a parsed head and its body to the queue if the head is valid."""
+        if self._invalid_error is not None:
+            return
+        message, body = data
+        fault = _head_fault(message)
+        if fault is not None:
+            self._refuse(fault)
+            return
+        if message.code >= FIRST_FINAL_STATUS and self._body is None:
+            self._body = body
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -103,12 +124,14 @@
         limit_bytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * payload_bytes
         if overhead_bytes > limit_bytes:
             part = "no head" if body is None else f"{payload_bytes} bytes of payload"
-            self._invalid_error = InvalidAnswerError(
-                f"{part} in {self._received_bytes} received bytes"
-            )
-            self.close()
-            self.set_exception(self._invalid_error)
-            self._fail_body(self._invalid_error)
+            self._refuse(f"{part} in {self._received_bytes} received bytes")
+
+    def _refuse(self, reason: str) -> None:
+        """Close the connection, whose server has sent what is no answer."""
+        error = self._invalid_error = InvalidAnswerError(reason)
+        self.close()
+        self.set_exception(error)
+        self._fail_body(error)
 
     def _fail_body(self, error: Exception) -> None:
         body = self._body
--- /dev/null
+++ b/tests/platform/test_broken_heads.py
@@ -0,0 +1,320 @@
+"""Answers whose heads are not HTTP, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import attrs
+import pytest
+from returns.result import Failure
+
+from aspenbridge.backends import (
+    HttpEngines,
+    HttpHostList,
+    HttpObjects,
+    HttpServices,
+    HttpTable,
+    open_session,
+)
+from aspenbridge.clock import SystemClock
+from aspenbridge.loop import NumericAddressLoop
+from aspenbridge.peers import Ack
+from aspenbridge.peers._codec import encode_message
+from aspenbridge.peers.transport import HttpPeers
+from aspenbridge.platform._connections import open_store_session
+from aspenbridge.platform._store import StoreClient
+from aspenbridge.ports import (
+    CallOutcome,
+    Engine,
+    EngineFailure,
+    EngineOrder,
+    Generate,
+    PeerAddress,
+    PeerUnreachableError,
+    Put,
+    RowKey,
+    ServiceCall,
+    ServiceFailure,
+    Transaction,
+)
+from tests.platform.test_answer_ends import (
+    EVENTS,
+    STREAM,
+    TEXT,
+    item_result,
+    submit_item,
+    with_host,
+)
+from tests.support.engine_scripts import (
+    Answer,
+    End,
+    Framing,
+    ScriptedEngine,
+    stream_of,
+)
+
+TIMEOUT_S = 2.0
+WHOLE = b"the body of an answer that is not a stream"
+KINDS = {"text/event-stream": STREAM, "text/plain": WHOLE}
+SOUND_EVENTS = Answer(events=EVENTS)
+
+
+@attrs.frozen
+class BrokenHead:
+    """What makes the head of an answer no HTTP."""
+
+    name: str
+    first_lines: str = "HTTP/1.1 200 OK"
+    headers: tuple[str, ...] = ()
+    trailers: tuple[str, ...] = ()
+    interim: bytes = b""
+    framing: tuple[Framing, ...] = tuple(Framing)
+
+    def __str__(self) -> str:
+        return self.name
+
+    def answers(self, content_type: str) -> list[Answer]:
+        """Return an answer with this head for each framing."""
+        return [
+            Answer(
+                KINDS[content_type],
+                framing,
+                content_type=content_type,
+                first_lines=self.first_lines,
+                headers=self.headers,
+                trailers=self.trailers,
+                interim=self.interim,
+            )
+            for framing in self.framing
+        ]
+
+
+STATUSES = [
+    BrokenHead(f"status {status}", f"HTTP/1.1 {status} Status")
+    for status in ("000", "001", "020", "099", "101", "600", "999")
+]
+BROKEN_HEADS = [*STATUSES]
+
+
+async def play(run_case, heads, content_type="text/event-stream"):
+    """Return each head with an answer of it that came out wrong, and how."""
+    cases = [(head, answer) for head in heads for answer in head.answers(content_type)]
+    results = await asyncio.gather(*(run_case(answer) for _, answer in cases))
+    return [
+        (head.name, answer.framing.value, result)
+        for (head, answer), result in zip(cases, results, strict=True)
+        if result is not None
+    ]
+
+
+# Guards against an answer that a caller can't read as one, and against the
+# claim that its request has not run.
+@pytest.mark.parametrize("content_type", KINDS)
+def test_request_that_may_run_once_is_failed_after_a_broken_head(content_type):
+    async def check(host):
+        async def run_case(answer):
+            reply = await host.call("once", [answer, SOUND_EVENTS])
+            if (reply.status, reply.complete) != (502, True):
+                return reply[:3]
+            execution = json.loads(reply.body)["execution"]
+            return None if execution == "outcome unknown" else execution
+
+        assert await play(run_case, BROKEN_HEADS, content_type) == []
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("content_type", KINDS)
+def test_request_is_answered_by_another_engine_after_a_broken_head(content_type):
+    async def check(host):
+        async def run_case(answer):
+            reply = await host.call("online", [answer, SOUND_EVENTS])
+            return None if reply[:3] == (200, STREAM, True) else reply[:3]
+
+        assert await play(run_case, BROKEN_HEADS, content_type) == []
+
+    with_host(check)
+
+
+@pytest.mark.parametrize("end", [End.RESET, End.SILENCE])
+def test_stream_that_has_begun_skips_an_answer_with_a_broken_head(end):
+    async def check(host):
+        async def run_case(answer):
+            begun = Answer(STREAM, end=end, sent_bytes=len(stream_of(2)))
+            rest = stream_of(EVENTS, 2).replace(b"t", b"other")
+            broken = attrs.evolve(answer, body=rest)
+            reply = await host.call("online", [begun, broken, SOUND_EVENTS])
+            whole = reply[:3] == (200, STREAM, True)
+            if whole or not (reply.complete or b"other" in reply.body):
+                return None
+            return reply[:3]
+
+        assert await play(run_case, BROKEN_HEADS) == []
+
+    with_host(check)
+
+
+def test_item_is_run_again_after_a_broken_head():
+    async def check(host):
+        async def run_case(answer):
+            changed = attrs.evolve(answer, body=STREAM.replace(b"t", b"other"))
+            item_id = await submit_item(host, [changed, SOUND_EVENTS, SOUND_EVENTS])
+            async with asyncio.timeout(15.0):
+                text = await item_result(host, item_id)
+            return None if text == TEXT else text
+
+        assert await play(run_case, BROKEN_HEADS) == []
+
+    with_host(check)
+
+
+SOUND_HEADS = [
+    BrokenHead("no reason", "HTTP/1.1 200 "),
+    BrokenHead("status without a name", "HTTP/1.1 299 Status"),
+    BrokenHead("HTTP/1.0", "HTTP/1.0 200 OK", framing=(Framing.LENGTH, Framing.NONE)),
+    BrokenHead("interim answer", interim=b"HTTP/1.1 100 Continue\r\n\r\n"),
+    BrokenHead("hints", interim=b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
+    BrokenHead("tab and blanks in a value", headers=("X-Note: \ta\t b ",)),
+    BrokenHead("no value", headers=("X-Note:",)),
+    BrokenHead("odd name", headers=("x!#$%&'*+-.^_`|~9: a",)),
+    BrokenHead("trailer", trailers=("X-Sum: 5",), framing=(Framing.CHUNKS,)),
+]
+
+
+@pytest.mark.parametrize("content_type", KINDS)
+def test_answer_with_an_unusual_head_reaches_its_caller(content_type):
+    async def check(host):
+        async def run_case(answer):
+            reply = await host.call("once", [answer])
+            status = 299 if "299" in answer.first_lines else 200
+            expected = (status, KINDS[content_type], True)
+            return None if reply[:3] == expected else reply[:3]
+
+        assert await play(run_case, SOUND_HEADS, content_type) == []
+
+    with_host(check)
+
+
+def play_calls(open_client_session, call, bodies, is_right):
+    """Return each broken head after which a call came out wrong, and how."""
+
+    async def run_case(answer):
+        wrong = []
+        for body in bodies:
+            async with ScriptedEngine() as server, open_client_session() as session:
+                server.scripts[""] = [attrs.evolve(answer, body=body)]
+                result = await ended(call(session, f"127.0.0.1:{server.port}"))
+            if not is_right(result):
+                wrong.append((body, result))
+        return wrong or None
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        return runner.run(play(run_case, BROKEN_HEADS, "text/plain"))
+
+
+async def ended(call):
+    """Return what a call returned, or the error with which it failed."""
+    try:
+        return await asyncio.wait_for(call, 2 * TIMEOUT_S)
+    except (EngineFailure, ServiceFailure, PeerUnreachableError) as error:
+        return error
+
+
+def may_be_applied(result) -> bool:
+    return isinstance(result, Failure) and result.failure().maybe_applied
+
+
+KEY = RowKey("t", "k")
+WRITE = Transaction(puts=(Put(KEY, b""),))
+STORE_CALLS = {
+    "rows": lambda store: store.rows("t"),
+    "changes": lambda store: store.changes("t", 0, 0.1),
+    "parts": lambda store: store.parts("t"),
+    "write": lambda store: store.transact(WRITE),
+    "object": lambda store: store.get("o"),
+    "new object": lambda store: store.put("o", b"x"),
+    "removed object": lambda store: store.delete("o"),
+}
+REPLIES = (b'{"rows":[],"ver":1,"parts":[]}', b"[]", b"")
+
+
+@pytest.mark.parametrize("name", STORE_CALLS)
+def test_reply_of_the_store_with_a_broken_head_is_a_failed_call(name):
+    def call(session, address):
+        return STORE_CALLS[name](StoreClient(session, address))
+
+    assert play_calls(open_store_session, call, REPLIES, may_be_applied) == []
+
+
+OLDER_CALLS = {
+    "transaction": lambda s, a: HttpTable(s, a, TIMEOUT_S).transact(WRITE),
+    "rows": lambda s, a: HttpTable(s, a, TIMEOUT_S).read([KEY]),
+    "page": lambda s, a: HttpTable(s, a, TIMEOUT_S).scan("t", "k"),
+    "object": lambda s, a: HttpObjects(s, a, TIMEOUT_S).get("o"),
+    "new object": lambda s, a: HttpObjects(s, a, TIMEOUT_S).put("o", b"x"),
+    "removed object": lambda s, a: HttpObjects(s, a, TIMEOUT_S).delete("o"),
+    "hosts": lambda s, a: HttpHostList(s, a, TIMEOUT_S).hosts(),
+}
+
+
+@pytest.mark.parametrize("name", OLDER_CALLS)
+def test_reply_to_the_older_program_with_a_broken_head_may_have_been_applied(name):
+    call = OLDER_CALLS[name]
+    assert play_calls(open_session, call, REPLIES, may_be_applied) == []
+
+
+def engine_at(address):
+    return Engine("e1", address, "r", "d", "m", "1")
+
+
+async def generated(session, address):
+    call = Generate("a1", "p", 4)
+    async for _ in HttpEngines(session).generate(engine_at(address), call):
+        pass
+
+
+async def call_service(session, address):
+    clock = SystemClock()
+    call = ServiceCall(address, "POST", "/", b"q", "c")
+    return await HttpServices(session, clock).call(call, clock.now_s() + TIMEOUT_S)
+
+
+async def call_peer(session, address):
+    clock = SystemClock()
+    ip, port = address.split(":")
+    peers = HttpPeers(session, clock)
+    return await peers.call(
+        PeerAddress(ip, int(port)), Ack(False, "x"), clock.now_s() + TIMEOUT_S
+    )
+
+
+SERVER_CALLS = {
+    "generation": generated,
+    "order": lambda s, a: HttpEngines(s).order(
+        engine_at(a), EngineOrder("load", "m", 1)
+    ),
+    "load": lambda s, a: HttpEngines(s).load(engine_at(a)),
+    "service": call_service,
+}
+
+
+LOAD = b'{"running":0,"waiting":0,"kv_used_tokens":0,"kv_limit_tokens":1,"step_s":1}'
+
+
+@pytest.mark.parametrize("name", SERVER_CALLS)
+def test_server_of_the_older_program_may_have_run_a_call_before_a_broken_head(name):
+    def is_right(result):
+        outcome = getattr(result, "outcome", None)
+        return outcome is CallOutcome.BROKEN
+
+    assert play_calls(open_session, SERVER_CALLS[name], [LOAD], is_right) == []
+
+
+def test_peer_may_have_got_a_message_before_a_broken_head():
+    message = encode_message(Ack(True, ""))
+
+    def is_right(result):
+        return isinstance(result, PeerUnreachableError) and result.sent
+
+    assert play_calls(open_session, call_peer, [message], is_right) == []
--- a/tests/support/engine_scripts.py
+++ b/tests/support/engine_scripts.py
@@ -50,6 +50,12 @@
     :ivar body_silence_s: how long nothing comes inside the body, in seconds;
         in a stream after its first event.
     :ivar headers: lines of the head beside the usual ones.
+    :ivar first_lines: what stands in the place of the status line.
+    :ivar trailers: lines behind the last chunk.
+    :ivar interim: what is sent before the head.
+    :ivar early: whether it is sent before the body of the request is read.
+        What is not read by then resets the connection a moment after its end.
+    :ivar reads_on: whether the body is read behind an early answer.
     """
 
     body: bytes | None = None
@@ -63,12 +69,17 @@
     head_silence_s: float = 0.0
     body_silence_s: float = 0.0
     headers: tuple[str, ...] = ()
+    first_lines: str = ""
+    trailers: tuple[str, ...] = ()
+    interim: bytes = b""
+    early: bool = False
+    reads_on: bool = False
 
     def encode(self, request_id: str, after: int | None) -> bytes:
         first = 0 if after is None else after + 1
         body = stream_of(self.events, first) if self.body is None else self.body
         lines = [
-            f"HTTP/1.1 {self.status} Status",
+            self.first_lines or f"HTTP/1.1 {self.status} Status",
             f"X-Aspenbridge-Attempt-Id: {request_id}",
             "X-Aspenbridge-Server-Stamp: stamp",
             f"Content-Type: {self.content_type}",
@@ -78,14 +89,16 @@
             lines.append(f"Content-Length: {len(body)}")
         if self.framing is Framing.CHUNKS:
             lines.append("Transfer-Encoding: chunked")
-        head = "\r\n".join([*lines, "", ""]).encode()
+        head = self.interim + "\r\n".join([*lines, "", ""]).encode()
         if self.head_bytes is not None:
             return head[: self.head_bytes]
         sent = body[: self.sent_bytes]
         if self.framing is not Framing.CHUNKS:
             return head + sent
         chunk = b"%x\r\n%b\r\n" % (len(sent), sent) if sent else b""
-        return head + chunk + (b"0\r\n\r\n" if self.sent_bytes is None else b"")
+        if self.sent_bytes is not None:
+            return head + chunk
+        return head + chunk + "\r\n".join(["0", *self.trailers, "", ""]).encode()
 
     def parts(self, request_id: str, after: int | None) -> list[tuple[float, bytes]]:
         """Return the parts that are sent, each with the silence before it."""
@@ -145,45 +158,69 @@
     async def _serve(self, sock: socket.socket) -> None:
         # A host that has left resets its connection.
         with sock, suppress(ConnectionError):
-            fields, body = await _read_request(sock)
+            fields, body = await _read_head(sock)
             request_id = fields.get("X-Aspenbridge-Attempt-Id", "")
+            script = self.scripts[request_id]
+            if not (script and script[0].early):
+                body = await _read_body(sock, fields, body)
             self.headers[request_id], self.bodies[request_id] = fields, body
             after_text = fields.get("Last-Event-Id")
             after = None if after_text is None else int(after_text)
             self.resumed_after.setdefault(request_id, []).append(after)
             engine = fields.get("X-Aspenbridge-Expect-Instance", "")
             self.asked.setdefault(request_id, []).append(engine)
-            if not self.scripts[request_id]:
+            if not script:
                 return  # an error here would end the other connections, too
-            answer = self.scripts[request_id].pop(0)
-            *parts, (silence_s, data) = answer.parts(request_id, after)
-            loop = asyncio.get_running_loop()
-            for pause_s, part in parts:
-                await asyncio.sleep(pause_s)
-                await loop.sock_sendall(sock, part)
-            await asyncio.sleep(silence_s)
-            await loop.sock_sendall(sock, data[:-LAST_BYTES])
-            # Nothing else runs between this and a reset behind the data.
-            sock.send(data[-LAST_BYTES:])
-            if answer.end is End.SILENCE:
-                await loop.sock_recv(sock, 1)
-            if answer.end is End.RESET:
+            answer = script.pop(0)
+            await _send(sock, answer.parts(request_id, after))
+            if answer.early and answer.end is End.CLOSE:
+                sock.shutdown(socket.SHUT_WR)
                 await asyncio.sleep(READ_DELAY_S)
-            if answer.end in (End.RESET, End.RESET_BEHIND_DATA):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
-
-
-async def _read_request(sock: socket.socket) -> tuple[dict[str, str], bytes]:
-    """Read a request; return its headers and its body."""
+            if answer.reads_on:
+                self.bodies[request_id] = await _read_body(sock, fields, body)
+            await _end(sock, answer.end)
+
+
+async def _send(sock: socket.socket, timed_parts: list[tuple[float, bytes]]) -> None:
+    loop = asyncio.get_running_loop()
+    *parts, (silence_s, data) = timed_parts
+    for pause_s, part in parts:
+        await asyncio.sleep(pause_s)
+        await loop.sock_sendall(sock, part)
+    await asyncio.sleep(silence_s)
+    await loop.sock_sendall(sock, data[:-LAST_BYTES])
+    # Nothing else runs between this and a reset behind the data.
+    sock.send(data[-LAST_BYTES:])
+
+
+async def _end(sock: socket.socket, end: End) -> None:
+    """Wait until the connection is to end; prepare a reset."""
+    if end is End.SILENCE:
+        await asyncio.get_running_loop().sock_recv(sock, 1)
+    if end is End.RESET:
+        await asyncio.sleep(READ_DELAY_S)
+    if end in (End.RESET, End.RESET_BEHIND_DATA):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO_S)
+
+
+async def _read_head(sock: socket.socket) -> tuple[dict[str, str], bytes]:
+    """Read the head of a request; return its headers and what follows it."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += await _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
     lines = head.decode().split("\r\n")[1:]
-    fields = dict(line.split(": ", 1) for line in lines)
+    return dict(line.split(": ", 1) for line in lines), body
+
+
+async def _read_body(
+    sock: socket.socket, fields: dict[str, str], begin: bytes
+) -> bytes:
+    """Read the rest of a request; return its body, which may have begun."""
+    body = begin
     while len(body) < int(fields.get("Content-Length", 0)):
         body += await _receive(sock)
-    return fields, body
+    return body
 
 
 async def _receive(sock: socket.socket) -> bytes:
--- a/tests/support/scripted_host.py
+++ b/tests/support/scripted_host.py
@@ -101,7 +101,9 @@
         self.engine.scripts[request_id] = list(answers)
         return request_id
 
-    async def send(self, sock, path, answers, *, version="1.1", headers=()) -> str:
+    async def send(
+        self, sock, path, answers, *, version="1.1", headers=(), body=b"q"
+    ) -> str:
         """Send a request whose script is given; return its id."""
         request_id = self.add_script(answers)
         lines = [
@@ -109,10 +111,10 @@
             "Host: a.example",
             f"X-Aspenbridge-Attempt-Id: {request_id}",
             f"X-Aspenbridge-Deadline-Ms: {BUDGET_MS}",
-            "Content-Length: 1",
+            f"Content-Length: {len(body)}",
             *headers,
         ]
-        data = "\r\n".join([*lines, "", "q"]).encode()
+        data = "\r\n".join([*lines, "", ""]).encode() + body
         await asyncio.get_running_loop().sock_sendall(sock, data)
         return request_id
 
