--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from functools import partial
+from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpResponseParser
 
 from .loop import pending_error
 
@@ -26,6 +29,12 @@
 FIRST_FINAL_STATUS = 200
 VALID_STATUSES = range(100, 600)  # HTTP has no other classes
 SWITCHING_PROTOCOLS = 101  # which no client here asks for
+CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+# Outside its development mode, aiohttp accepts heads and trailers that are
+# not HTTP: a blank beside a name may make another field of it, and a line feed
+# alone ends a line or the whole head. A parser reads the mode when it begins.
+vars(import_module(HttpResponseParser.__module__))["DEBUG"] = True
 
 
 class InvalidAnswerError(aiohttp.ClientPayloadError):
@@ -37,11 +46,13 @@
     Return why a parsed head is no answer, or None if it is one.
 
     aiohttp takes any three digits for a status, and those below 100 for the
-    status of a final answer.
+    status of a final answer. It leaves the reason as it came.
     """
     status = message.code
     if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
         return f"status {status:03} is no answer"
+    if CONTROL_CHARACTER.search(message.reason or ""):
+        return "the reason holds a control character"
     return None
 
 
--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -57,6 +57,7 @@
 TIMEOUT_S = 2.0
 WHOLE = b"the body of an answer that is not a stream"
 KINDS = {"text/event-stream": STREAM, "text/plain": WHOLE}
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n%b\r\n\r\n"
 SOUND_EVENTS = Answer(events=EVENTS)
 
 
@@ -94,7 +95,46 @@
     BrokenHead(f"status {status}", f"HTTP/1.1 {status} Status")
     for status in ("000", "001", "020", "099", "101", "600", "999")
 ]
-BROKEN_HEADS = [*STATUSES]
+FIELDS = [
+    BrokenHead("blank before the first name", "HTTP/1.1 200 OK\r\n X-Note: a"),
+    BrokenHead("tab before the first name", "HTTP/1.1 200 OK\r\n\tX-Note: a"),
+    BrokenHead("blank before a name", headers=(" X-Note: a",)),
+    BrokenHead("blank in a name", headers=("X Note: a",)),
+    BrokenHead("blank behind a name", headers=("X-Note : a",)),
+    BrokenHead("line feed before the first name", "HTTP/1.1 200 OK\r\n\nX-Note: a"),
+    BrokenHead("line feed before a name", headers=("\nX-Note: a",)),
+    BrokenHead("return before a name", headers=("\rX-Note: a",)),
+    *(
+        BrokenHead(f"byte {ord(byte)} in a name", headers=(f"X{byte}Note: a",))
+        for byte in "\x00\x01\t\n\r\x1f\x7f"
+    ),
+    BrokenHead("no name", headers=(": a",)),
+    BrokenHead("no colon", headers=("X-Note",)),
+    *(
+        BrokenHead(f"byte {ord(byte)} in a value", headers=(f"X-Note: a{byte}b",))
+        for byte in "\x00\x01\n\r\x1f\x7f"
+    ),
+    BrokenHead("folded value", headers=("X-Note: a\r\n b",)),
+    BrokenHead("byte 1 in the reason", "HTTP/1.1 200 O\x01K"),
+    BrokenHead("line feed ends the status line", "HTTP/1.1 200 OK\nX-Note: a"),
+    BrokenHead(
+        "blank behind the name of a length",
+        headers=("Content-Length : 5",),
+        framing=(Framing.NONE,),
+    ),
+    BrokenHead(
+        "blank behind the name of a coding",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked",
+        framing=(Framing.NONE,),
+    ),
+    BrokenHead("blank in an interim answer", interim=INTERIM % b" X-Note: a"),
+    BrokenHead("byte 1 in an interim answer", interim=INTERIM % b"X-Note: \x01"),
+    *(
+        BrokenHead(f"trailer {line!r}", trailers=(line,), framing=(Framing.CHUNKS,))
+        for line in (" X-Sum: 5", "X Sum: 5", "X\x01: 5", "X-Sum: \x01", "X-Sum")
+    ),
+]
+BROKEN_HEADS = [*STATUSES, *FIELDS]
 
 
 async def play(run_case, heads, content_type="text/event-stream"):
@@ -142,7 +182,7 @@
     async def check(host):
         async def run_case(answer):
             begun = Answer(STREAM, end=end, sent_bytes=len(stream_of(2)))
-            rest = stream_of(EVENTS, 2).replace(b"t", b"other")
+            rest = stream_of(EVENTS, 2).replace(b": t", b": other")
             broken = attrs.evolve(answer, body=rest)
             reply = await host.call("online", [begun, broken, SOUND_EVENTS])
             whole = reply[:3] == (200, STREAM, True)
@@ -158,7 +198,7 @@
 def test_item_is_run_again_after_a_broken_head():
     async def check(host):
         async def run_case(answer):
-            changed = attrs.evolve(answer, body=STREAM.replace(b"t", b"other"))
+            changed = attrs.evolve(answer, body=STREAM.replace(b": t", b": other"))
             item_id = await submit_item(host, [changed, SOUND_EVENTS, SOUND_EVENTS])
             async with asyncio.timeout(15.0):
                 text = await item_result(host, item_id)
