--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -11,9 +11,11 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpResponseParser
 
-from .loop import pending_error
+from .loop import pending_error, undelivered_bytes
 
 if TYPE_CHECKING:
+    import asyncio
+
     from aiohttp.http_parser import RawResponseMessage
 
 # What an answer may send besides its payload: its heads, interim ones too, and
@@ -29,6 +31,10 @@
 FIRST_FINAL_STATUS = 200
 VALID_STATUSES = range(100, 600)  # HTTP has no other classes
 SWITCHING_PROTOCOLS = 101  # which no client here asks for
+# A server that has ended its answer only reads the rest of the request, up to
+# 16 MiB from another region.
+DELIVERY_LIMIT_S = 5.0
+DELIVERY_CHECK_INTERVAL_S = 0.01
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 # Outside its development mode, aiohttp accepts heads and trailers that are
@@ -61,8 +67,10 @@
     A connection on which a body that its server resets is an error.
 
     A body with neither a length nor chunks ends when the server closes the
-    connection in an orderly way. aiohttp takes any end of the connection for
-    the end of such a body.
+    connection in an orderly way and its kernel has got all of the request. A
+    server that ends while the request is written closes the connection before
+    it resets it. aiohttp takes any end of the connection for the end of such a
+    body, also one by the client.
 
     An answer whose head is invalid is an error, and its connection is closed.
 
@@ -75,6 +83,10 @@
     _pending_error: OSError | None = None
     _invalid_error: InvalidAnswerError | None = None
     _body: aiohttp.StreamReader | None = None
+    _body_ends_with_connection = False
+    _closed_by_server = False
+    _delivery_check: asyncio.TimerHandle | None = None
+    _delivery_deadline_s = 0.0  # by the clock of the event loop
     _received_bytes = 0
 
     def set_response_params(self, **options: Any) -> None:
@@ -96,6 +108,8 @@
             return
         if message.code >= FIRST_FINAL_STATUS and self._body is None:
             self._body = body
+            framed = message.chunked or "Content-Length" in message.headers
+            self._body_ends_with_connection = not framed
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -149,18 +163,56 @@
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(error)
 
-    def eof_received(self) -> None:
-        """Note the error that the event loop may report as an orderly end."""
-        if self.transport is not None:
-            self._pending_error = pending_error(self.transport)
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """
+        Note how the server has closed the connection.
+
+        :return: whether the event loop leaves it open for the request.
+        """
         super().eof_received()
+        transport = self.transport
+        if transport is None:
+            return False
+        self._closed_by_server = True
+        self._pending_error = pending_error(transport)
+        body = self._body
+        if self._pending_error is not None or body is None or body.is_eof():
+            return False
+        if not self._body_ends_with_connection or not undelivered_bytes(transport):
+            return False
+        self._delivery_deadline_s = self._loop.time() + DELIVERY_LIMIT_S
+        self._await_delivery()
+        return True
+
+    def _await_delivery(self) -> None:
+        """Close the connection once the rest of the request is delivered."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        undelivered = undelivered_bytes(transport)
+        self._pending_error = pending_error(transport)
+        if self._pending_error is not None:
+            transport.abort()
+        elif not undelivered:
+            transport.close()
+        elif self._loop.time() >= self._delivery_deadline_s:
+            self._refuse(f"{undelivered} bytes of the request were not read")
+        else:
+            self._delivery_check = self._loop.call_later(
+                DELIVERY_CHECK_INTERVAL_S, self._await_delivery
+            )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection had an error."""
+        """Fail the body that is being read, unless this is its end."""
+        if self._delivery_check is not None:
+            self._delivery_check.cancel()
         error = self._invalid_error or exc or self._pending_error
-        body = self._payload
-        if error is not None and body is not None and not body.is_eof():
-            body.set_exception(aiohttp.ClientPayloadError(f"connection reset: {error}"))
+        if error is not None:
+            reason = f"connection reset: {error}"
+            self._fail_body(aiohttp.ClientPayloadError(reason))
+        elif not self._closed_by_server:
+            reason = "connection closed before the end of the body"
+            self._fail_body(aiohttp.ClientPayloadError(reason))
         super().connection_lost(error)
 
 
--- a/src/aspenbridge/loop.py
+++ b/src/aspenbridge/loop.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import gc
 import os
 import socket
+import sys
+import termios
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -99,6 +102,22 @@
     return OSError(number, os.strerror(number)) if number else None
 
 
+def undelivered_bytes(transport: asyncio.WriteTransport) -> int:
+    """
+    Return how many written bytes the kernel of the other end has not got yet.
+
+    A reset of the connection empties the queue of the kernel, so that
+    ``pending_error`` has to be asked after this.
+    """
+    queued_bytes = bytearray(SIZE_OF_INT)
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued_bytes)
+    in_kernel = int.from_bytes(queued_bytes, sys.byteorder)
+    return transport.get_write_buffer_size() + in_kernel
+
+
+SIZE_OF_INT = 4
 LISTEN_BACKLOG = 1024
 # Allocations before a collection of the youngest generation, then collections
 # of each generation before the next older one is collected.
@@ -110,4 +129,5 @@
     "pending_error",
     "run_on_loop",
     "tune_garbage_collector",
+    "undelivered_bytes",
 ]
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -172,13 +172,17 @@
     with_host(check)
 
 
-async def submit_item(host, answers) -> str:
-    """Submit a job with one item; its id and the item's are the same."""
+async def submit_item(host, answers, *, body=None) -> str:
+    """
+    Submit a job with one item; its id and the item's are the same.
+
+    :param body: the item's; None for its id.
+    """
     with await host.connect() as sock:
         item_id = host.add_script(answers)
-        body = base64.b64encode(item_id.encode()).decode()
+        encoded = base64.b64encode(body or item_id.encode()).decode()
         item = {"id": item_id, "path": f"/batch/{item_id}", "headers": {}}
-        job = {"requests": [item | {"body": body, "tokens": 10}]}
+        job = {"requests": [item | {"body": encoded, "tokens": 10}]}
         data = json.dumps(job)
         lines = [
             f"POST /batch/{item_id} HTTP/1.1",
