--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -52,13 +52,17 @@
     Return why a parsed head is no answer, or None if it is one.
 
     aiohttp takes any three digits for a status, and those below 100 for the
-    status of a final answer. It leaves the reason as it came.
+    status of a final answer. It leaves the reason as it came, and takes off
+    no transfer coding but chunks.
     """
     status = message.code
     if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
         return f"status {status:03} is no answer"
     if CONTROL_CHARACTER.search(message.reason or ""):
         return "the reason holds a control character"
+    codings = message.headers.getall("Transfer-Encoding", [])
+    if codings and ",".join(codings).strip().lower() != "chunked":
+        return f"transfer coding {codings} can't be taken off"
     return None
 
 
--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -134,7 +134,15 @@
         for line in (" X-Sum: 5", "X Sum: 5", "X\x01: 5", "X-Sum: \x01", "X-Sum")
     ),
 ]
-BROKEN_HEADS = [*STATUSES, *FIELDS]
+CODINGS = [
+    BrokenHead(
+        f"coding {coding!r}",
+        headers=(f"Transfer-Encoding: {coding}",),
+        framing=(Framing.NONE,),
+    )
+    for coding in ("gzip", "identity", "xchunked", "chunked, gzip", "chunked;q=1", "")
+]
+BROKEN_HEADS = [*STATUSES, *FIELDS, *CODINGS]
 
 
 async def play(run_case, heads, content_type="text/event-stream"):
@@ -195,6 +203,21 @@
     with_host(check)
 
 
+# A body in chunks, so that they are taken off.
+@pytest.mark.parametrize("coding", ["gzip, chunked", "chunked, chunked"])
+def test_body_whose_coding_is_not_taken_off_reaches_no_caller(coding):
+    async def check(host):
+        answer = Answer(
+            b"%x\r\n%b\r\n0\r\n\r\n" % (len(STREAM), STREAM),
+            Framing.NONE,
+            headers=(f"Transfer-Encoding: {coding}",),
+        )
+        reply = await host.call("once", [answer])
+        assert (reply.status, reply.complete) == (502, True)
+
+    with_host(check)
+
+
 def test_item_is_run_again_after_a_broken_head():
     async def check(host):
         async def run_case(answer):
