--- a/src/aspenbridge/commands/_client.py
+++ b/src/aspenbridge/commands/_client.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from aspenbridge.client_connections import ClientConnector
+
 if TYPE_CHECKING:
     from types import TracebackType
 
@@ -46,7 +48,9 @@
 
     async def __aenter__(self) -> ApiClient:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        self._session = aiohttp.ClientSession(headers=self._headers, timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            connector=ClientConnector(), headers=self._headers, timeout=timeout
+        )
         return self
 
     async def __aexit__(
--- a/src/aspenbridge/commands/_operator_client.py
+++ b/src/aspenbridge/commands/_operator_client.py
@@ -144,11 +144,15 @@
     async def _run(self) -> int:
         import aiohttp
 
+        from aspenbridge.client_connections import ClientConnector
+
         url = self.option("url") or os.environ.get(URL_VARIABLE, DEFAULT_URL)
         key = self.option("key") or os.environ.get(KEY_VARIABLE, "")
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with aiohttp.ClientSession(
+                connector=ClientConnector(), timeout=timeout
+            ) as session:
                 output = await self.perform(OperatorClient(session, url, key))
         except RefusedError as error:
             self.line_error(str(error))
