--- a/src/aspenbridge/client_connections.py
+++ b/src/aspenbridge/client_connections.py
@@ -1,4 +1,4 @@
-"""Connections of HTTP clients that bound what their servers may send."""
+"""Connections of HTTP clients, which decide what an answer is."""
 
 from __future__ import annotations
 
@@ -158,7 +158,7 @@
     def _refuse(self, reason: str) -> None:
         """Close the connection, whose server has sent what is no answer."""
         error = self._invalid_error = InvalidAnswerError(reason)
-        self.close()
+        self.abort()  # to close it would first send the rest of the request
         self.set_exception(error)
         self._fail_body(error)
 
@@ -178,11 +178,12 @@
         if transport is None:
             return False
         self._closed_by_server = True
+        undelivered = undelivered_bytes(transport)
         self._pending_error = pending_error(transport)
         body = self._body
         if self._pending_error is not None or body is None or body.is_eof():
             return False
-        if not self._body_ends_with_connection or not undelivered_bytes(transport):
+        if not self._body_ends_with_connection or not undelivered:
             return False
         self._delivery_deadline_s = self._loop.time() + DELIVERY_LIMIT_S
         self._await_delivery()
