--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -114,6 +114,7 @@
         BrokenHead(f"byte {ord(byte)} in a value", headers=(f"X-Note: a{byte}b",))
         for byte in "\x00\x01\n\r\x1f\x7f"
     ),
+    BrokenHead("two types", headers=("Content-Type: text/html",)),
     BrokenHead("folded value", headers=("X-Note: a\r\n b",)),
     BrokenHead("byte 1 in the reason", "HTTP/1.1 200 O\x01K"),
     BrokenHead("line feed ends the status line", "HTTP/1.1 200 OK\nX-Note: a"),
