--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Answers that come before their request is sent, over real sockets."""
+"""Answers that come while their request is written, over real sockets."""
 
 from __future__ import annotations
 
@@ -7,12 +7,13 @@
 import json
 
 import aiohttp
+import psutil
 import pytest
 
 from aspenbridge import client_connections
 from aspenbridge.backends import open_session
 from aspenbridge.client_connections import InvalidAnswerError
-from aspenbridge.loop import NumericAddressLoop
+from aspenbridge.loop import NumericAddressLoop, listening_socket
 from aspenbridge.platform._connections import open_engine_session, open_store_session
 from tests.platform.test_answer_ends import TEXT, item_result, submit_item, with_host
 from tests.support.engine_scripts import (
@@ -201,6 +202,62 @@
         runner.run(asyncio.wait_for(main(), 5.0))
 
 
+@pytest.mark.parametrize("open_client_session", SESSIONS)
+def test_reset_that_empties_the_queue_between_two_looks_fails_the_answer(
+    open_client_session, monkeypatch
+):
+    looks = []
+
+    def empty_queue(transport):
+        looks.append(transport)
+        return 0
+
+    def reset_by_then(transport):
+        return ConnectionResetError("reset") if looks else None
+
+    monkeypatch.setattr(client_connections, "undelivered_bytes", empty_queue)
+    monkeypatch.setattr(client_connections, "pending_error", reset_by_then)
+
+    async def main():
+        answer = Answer(WHOLE, Framing.NONE)
+        async with open_client_session() as session:
+            await read_answer(session, answer, b"q")
+
+    with (
+        asyncio.Runner(loop_factory=NumericAddressLoop) as runner,
+        pytest.raises(aiohttp.ClientPayloadError),
+    ):
+        runner.run(asyncio.wait_for(main(), 5.0))
+
+
+@pytest.mark.parametrize("open_client_session", SESSIONS)
+def test_refused_answer_leaves_no_connection_whose_server_reads_nothing(
+    open_client_session,
+):
+    async def main():
+        loop = asyncio.get_running_loop()
+        with listening_socket("127.0.0.1", 0) as listener:
+            port = listener.getsockname()[1]
+
+            async def serve():
+                sock, _ = await loop.sock_accept(listener)
+                await loop.sock_recv(sock, 1)
+                await loop.sock_sendall(sock, b"HTTP/1.1 000 Status\r\n\r\n")
+                return sock
+
+            serving = asyncio.create_task(serve())
+            async with open_client_session() as session:
+                with pytest.raises(aiohttp.ClientError):
+                    await session.post(f"http://127.0.0.1:{port}/", data=UPLOADS[1] * 4)
+                await asyncio.sleep(READ_DELAY_S)
+                connections = psutil.Process().net_connections()
+                (await serving).close()
+            return [c for c in connections if c.raddr and c.raddr.port == port]
+
+    with asyncio.Runner(loop_factory=NumericAddressLoop) as runner:
+        assert runner.run(asyncio.wait_for(main(), 5.0)) == []
+
+
 @pytest.mark.parametrize("open_client_session", SESSIONS)
 def test_body_without_a_length_is_broken_off_when_the_client_closes(
     open_client_session,
