--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -62,8 +62,8 @@
 
 
 @attrs.frozen
-class BrokenHead:
-    """What makes the head of an answer no HTTP."""
+class Head:
+    """What is unusual about the head of an answer, or makes it invalid."""
 
     name: str
     first_lines: str = "HTTP/1.1 200 OK"
@@ -72,9 +72,6 @@
     interim: bytes = b""
     framing: tuple[Framing, ...] = tuple(Framing)
 
-    def __str__(self) -> str:
-        return self.name
-
     def answers(self, content_type: str) -> list[Answer]:
         """Return an answer with this head for each framing."""
         return [
@@ -92,58 +89,68 @@
 
 
 STATUSES = [
-    BrokenHead(f"status {status}", f"HTTP/1.1 {status} Status")
+    Head(f"status {status}", f"HTTP/1.1 {status} Status")
     for status in ("000", "001", "020", "099", "101", "600", "999")
 ]
 FIELDS = [
-    BrokenHead("blank before the first name", "HTTP/1.1 200 OK\r\n X-Note: a"),
-    BrokenHead("tab before the first name", "HTTP/1.1 200 OK\r\n\tX-Note: a"),
-    BrokenHead("blank before a name", headers=(" X-Note: a",)),
-    BrokenHead("blank in a name", headers=("X Note: a",)),
-    BrokenHead("blank behind a name", headers=("X-Note : a",)),
-    BrokenHead("line feed before the first name", "HTTP/1.1 200 OK\r\n\nX-Note: a"),
-    BrokenHead("line feed before a name", headers=("\nX-Note: a",)),
-    BrokenHead("return before a name", headers=("\rX-Note: a",)),
+    Head("blank before the first name", "HTTP/1.1 200 OK\r\n X-Note: a"),
+    Head("tab before the first name", "HTTP/1.1 200 OK\r\n\tX-Note: a"),
+    Head("blank before a name", headers=(" X-Note: a",)),
+    Head("blank in a name", headers=("X Note: a",)),
+    Head("blank behind a name", headers=("X-Note : a",)),
+    Head("line feed before the first name", "HTTP/1.1 200 OK\r\n\nX-Note: a"),
+    Head("line feed before a name", headers=("\nX-Note: a",)),
+    Head("return before a name", headers=("\rX-Note: a",)),
     *(
-        BrokenHead(f"byte {ord(byte)} in a name", headers=(f"X{byte}Note: a",))
+        Head(f"byte {ord(byte)} in a name", headers=(f"X{byte}Note: a",))
         for byte in "\x00\x01\t\n\r\x1f\x7f"
     ),
-    BrokenHead("no name", headers=(": a",)),
-    BrokenHead("no colon", headers=("X-Note",)),
+    Head("no name", headers=(": a",)),
+    Head("no colon", headers=("X-Note",)),
     *(
-        BrokenHead(f"byte {ord(byte)} in a value", headers=(f"X-Note: a{byte}b",))
+        Head(f"byte {ord(byte)} in a value", headers=(f"X-Note: a{byte}b",))
         for byte in "\x00\x01\n\r\x1f\x7f"
     ),
-    BrokenHead("two types", headers=("Content-Type: text/html",)),
-    BrokenHead("folded value", headers=("X-Note: a\r\n b",)),
-    BrokenHead("byte 1 in the reason", "HTTP/1.1 200 O\x01K"),
-    BrokenHead("line feed ends the status line", "HTTP/1.1 200 OK\nX-Note: a"),
-    BrokenHead(
+    Head("two types", headers=("Content-Type: text/html",)),
+    Head("folded value", headers=("X-Note: a\r\n b",)),
+    Head("byte 1 in the reason", "HTTP/1.1 200 O\x01K"),
+    Head("line feed ends the status line", "HTTP/1.1 200 OK\nX-Note: a"),
+    Head(
         "blank behind the name of a length",
         headers=("Content-Length : 5",),
         framing=(Framing.NONE,),
     ),
-    BrokenHead(
+    Head(
         "blank behind the name of a coding",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked",
         framing=(Framing.NONE,),
     ),
-    BrokenHead("blank in an interim answer", interim=INTERIM % b" X-Note: a"),
-    BrokenHead("byte 1 in an interim answer", interim=INTERIM % b"X-Note: \x01"),
+    Head("blank in an interim answer", interim=INTERIM % b" X-Note: a"),
+    Head("byte 1 in an interim answer", interim=INTERIM % b"X-Note: \x01"),
     *(
-        BrokenHead(f"trailer {line!r}", trailers=(line,), framing=(Framing.CHUNKS,))
+        Head(f"trailer {line!r}", trailers=(line,), framing=(Framing.CHUNKS,))
         for line in (" X-Sum: 5", "X Sum: 5", "X\x01: 5", "X-Sum: \x01", "X-Sum")
     ),
 ]
 CODINGS = [
-    BrokenHead(
+    Head(
         f"coding {coding!r}",
         headers=(f"Transfer-Encoding: {coding}",),
         framing=(Framing.NONE,),
     )
     for coding in ("gzip", "identity", "xchunked", "chunked, gzip", "chunked;q=1", "")
 ]
-BROKEN_HEADS = [*STATUSES, *FIELDS, *CODINGS]
+LENGTHS = [
+    Head(
+        f"length {length!r}",
+        headers=(f"Content-Length: {length}",),
+        framing=(Framing.NONE,),
+    )
+    for length in ("+5", "-5", "5,5", "5 5", "0x5", "", "9" * 23)
+] + [
+    Head("second framing", headers=("Content-Length: 5",)),
+]
+BROKEN_HEADS = [*STATUSES, *FIELDS, *CODINGS, *LENGTHS]
 
 
 async def play(run_case, heads, content_type="text/event-stream"):
@@ -219,6 +226,49 @@
     with_host(check)
 
 
+def in_chunks(body: bytes) -> Answer:
+    """Return an answer whose body is chunks as they are given."""
+    return Answer(
+        body,
+        Framing.NONE,
+        content_type="text/plain",
+        headers=("Transfer-Encoding: chunked",),
+    )
+
+
+BROKEN_CHUNKS = (
+    b"2 \r\nok\r\n0\r\n\r\n",
+    b"+2\r\nok\r\n0\r\n\r\n",
+    b"0x2\r\nok\r\n0\r\n\r\n",
+    b"2\nok\r\n0\r\n\r\n",
+    b"2\r\nok\n0\r\n\r\n",
+    b"2\r\nok0\r\n\r\n",
+    b"2\r\nokk\r\n0\r\n\r\n",
+    b"2;x=\x01\r\nok\r\n0\r\n\r\n",
+)
+
+
+@pytest.mark.parametrize("chunks", BROKEN_CHUNKS)
+def test_body_in_broken_chunks_reaches_no_caller(chunks):
+    async def check(host):
+        reply = await host.call("once", [in_chunks(chunks)])
+        assert (reply.status, reply.complete) == (502, True)
+        assert json.loads(reply.body)["execution"] == "outcome unknown"
+
+    with_host(check)
+
+
+@pytest.mark.parametrize(
+    "chunks", [b"02\r\nok\r\n0\r\n\r\n", b"2;x=y\r\nok\r\n0\r\n\r\n"]
+)
+def test_body_in_unusual_chunks_reaches_its_caller(chunks):
+    async def check(host):
+        reply = await host.call("once", [in_chunks(chunks)])
+        assert reply[:3] == (200, b"ok", True)
+
+    with_host(check)
+
+
 def test_item_is_run_again_after_a_broken_head():
     async def check(host):
         async def run_case(answer):
@@ -234,15 +284,17 @@
 
 
 SOUND_HEADS = [
-    BrokenHead("no reason", "HTTP/1.1 200 "),
-    BrokenHead("status without a name", "HTTP/1.1 299 Status"),
-    BrokenHead("HTTP/1.0", "HTTP/1.0 200 OK", framing=(Framing.LENGTH, Framing.NONE)),
-    BrokenHead("interim answer", interim=b"HTTP/1.1 100 Continue\r\n\r\n"),
-    BrokenHead("hints", interim=b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
-    BrokenHead("tab and blanks in a value", headers=("X-Note: \ta\t b ",)),
-    BrokenHead("no value", headers=("X-Note:",)),
-    BrokenHead("odd name", headers=("x!#$%&'*+-.^_`|~9: a",)),
-    BrokenHead("trailer", trailers=("X-Sum: 5",), framing=(Framing.CHUNKS,)),
+    Head("no reason", "HTTP/1.1 200 "),
+    Head("no blank behind the status", "HTTP/1.1 200"),
+    Head("status without a name", "HTTP/1.1 299 Status"),
+    Head("HTTP/1.0", "HTTP/1.0 200 OK", framing=(Framing.LENGTH, Framing.NONE)),
+    Head("interim answer", interim=b"HTTP/1.1 100 Continue\r\n\r\n"),
+    Head("hints", interim=b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
+    Head("tab and blanks in a value", headers=("X-Note: \ta\t b ",)),
+    Head("no value", headers=("X-Note:",)),
+    Head("byte above 127 in a value", headers=("X-Note: \u00e9",)),
+    Head("odd name", headers=("x!#$%&'*+-.^_`|~9: a",)),
+    Head("trailer", trailers=("X-Sum: 5",), framing=(Framing.CHUNKS,)),
 ]
 
 
