--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -64,8 +64,14 @@
 
 
 @asynccontextmanager
-async def host_process(tmp_path, engine=engine, fill_store=lambda store: None):
-    """Run a host; ``fill_store`` may write other rows before it starts."""
+async def host_process(
+    tmp_path, engine=engine, fill_store=lambda store: None, limits="memoryMb = 200"
+):
+    """
+    Run a host; ``fill_store`` may write other rows before it starts.
+
+    :param limits: the lines of the section ``limits`` of its settings.
+    """
     loop = asyncio.get_running_loop()
     engine_server = await loop.create_server(web.Server(engine), "127.0.0.1", 0)
     engine_port = engine_server.sockets[0].getsockname()[1]
@@ -89,7 +95,7 @@
             stop_s=8,
             results_kept_s=120,
             store=f"127.0.0.1:{store_port}",
-        )
+        ).replace("memoryMb = 200", limits)
     )
     process = await asyncio.create_subprocess_exec(
         sys.executable,
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -151,7 +151,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call of a store client."""
-        body = await request.read()
+        # aiohttp's own read() takes one megabyte, and objects may have eight.
+        body = await request.content.read()
         await asyncio.sleep(self.delay_s)
         if self.unavailable:
             return web.Response(status=503)
