Have the allocator return large blocks once they are free

What callers saw: a host that had held many bodies, or pieces of them, ended for its memory although the bodies together were within their limit.

Cause: once a large block has been freed, glibc takes others of its size from the heap, up to 32 MiB. Bodies that grow side by side leave gaps there that no other body fits, so that the process takes a multiple of what it holds.

A fixed threshold of 128 KiB gives each large block its own mapping, which grows without a copy and is unmapped when it is freed.

--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -19,7 +19,11 @@
 )
 from aspenbridge.clock import SystemClock
 from aspenbridge.http import make_app
-from aspenbridge.loop import listening_socket, tune_garbage_collector
+from aspenbridge.loop import (
+    listening_socket,
+    return_large_blocks,
+    tune_garbage_collector,
+)
 from aspenbridge.peers.transport import HttpPeers, PeerServer
 from aspenbridge.ports import PeerAddress
 from aspenbridge.telemetry.setup import open_telemetry
@@ -48,6 +52,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if not return_large_blocks():
+        logger.warning("the allocator may keep large blocks that are free")
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(open_session())
         peer = PeerAddress(settings.listen.ip, settings.listen.peer_port)
--- a/src/aspenbridge/loop.py
+++ b/src/aspenbridge/loop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import fcntl
 import gc
 import os
@@ -73,6 +74,23 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
+def return_large_blocks() -> bool:
+    """
+    Have the allocator return each large block to the system once it is free.
+
+    Otherwise it soon keeps blocks of up to 32 MiB for later use, and bodies
+    that grow side by side leave gaps between them that no other one fits.
+
+    :return: False if the C library has no such option.
+    """
+    try:
+        return bool(
+            ctypes.CDLL(None).mallopt(MALLOPT_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+        )
+    except (AttributeError, OSError):
+        return False
+
+
 def listening_socket(host: str, port: int) -> socket.socket:
     """
     Return a bound, listening, non-blocking TCP socket.
@@ -118,6 +136,8 @@
 
 
 SIZE_OF_INT = 4
+MALLOPT_MMAP_THRESHOLD = -3  # M_MMAP_THRESHOLD of malloc.h
+LARGE_BLOCK_BYTES = 128 * 1024
 LISTEN_BACKLOG = 1024
 # Allocations before a collection of the youngest generation, then collections
 # of each generation before the next older one is collected.
@@ -127,6 +147,7 @@
     "NumericAddressLoop",
     "listening_socket",
     "pending_error",
+    "return_large_blocks",
     "run_on_loop",
     "tune_garbage_collector",
     "undelivered_bytes",
--- a/src/aspenbridge/platform/_serve.py
+++ b/src/aspenbridge/platform/_serve.py
@@ -12,7 +12,7 @@
 from aspenbridge.clock import SystemClock
 from aspenbridge.entry import Address, EntryHost, EntryPorts, OperatorTables
 from aspenbridge.fleet import UdpDatagrams
-from aspenbridge.loop import tune_garbage_collector
+from aspenbridge.loop import return_large_blocks, tune_garbage_collector
 from aspenbridge.observability import log_decision
 
 from . import _names as names
@@ -56,6 +56,8 @@
     file_version = read_file_version(path)
     settings = load_entry_settings(path)
     logger.info("host %s starts", settings.host)
+    if not return_large_blocks():
+        logger.warning("the allocator may keep large blocks that are free")
     async with AsyncExitStack() as stack:
         host, ingress, store = await _start_host(stack, settings)
         watcher = SettingsWatcher(
