Count what callers hold against the machine, stalled ones give way

What callers saw: a crowd of them ended the host. It grew past the memory of its machine beside bodies that stop short of their end or go far over the limit, unfinished heads, pipelined requests and answers that nobody takes; 600 idle connections took all descriptors, and ordinary requests got no answer.

Cause: only bodies that a handler had read were counted, against a fixed limit that did not know the machine. Connections and descriptors had no limit, and a caller that had stalled kept its place. Refused requests, their errors and their connections referred to each other, and stayed until the garbage collector found them, which is rare by design.

Now a connection counts all that it has received and not answered, from the arrival of a byte until the answer is taken. The memory and the connections of callers are shares of memoryMb and maxFds of the settings; descriptors for engines, the store and peers are kept back. Who makes no progress for a second gives way when there is no room, and is told that its request has not run. The ports of readiness and metrics have places of their own.

--- a/src/aspenbridge/entry/__init__.py
+++ b/src/aspenbridge/entry/__init__.py
@@ -9,13 +9,20 @@
 
 from ._host import EntryHost
 from ._ports import EntryPorts, OperatorTables
-from ._settings import Address, EntrySettings, StoreLimits, TimeBounds
+from ._settings import (
+    Address,
+    EntrySettings,
+    MachineLimits,
+    StoreLimits,
+    TimeBounds,
+)
 
 __all__ = [
     "Address",
     "EntryHost",
     "EntryPorts",
     "EntrySettings",
+    "MachineLimits",
     "OperatorTables",
     "StoreLimits",
     "TimeBounds",
--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -32,7 +32,7 @@
     JobSweep,
     JobWorker,
 )
-from aspenbridge.limits import MemoryBudget
+from aspenbridge.limits import MemoryBudget, MemoryShares, place_limit
 from aspenbridge.observability import log_decision, watch_lateness
 from aspenbridge.quarantine import CRASHES_TABLE, Quarantine
 from aspenbridge.relay import OnlinePlacement, Relay
@@ -78,7 +78,13 @@
         )
         engine_directory = self._engine_directory = EngineDirectory(clock)
         self._engine_copy = EngineCopy(engine_directory, ports.tables.decode_engine)
-        self.body_memory = MemoryBudget()
+        shares = MemoryShares.of(settings.machine.memory_bytes)
+        self.caller_memory = MemoryBudget(
+            settings.machine.caller_bytes or shares.requests_bytes
+        )
+        self.max_connections = settings.machine.caller_connections or place_limit(
+            settings.machine.max_descriptors, shares.connections_bytes
+        )
         self.load_view = LoadView(clock)
         health = self._health = EngineHealth(clock)
         self.view = EngineView(
--- a/src/aspenbridge/entry/_settings.py
+++ b/src/aspenbridge/entry/_settings.py
@@ -62,6 +62,23 @@
     results_kept_s: float  # from the acceptance of a batch job
 
 
+@attrs.frozen
+class MachineLimits:
+    """
+    What a host may use of its machine.
+
+    :ivar caller_bytes: what its callers may hold in memory; None for a share
+        of ``memory_bytes``.
+    :ivar caller_connections: how many connections they may have; None for a
+        share of ``max_descriptors`` and of the memory.
+    """
+
+    memory_bytes: int = 128_000_000
+    max_descriptors: int = 4096
+    caller_bytes: int | None = None
+    caller_connections: int | None = None
+
+
 @attrs.frozen
 class EntrySettings:
     """Identity, addresses and limits of an entry host."""
@@ -78,3 +95,4 @@
     store_limits: StoreLimits
     bounds: TimeBounds
     engine_heartbeat_s: float  # between two renewals of an engine's entry
+    machine: MachineLimits = MachineLimits()
--- a/src/aspenbridge/loop.py
+++ b/src/aspenbridge/loop.py
@@ -91,17 +91,23 @@
         return False
 
 
-def listening_socket(host: str, port: int) -> socket.socket:
+def listening_socket(
+    host: str, port: int, *, receive_buffer_bytes: int = 0
+) -> socket.socket:
     """
     Return a bound, listening, non-blocking TCP socket.
 
     :param host: a numeric IP address.
     :param port: the port; 0 for any free port.
+    :param receive_buffer_bytes: what the kernel keeps of each connection until
+        it is read; 0 for the kernel's own choice.
     :raises OSError: if the address is in use or not one of this machine.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer_bytes:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     sock.setblocking(False)
     sock.bind((host, port))
     sock.listen(LISTEN_BACKLOG)
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -10,6 +10,7 @@
 import attrs
 from aiohttp import web
 
+from aspenbridge.limits import Places
 from aspenbridge.loop import listening_socket
 from aspenbridge.observability import log_decision, metrics_text
 from aspenbridge.relay import CallerRequest, Custody
@@ -19,12 +20,13 @@
 from . import _names as names
 from ._caller_connections import (
     MAX_BODY_BYTES,
-    BodyError,
     CallerConnection,
     CallerServer,
+    check_announced,
     connection_of,
     read_body,
 )
+from ._counted_connections import BodyError, CountingServer
 from ._job_endpoints import JobEndpoints
 from ._parameters import (
     ParameterError,
@@ -37,13 +39,14 @@
 from ._replies import HttpResponseWriter, refuse_call, send_continue
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from aiohttp import StreamReader
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http import RawRequestMessage
     from aiohttp.web_protocol import RequestHandler
 
     from aspenbridge.entry import Address, EntryHost
-    from aspenbridge.limits import HeldMemory
 
 logger = logging.getLogger(__name__)
 # The server's own limit lies above any that an operator configures, by a
@@ -59,6 +62,15 @@
 # Passes of the loop in which a connection is accepted, and then read.
 SOCKET_PASSES = 4
 DEFAULT_TIME_BUDGET_S = 30.0  # for a request that states no time budget
+# Connections at the port of readiness, and at that of metrics; the platform
+# needs one of each.
+PROBE_PLACES = 24
+# What the kernel keeps of a connection that is not read. One read of the
+# loop returns no more.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# While twice as much of a body waits to be read, or more than a sixteenth of
+# it in chunks, its connection is not read.
+READ_BUFFER_BYTES = 16 * 1024
 
 
 @attrs.define(eq=False)
@@ -100,6 +112,9 @@
         # When this host refuses all requests that it has not passed on. The
         # clock decides, since the task that begins a drain may run late.
         self.refuse_from_s = math.inf
+        budget = host.caller_memory
+        places = self._places("callers", host.max_connections)
+        budget.on_short = places.free_memory
         self._caller_server = CallerServer(
             self._handle,
             handler_cancellation=True,
@@ -109,17 +124,52 @@
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=False,
             access_log=None,
+            read_bufsize=READ_BUFFER_BYTES,
+            budget=budget,
+            places=places,
+            take_limit_s=self._idle_limit_s,
+        )
+
+    def _places(self, port: str, limit: int) -> Places:
+        budget = self._host.caller_memory
+        places = Places(budget, limit, self._host.ports.clock.now_s)
+        places.on_crowding = lambda crowding: log_decision(
+            "callers crowd a port",
+            port=port,
+            connections=len(places),
+            refused=crowding.refused,
+            given_up=crowding.given_up,
+            free_bytes=budget.free_bytes,
+        )
+        return places
+
+    def _probe_server(
+        self,
+        port: str,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> CountingServer:
+        """Return a server for the platform's own calls, which have no body."""
+        return CountingServer(
+            handler,
+            access_log=None,
+            lingering_time=0.0,
+            budget=self._host.caller_memory,
+            places=self._places(port, PROBE_PLACES),
+            take_limit_s=self._idle_limit_s,
         )
 
     async def __aenter__(self) -> Self:
-        ready = web.Server(self._handle_readiness, access_log=None)
-        metrics = web.Server(_handle_metrics, access_log=None)
         for server, address in (
-            (metrics, self._metrics_address),
-            (ready, self._readiness_address),
+            (self._probe_server("metrics", _handle_metrics), self._metrics_address),
+            (
+                self._probe_server("readiness", self._handle_readiness),
+                self._readiness_address,
+            ),
             (self._caller_server, self._caller_address),
         ):
-            sock = listening_socket(address.ip, address.port)
+            sock = listening_socket(
+                address.ip, address.port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+            )
             self._stack.callback(sock.close)
             loop = asyncio.get_running_loop()
             listener = await loop.create_server(server, sock=sock)
@@ -236,17 +286,21 @@
             async with call.limit:
                 if self._refuses_new:
                     return refuse_call(request, stopping_problem())
+                check_announced(request, self._max_body_bytes())
                 send_continue(request)
-                with self._host.body_memory.hold() as memory:
-                    body = await read_body(
-                        request, self._idle_limit_s(), self._max_body_bytes(), memory
-                    )
-                    return await self._serve(
-                        request, body, received_s, writer, call.custody, memory
-                    )
+                # No name here keeps the body while it is served.
+                return await self._serve(
+                    request,
+                    await read_body(
+                        request, self._idle_limit_s(), self._max_body_bytes()
+                    ),
+                    received_s,
+                    writer,
+                    call.custody,
+                )
         except BodyError as error:
             response = refuse_call(request, error.problem)
-            connection_of(request).drops_body = True
+            connection_of(request).drop_rest()
             response.force_close()
             return response
         except ParameterError as error:
@@ -273,9 +327,10 @@
 
     def _max_body_bytes(self) -> int:
         configuration = self._host.configuration.current
+        max_bytes = min(MAX_BODY_BYTES, self._host.caller_memory.largest_share_bytes)
         if configuration is None:
-            return MAX_BODY_BYTES
-        return min(MAX_BODY_BYTES, configuration.limits.body_bytes)
+            return max_bytes
+        return min(max_bytes, configuration.limits.body_bytes)
 
     async def _serve(
         self,
@@ -284,7 +339,6 @@
         received_s: float,
         writer: HttpResponseWriter,
         custody: Custody,
-        memory: HeldMemory,
     ) -> web.StreamResponse:
         if self._refuses_new or connection_of(request).close_announced:
             return refuse_call(request, stopping_problem())
@@ -304,7 +358,7 @@
         job_call = self._job_endpoints.dispatch(request, configuration, body, custody)
         if job_call is not None:
             return await job_call
-        caller_request = _caller_request(request, body, received_s, memory)
+        caller_request = _caller_request(request, body, received_s)
         await self._host.relay.serve(caller_request, configuration, writer, custody)
         assert writer.response is not None
         return writer.response
@@ -344,7 +398,7 @@
 
 
 def _caller_request(
-    request: web.BaseRequest, body: bytes, received_s: float, memory: HeldMemory
+    request: web.BaseRequest, body: bytes, received_s: float
 ) -> CallerRequest:
     """
     Return the request that a caller sent.
@@ -377,5 +431,5 @@
         deadline_s=received_s + time_budget_s,
         resume_after=resume_after_id,
         prompt_parts=shared_prompt_parts(header_fields),
-        memory=memory,
+        memory=connection_of(request).memory,
     )
--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -13,6 +13,8 @@
 
 from . import _names as names
 from ._caller_connections import connection_of
+from ._counted_connections import send_large_head
+from ._problems import problem_response
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +61,7 @@
             connection_of(self._request).announce_close(response)
         self.response = response
         await response.prepare(self._request)
+        await send_large_head(self._request, response, length or 0)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -115,21 +118,6 @@
         request.transport.write(CONTINUE)
 
 
-def problem_response(problem: Problem) -> web.Response:
-    """Return the JSON response that describes a problem."""
-    response = web.json_response(
-        {
-            "code": int(problem.code),
-            "error": problem.detail,
-            "execution": problem.execution.value,
-        },
-        status=problem.status,
-    )
-    if problem.retry_after_s is not None:
-        response.headers[names.RETRY_AFTER] = f"{problem.retry_after_s:.3f}"
-    return response
-
-
 def response_from_result(
     request: web.BaseRequest,
     result: Result[Value, Problem],
--- a/src/aspenbridge/platform/_settings.py
+++ b/src/aspenbridge/platform/_settings.py
@@ -7,11 +7,19 @@
 from pathlib import Path
 from typing import Any
 
-from aspenbridge.entry import Address, EntrySettings, StoreLimits, TimeBounds
+from aspenbridge.entry import (
+    Address,
+    EntrySettings,
+    MachineLimits,
+    StoreLimits,
+    TimeBounds,
+)
 
 from ._decode import FORM_ERRORS
 from ._names import SETTINGS_VARIABLE
 
+MEGABYTE = 1_000_000
+
 
 class SettingsError(ValueError):
     """The settings can't be read, lack a key or hold an invalid value."""
@@ -63,9 +71,29 @@
         ),
         bounds=_decode_bounds(fields["bounds"]),
         engine_heartbeat_s=float(fields["heartbeatMs"]) / 1000,
+        machine=_decode_machine(fields.get("limits", {}), fields.get("callers", {})),
     )
 
 
+def _decode_machine(limits: dict[str, Any], callers: dict[str, Any]) -> MachineLimits:
+    """
+    Decode the limits of the machine, each of which may be missing.
+
+    :param callers: a section of this project, which the platform does not set.
+    """
+    sizes = {
+        "memory_bytes": limits.get("memoryMb"),
+        "caller_bytes": callers.get("memoryMb"),
+    }
+    counts = {
+        "max_descriptors": limits.get("maxFds"),
+        "caller_connections": callers.get("maxConnections"),
+    }
+    values = {name: int(float(size) * MEGABYTE) for name, size in sizes.items() if size}
+    values |= {name: int(count) for name, count in counts.items() if count}
+    return MachineLimits(**values)
+
+
 def _decode_bounds(bounds: dict[str, Any]) -> TimeBounds:
     return TimeBounds(
         shutdown_s=float(bounds["graceS"]),
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -143,7 +143,8 @@
 
 
 @asynccontextmanager
-async def ready_host(tmp_path, max_descriptors=MAX_DESCRIPTORS, memory_mb=MEMORY_MB):
+async def ready_host(tmp_path, max_descriptors=MAX_DESCRIPTORS, callers=""):
+    """Run a host; ``callers`` are lines of that section of its settings."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(web.Server(engine), "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -154,7 +155,7 @@
             row = engine_row(f"127.0.0.1:{port}") | {"service": service, "slots": SLOTS}
             store.write("servers", f"i-{service}", row)
 
-    limits = f"memoryMb = {memory_mb}\nmaxFds = {max_descriptors}"
+    limits = f"memoryMb = {MEMORY_MB}\nmaxFds = {max_descriptors}\n[callers]\n{callers}"
     async with (
         host_process(tmp_path, answer_quickly, fill_store, limits) as (
             process,
@@ -170,6 +171,8 @@
         await wait_status(session, f"http://{HOST_IP}:{ports[1]}/readyz", 200)
         try:
             yield Host(process, (HOST_IP, ports[0]), (HOST_IP, ports[1]))
+            process.kill()
+            assert b'"level":"error"' not in await reading
         finally:
             if process.returncode is None:
                 process.kill()
