Leave room beside the requests of a route whose engines are slow

What callers saw: 600 callers of a route whose engine did not answer held all connections of a host, and requests of other routes got no answer.

Cause: requests that engines have are never given up, as they may run. So a slow engine kept as many connections and as much memory as there are.

The requests of one route hold no more than half of the connections, and no more memory than is left beside them. Others of it get 503, not run, and may go to another host.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -32,7 +32,12 @@
     JobSweep,
     JobWorker,
 )
-from aspenbridge.limits import MemoryBudget, MemoryShares, place_limit
+from aspenbridge.limits import (
+    KeyedShares,
+    MemoryBudget,
+    MemoryShares,
+    place_limit,
+)
 from aspenbridge.observability import log_decision, watch_lateness
 from aspenbridge.quarantine import CRASHES_TABLE, Quarantine
 from aspenbridge.relay import OnlinePlacement, Relay
@@ -169,6 +174,7 @@
             engine_caller,
             self.quarantine,
             clock,
+            KeyedShares(self.caller_memory, self.max_connections // 2),
         )
         self._followers = (
             Follower(*feed_options, tables.configuration_table, self.configuration),
--- a/src/aspenbridge/relay/_relay.py
+++ b/src/aspenbridge/relay/_relay.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from aspenbridge.fleet import CallKind, Refused, virtual_host
+from aspenbridge.limits import KeyedShares, MemoryBudget
 from aspenbridge.observability import log_decision, metrics
 from aspenbridge.ports import (
     FIRST_NOT_SUCCESS,
@@ -54,6 +55,8 @@
 QUICK_LOSSES = 2
 BURST_S = 0.3
 MIN_ANSWER_S = 1.0  # longer than most answers take
+MAX_REQUESTS = 1000  # of a route, unless the host's machine says otherwise
+RETRY_ELSEWHERE_S = 0.02  # short, since the retry goes to another host
 MAX_TRIAL_WAIT_S = 60.0  # for which callers are asked to come back
 
 
@@ -68,7 +71,9 @@
         engine_caller: EngineCaller,
         quarantine: Quarantine,
         clock: Clock,
+        shares: KeyedShares | None = None,
     ) -> None:
+        self._shares = shares or KeyedShares(MemoryBudget(), MAX_REQUESTS)
         self._placement = placement
         self._load_view = load_view
         self._health = health
@@ -120,10 +125,16 @@
             memory=request.memory,
         )
         outcome = "cancelled"
-        try:
-            outcome = await self._serve(progress)
-        finally:
-            self._log_request(request, progress, configuration.version, outcome)
+        with self._shares.hold(route.name, request.memory.held_bytes) as allowed:
+            try:
+                if allowed:
+                    outcome = await self._serve(progress)
+                else:
+                    outcome = await self._fail(
+                        progress, Refused(RETRY_ELSEWHERE_S), _no_room(route.name)
+                    )
+            finally:
+                self._log_request(request, progress, configuration.version, outcome)
 
     def _call(self, request: CallerRequest, route: Route) -> RelayedCall:
         route_deadline_s = request.received_s + route.request_limit_s
@@ -418,3 +429,12 @@
             first_event_ms=first_s and round((first_s - request.received_s) * 1000),
             total_ms=round(total_s * 1000),
         )
+
+
+def _no_room(route: str) -> Problem:
+    """Return the refusal of a request whose route holds as much as it may."""
+    return Problem(
+        ResultCode.OVERLOADED,
+        f"requests of route {route!r} hold as much as they may",
+        retry_after_s=RETRY_ELSEWHERE_S,
+    )
