Bound what batch jobs and their results hold on a host

What callers saw: callers that submit large jobs whose items wait, or that read nothing of the pages of results they ask for, ended the host.

Cause: the items of accepted jobs had no limit, and neither had pages of results while they are read, decoded and sent. The body of a submission was kept until the response, beside its items and their encoded form.

Accepted jobs have a share of the machine, and a job that does not fit beside others is refused as not run; a job alone is always taken. Two reads are decoded at a time, and a page counts until it is taken. The body of a submission is freed once it is decoded.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -90,6 +90,7 @@
         self.max_connections = settings.machine.caller_connections or place_limit(
             settings.machine.max_descriptors, shares.connections_bytes
         )
+        self.job_memory = MemoryBudget(shares.jobs_bytes)
         self.load_view = LoadView(clock)
         health = self._health = EngineHealth(clock)
         self.view = EngineView(
@@ -223,6 +224,7 @@
             random,
         )
         self._job_directory.on_change = self._head_changed
+        self.worker.on_held = self.job_memory.add
         self.load_view.on_change = self.worker.load_changed
         self._engine_copy.on_change = self._engines_changed
         self.configuration.on_change = self.worker.wake
--- a/src/aspenbridge/jobs/_messages.py
+++ b/src/aspenbridge/jobs/_messages.py
@@ -7,6 +7,10 @@
 
 from aspenbridge.ports import Headers
 
+# Besides its texts: of an item with its state, and of a part of its prompt.
+ITEM_BYTES = 2 * 1024
+PART_BYTES = 160
+
 
 @attrs.frozen
 class SubmittedItem:
@@ -27,6 +31,13 @@
     tokens: int = 0
     prompt_parts: tuple[str, ...] = ()
 
+    @property
+    def size_bytes(self) -> int:
+        """What it holds in memory while it waits or is run."""
+        texts = sum(len(name) + len(value) for name, value in self.headers)
+        parts = PART_BYTES * len(self.prompt_parts)
+        return ITEM_BYTES + len(self.body) + len(self.target) + texts + parts
+
 
 @attrs.frozen
 class JobSubmission:
@@ -41,6 +52,11 @@
         """The tokens of all items."""
         return sum(item.tokens for item in self.items)
 
+    @property
+    def size_bytes(self) -> int:
+        """What the host that runs the items holds of them in memory."""
+        return sum(item.size_bytes for item in self.items)
+
 
 @attrs.frozen
 class ItemResult:
--- a/src/aspenbridge/jobs/_owned.py
+++ b/src/aspenbridge/jobs/_owned.py
@@ -131,6 +131,11 @@
             for fingerprint, item in zip(self.fingerprints, self.items, strict=True)
         )
 
+    @cached_property
+    def size_bytes(self) -> int:
+        """What the items hold in memory."""
+        return sum(item.size_bytes for item in self.items)
+
     def waiting_tokens(self, listed: Collection[int]) -> int:
         """Return the tokens of the items without those that are listed."""
         done = set(listed)
--- a/src/aspenbridge/jobs/_service.py
+++ b/src/aspenbridge/jobs/_service.py
@@ -47,6 +47,9 @@
 # Of the results of one page, as JSON encodes them; callers accept up to one
 # megabyte.
 MAX_PAGE_BYTES = 900_000
+# Pages and items that are read from the store at one time. Each takes a few
+# times its size while it is decoded.
+MAX_READS = 2
 MAX_LOGGED_AGE_S = 1e6  # of a copy that was never current
 
 
@@ -94,6 +97,7 @@
         self._clock = clock
         self._incarnation = incarnation
         self._configuration_version = configuration_version
+        self._reads = asyncio.Semaphore(MAX_READS)
 
     async def submit(
         self,
@@ -215,7 +219,8 @@
                 break
             await self._directory.wait_change(job_id, remaining_s)
         if first < listed:
-            return await self._read_page(head, first, listed)
+            async with self._reads:
+                return await self._read_page(head, first, listed)
         if listed == head.total:
             return Success(ResultPage(head.total, first, ()))
         return await self._read_unlisted(job_id, first, listed)
@@ -246,7 +251,8 @@
         )
         if first >= listed:
             return Success(ResultPage(head.total, first, ()))
-        return await self._read_page(head, first, listed)
+        async with self._reads:
+            return await self._read_page(head, first, listed)
 
     async def body(self, job_id: str, item_id: str) -> Result[bytes, Problem]:
         """Return the request body of an item, while its job is stored."""
@@ -255,7 +261,8 @@
             return head_result
         items = self._owned.items(job_id)
         if items is None:
-            read = await read_items(self._objects, job_id)
+            async with self._reads:
+                read = await read_items(self._objects, job_id)
             if isinstance(read, Failure):
                 return Failure(self._store_problem(read.failure(), maybe_applied=False))
             items = read.unwrap() or ()
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -94,6 +94,8 @@
         self._stopping = False
         self._job_added = asyncio.Event()
         self.released = asyncio.Event()  # set once a stop has released all jobs
+        # Called with the memory that a job takes, or frees if it is negative.
+        self.on_held: Callable[[int], None] = lambda size_bytes: None
 
     def wake(self) -> None:
         """Make the run loop look at once for items to start or to stop."""
@@ -125,6 +127,7 @@
             return running
         job = OwnedJob(stored, items)
         self._jobs[stored.record.id] = job
+        self.on_held(job.size_bytes)
         self._job_added.set()
         self.wake()
         # A newer head may have come before the reply to this host's write.
@@ -151,9 +154,13 @@
         return head.state is JobState.OPEN and head.owner == self._incarnation
 
     def _drop_job(self, job: OwnedJob) -> None:
-        self._jobs.pop(job.head.id, None)
+        self._forget(job)
         self._running.stop_job(job)
 
+    def _forget(self, job: OwnedJob) -> None:
+        if self._jobs.pop(job.head.id, None) is not None:
+            self.on_held(-job.size_bytes)
+
     async def run(self) -> None:
         """Start and stop items until cancelled."""
         while True:
@@ -230,7 +237,7 @@
         released = await self._repository.release(job, deadline_s)
         log_decision("job handed over", job=job.head.id, released=released)
         if released:
-            self._jobs.pop(job.head.id, None)
+            self._forget(job)
 
     def _dispatch_items(self) -> bool:
         """
--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -103,7 +103,7 @@
     ) -> None:
         super().__init__()
         self._host = host
-        self._job_endpoints = JobEndpoints(host.job_service)
+        self._job_endpoints = JobEndpoints(host.job_service, host.job_memory)
         self._caller_address = callers
         self._readiness_address = readiness
         self._metrics_address = metrics
@@ -357,6 +357,7 @@
             return refuse_call(request, Problem(ResultCode.TOO_LARGE, detail))
         job_call = self._job_endpoints.dispatch(request, configuration, body, custody)
         if job_call is not None:
+            del body  # which the call frees once it has decoded it
             return await job_call
         caller_request = _caller_request(request, body, received_s)
         await self._host.relay.serve(caller_request, configuration, writer, custody)
--- a/src/aspenbridge/platform/_job_endpoints.py
+++ b/src/aspenbridge/platform/_job_endpoints.py
@@ -10,6 +10,8 @@
 from aspenbridge.result_codes import Problem, ResultCode
 
 from . import _names as names
+from ._caller_connections import connection_of
+from ._counted_connections import no_memory_problem
 from ._decode import MessageError, decode_submission, encode_results
 from ._parameters import (
     ParameterError,
@@ -18,6 +20,7 @@
     job_id_of,
     whole_number,
 )
+from ._problems import JSON_CONTENT_TYPE
 from ._replies import refuse_call, response_from_result
 
 if TYPE_CHECKING:
@@ -25,17 +28,18 @@
 
     from aspenbridge.fleet import Configuration, Route
     from aspenbridge.jobs import JobService
+    from aspenbridge.limits import MemoryBudget
     from aspenbridge.relay import Custody
 
 MAX_WAIT_S = 5.0  # bounds the wait for results that a caller asks for
-JSON_CONTENT_TYPE = "application/json"
 
 
 class JobEndpoints:
     """Passes callers' requests about batch jobs to the job service."""
 
-    def __init__(self, job_service: JobService) -> None:
+    def __init__(self, job_service: JobService, job_memory: MemoryBudget) -> None:
         self._job_service = job_service
+        self._job_memory = job_memory
 
     def dispatch(
         self,
@@ -87,12 +91,21 @@
         job_id = check_job_id(
             names.REQUEST_ID, request.headers.get(names.REQUEST_ID, "")
         )
+        # The decoded items, and then their encoded form, besides the body.
+        if not connection_of(request).memory.reserve(len(body)):
+            return refuse_call(request, no_memory_problem("a batch job"))
         try:
             submission = decode_submission(job_id, host, body)
         except MessageError as error:
             problem = Problem(ResultCode.MALFORMED_BODY, str(error))
             return refuse_call(request, problem)
-        result = await self._job_service.submit(submission, route, custody.pass_on)
+        del body  # which may be large
+        with self._job_memory.hold() as memory:
+            # A job that is larger than the memory of all may be the only one.
+            size_bytes = min(submission.size_bytes, self._job_memory.limit_bytes)
+            if not memory.reserve(size_bytes):
+                return refuse_call(request, no_memory_problem("another batch job"))
+            result = await self._job_service.submit(submission, route, custody.pass_on)
         return response_from_result(request, result, lambda _: web.Response(status=202))
 
     async def _read_results(
@@ -106,8 +119,8 @@
         return response_from_result(
             request,
             result,
-            lambda page: web.Response(
-                body=encode_results(page), content_type=JSON_CONTENT_TYPE
+            lambda page: _held_response(
+                request, encode_results(page), JSON_CONTENT_TYPE
             ),
         )
 
@@ -119,7 +132,7 @@
             raise ParameterError("id", item_id, "the id of an item")
         result = await self._job_service.body(job_id, item_id)
         return response_from_result(
-            request, result, lambda body: web.Response(body=body)
+            request, result, lambda body: _held_response(request, body)
         )
 
     async def _end_job(
@@ -127,3 +140,14 @@
     ) -> web.StreamResponse:
         result = await self._job_service.end(job_id, custody.pass_on)
         return response_from_result(request, result, lambda _: web.Response(status=200))
+
+
+def _held_response(
+    request: web.BaseRequest,
+    body: bytes,
+    content_type: str = "application/octet-stream",
+) -> web.Response:
+    """Return a response whose body counts until it is taken, or a refusal."""
+    if not connection_of(request).memory.grow(len(body)):
+        return refuse_call(request, no_memory_problem("the body of a response"))
+    return web.Response(body=body, content_type=content_type)
