Bound what connections to engines buffer

Cause: one read of the loop returns up to 256 kB, which the parser holds back while the caller takes nothing. The error of an answer that is too long kept the part of its body that had come.

The kernel keeps 32 KiB of such a connection, so no read returns much more, and the body of a failed answer is cleared when it fails.

--- a/src/aspenbridge/platform/_connections.py
+++ b/src/aspenbridge/platform/_connections.py
@@ -33,6 +33,8 @@
 # While more of a body than this waits to be read, or more than a sixteenth of
 # it in chunks, its connection is not read.
 ENGINE_BUFFER_BYTES = 16 * 1024
+# What the kernel keeps of an engine's connection until it is read.
+ENGINE_RECEIVE_BUFFER_BYTES = 32 * 1024
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -123,6 +125,8 @@
     descriptor.
     """
 
+    socket_options: tuple[tuple[int, int, int], ...] = SOCKET_OPTIONS
+
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -145,7 +149,7 @@
         except OSError as error:
             raise client_error(req.connection_key, error) from error
         sock = transport.get_extra_info("socket")
-        for level, name, value in SOCKET_OPTIONS:
+        for level, name, value in self.socket_options:
             sock.setsockopt(level, name, value)
         return transport, protocol
 
@@ -154,6 +158,10 @@
     """Opens connections to engines."""
 
     connection_class = EngineConnection
+    socket_options = (
+        *SOCKET_OPTIONS,
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, ENGINE_RECEIVE_BUFFER_BYTES),
+    )
 
 
 def open_store_session() -> aiohttp.ClientSession:
--- a/src/aspenbridge/relay/_reading.py
+++ b/src/aspenbridge/relay/_reading.py
@@ -116,6 +116,7 @@
                 raise AttemptError(CallOutcome.BROKEN, reason)
     except BaseException:
         memory.shrink(len(body))
+        body.clear()  # the traceback would keep it
         raise
     if not body and head.needs_body:
         raise EmptyAnswerError
