Bound the bodies and connections of the older program

What callers saw: files, or messages at the port for peers, that stop a byte short or go far over the limit brought a host to 587 and 1,103 MB, and 600 idle connections took all of its descriptors.

Cause: each body was limited, all of them together were not, nor was the number of connections.

Bodies count as they arrive and until their request is answered. Settings: listen.held_bytes, by default three times the largest body or file, and listen.max_connections, by default a third of the descriptors. The port for peers has the same limits for its messages.

--- a/src/aspenbridge/host/server.py
+++ b/src/aspenbridge/host/server.py
@@ -17,6 +17,7 @@
     HttpTable,
     open_session,
 )
+from aspenbridge.bounded_requests import BoundedProtocol
 from aspenbridge.clock import SystemClock
 from aspenbridge.http import make_app
 from aspenbridge.loop import (
@@ -115,7 +116,9 @@
     app = make_app(host)
     sock = listening_socket(listen.ip, listen.http_port)
     stack.callback(sock.close)
-    server = await app.create_server(sock=sock, return_asyncio_server=True)
+    server = await app.create_server(
+        sock=sock, protocol=BoundedProtocol, return_asyncio_server=True
+    )
     if server is None:
         raise RuntimeError("sanic created no server for customers")
     await server.startup()  # type: ignore[no-untyped-call]
--- a/src/aspenbridge/http/_app.py
+++ b/src/aspenbridge/http/_app.py
@@ -9,12 +9,12 @@
 from sanic.config import Config
 from sanic.exceptions import SanicException
 
+from aspenbridge.bounded_requests import BodyLimits, BoundedRequest, bound_requests
 from aspenbridge.result_codes import Problem, ProblemError, ResultCode
 
 from ._customers import add_customer_routes
 from ._operators import add_operator_routes
 from ._replies import json_reply, problem_reply
-from ._requests import BodyLimits, BoundedRequest
 
 if TYPE_CHECKING:
     from aspenbridge.host import HostCore
@@ -40,7 +40,10 @@
         configure_logging=False,
         request_class=BoundedRequest,
     )
-    app.ctx.body_limits = BodyLimits.of(settings)
+    limits = BodyLimits(
+        settings.max_body_bytes, settings.max_file_bytes, settings.read_timeout_s
+    )
+    bound_requests(app, limits, settings.held_bytes, settings.max_connections)
     app.error_handler.add(ProblemError, _handle_problem)
     app.error_handler.add(SanicException, _handle_sanic_error)
     app.error_handler.add(Exception, _handle_unexpected_error)
--- a/src/aspenbridge/http/_batches.py
+++ b/src/aspenbridge/http/_batches.py
@@ -16,10 +16,9 @@
     from sanic import Request
 
     from aspenbridge.batch import JobStatus
+    from aspenbridge.bounded_requests import BoundedRequest
     from aspenbridge.host import HostCore
 
-    from ._requests import BoundedRequest
-
 JSON_LINES = "application/jsonl"
 MULTIPART_FORM = "multipart/form-data"
 STATUS_CREATED = 201
--- a/src/aspenbridge/peers/transport.py
+++ b/src/aspenbridge/peers/transport.py
@@ -9,10 +9,17 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.config import Config
 
+from aspenbridge.bounded_requests import (
+    BodyLimits,
+    BoundedProtocol,
+    BoundedRequest,
+    bound_requests,
+)
 from aspenbridge.client_connections import read_body
 from aspenbridge.loop import listening_socket
 from aspenbridge.ports import PeerUnreachableError
 from aspenbridge.resources import StackOwner
+from aspenbridge.result_codes import ProblemError
 
 from ._codec import decode_message, encode_message
 
@@ -28,6 +35,7 @@
 MAX_MESSAGE_BYTES = 16_000_000
 KEEP_ALIVE_S = 3600
 MAX_CALL_S = 600.0
+READ_LIMIT_S = 20.0  # for a message, which is sent at once
 
 
 class PeerServer(StackOwner):
@@ -46,7 +54,9 @@
     async def __aenter__(self) -> PeerServer:
         sock = listening_socket(*self._address)
         self._stack.callback(sock.close)
-        server = await self._app().create_server(sock=sock, return_asyncio_server=True)
+        server = await self._app().create_server(
+            sock=sock, protocol=BoundedProtocol, return_asyncio_server=True
+        )
         if server is None:
             raise RuntimeError("sanic created no server for peers")
         await server.startup()  # type: ignore[no-untyped-call]
@@ -66,7 +76,15 @@
             "TOUCHUP": False,
         }
         name = f"aspenbridge-peers-{id(self)}"
-        app = Sanic(name, config=Config(settings), configure_logging=False)
+        app = Sanic(
+            name,
+            config=Config(settings),
+            configure_logging=False,
+            request_class=BoundedRequest,
+        )
+        limits = BodyLimits(MAX_MESSAGE_BYTES, MAX_MESSAGE_BYTES, READ_LIMIT_S)
+        bound_requests(app, limits)
+        app.error_handler.add(ProblemError, _refuse)
         app.add_route(self._answer, PATH, methods=["POST"])
         return app
 
@@ -79,6 +97,10 @@
         return HTTPResponse(encode_message(reply), OK, content_type=BODY_TYPE)
 
 
+async def _refuse(_: Request, error: ProblemError) -> HTTPResponse:
+    return HTTPResponse(error.problem.detail, error.problem.status)
+
+
 class HttpPeers:
     """Sends messages to other hosts over the connections of a session."""
 
--- a/src/aspenbridge/settings/_definitions.py
+++ b/src/aspenbridge/settings/_definitions.py
@@ -50,6 +50,16 @@
     max_file_bytes: int = option(200_000_000, "Largest uploaded batch file.")
     max_item_bytes: int = option(100_000, "Largest line of a batch file.")
     max_header_bytes: int = option(16_384, "Largest request header.")
+    held_bytes: int = option(
+        0,
+        "Bytes of request bodies that are held at one time; 0 for three times "
+        "max_file_bytes or max_body_bytes, whichever is more.",
+    )
+    max_connections: int = option(
+        0,
+        "Connections that callers may have; 0 for a third of the descriptors that "
+        "the process may use.",
+    )
     read_timeout_s: float = option(
         20.0,
         "Time a caller has to send a request; for a large file, to send each "
