Treat a caller whose connection is closed while it is written to as gone

What operators saw: tracebacks of "Cannot write to closing transport" and "Connection closed." when callers were given up, or sent no request without end. The requests counted as failed here, and not as abandoned by their callers.

Cause: the handler of a request finds its connection closed before the end of the connection cancels it.

A write to a closed connection now ends the request as its cancellation does, and a connection that sends no request is aborted, which cancels the request.

--- a/src/aspenbridge/platform/_counted_connections.py
+++ b/src/aspenbridge/platform/_counted_connections.py
@@ -324,7 +324,8 @@
                 overhead_bytes=self._overhead_bytes,
                 payload_bytes=self._payload_bytes,
             )
-            self.force_close()
+            if self.transport is not None:
+                self.transport.abort()
 
     def pause_writing(self) -> None:
         """Count what the caller has not taken, and watch whether it does."""
--- a/src/aspenbridge/platform/_replies.py
+++ b/src/aspenbridge/platform/_replies.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp import HttpVersion11, web
@@ -17,7 +19,7 @@
 from ._problems import problem_response
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from returns.result import Result
 
@@ -32,6 +34,19 @@
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
+@contextmanager
+def _cancelled_if_left() -> Iterator[None]:
+    """
+    End the handling of a request whose connection is found to be closed.
+
+    The end of a connection cancels it anyway, but only a moment later.
+    """
+    try:
+        yield
+    except ConnectionError as error:
+        raise asyncio.CancelledError("the caller has left") from error
+
+
 class HttpResponseWriter:
     """Writes one response to a caller; satisfies ``relay.ResponseWriter``."""
 
@@ -60,18 +75,21 @@
         if self._host.leaving:
             connection_of(self._request).announce_close(response)
         self.response = response
-        await response.prepare(self._request)
-        await send_large_head(self._request, response, length or 0)
+        with _cancelled_if_left():
+            await response.prepare(self._request)
+            await send_large_head(self._request, response, length or 0)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         assert self.response is not None
-        await self.response.write(data)
+        with _cancelled_if_left():
+            await self.response.write(data)
 
     async def finish(self) -> None:
         """End the body."""
         assert self.response is not None
-        await self.response.write_eof()
+        with _cancelled_if_left():
+            await self.response.write_eof()
         if self._ends_with_connection:
             self._set_linger(ORDERLY_CLOSE)
 
