Keep the text of the metrics for a tenth of a second

What callers saw: beside 48 callers that ask for the metrics without end and read nothing, an ordinary request waited for seconds.

Cause: each answer collects all metrics anew, some milliseconds of the one thread, and kernels buffer many answers of a connection that is not read.

The text is collected at most ten times a second.

--- a/src/aspenbridge/platform/_ingress.py
+++ b/src/aspenbridge/platform/_ingress.py
@@ -65,6 +65,8 @@
 # Connections at the port of readiness, and at that of metrics; the platform
 # needs one of each.
 PROBE_PLACES = 24
+# Metrics take some milliseconds to collect, and the platform asks every 5 s.
+METRICS_KEPT_S = 0.1
 # What the kernel keeps of a connection that is not read. One read of the
 # loop returns no more.
 RECEIVE_BUFFER_BYTES = 64 * 1024
@@ -107,6 +109,8 @@
         self._caller_address = callers
         self._readiness_address = readiness
         self._metrics_address = metrics
+        self._metrics = b""
+        self._metrics_until_s = 0.0  # when they have to be collected again
         self._caller_listeners: list[asyncio.Server] = []
         self._running_calls: set[RunningCall] = set()
         # When this host refuses all requests that it has not passed on. The
@@ -160,7 +164,10 @@
 
     async def __aenter__(self) -> Self:
         for server, address in (
-            (self._probe_server("metrics", _handle_metrics), self._metrics_address),
+            (
+                self._probe_server("metrics", self._handle_metrics),
+                self._metrics_address,
+            ),
             (
                 self._probe_server("readiness", self._handle_readiness),
                 self._readiness_address,
@@ -251,6 +258,13 @@
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._host.ready else 503)
 
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        now_s = self._host.ports.clock.now_s()
+        if now_s >= self._metrics_until_s:
+            self._metrics = metrics_text()
+            self._metrics_until_s = now_s + METRICS_KEPT_S
+        return web.Response(body=self._metrics, content_type="text/plain")
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         call = RunningCall(
             request.headers.get(names.REQUEST_ID, ""),
@@ -365,10 +379,6 @@
         return writer.response
 
 
-async def _handle_metrics(request: web.BaseRequest) -> web.StreamResponse:
-    return web.Response(body=metrics_text(), content_type="text/plain")
-
-
 async def _look_at_sockets() -> None:
     """Have the loop accept and read what waits, which it does after timers."""
     for _ in range(SOCKET_PASSES):
