--- /dev/null
+++ b/review/13/case.py
@@ -0,0 +1,97 @@
+"""All hosts are killed soon after two crashes; the crashing request runs on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "standins-3"))
+
+from platform_rig import Rig, configuration, stream_route  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+VIRTUAL_HOST = "nony24.example"
+BODY = b"killer" + random.randbytes(1500)
+CONTACT_S = 4.0  # contactMs
+ALLOWED_RETRIES = 3
+CRASHES = 3
+KILL_AFTER_S = 1.0  # after the second crash
+LENGTH_S = 84.0
+
+
+async def send(rig: Rig) -> int:
+    request_id = random.randbytes(8).hex()
+    status, _ = await rig.call(
+        "POST",
+        "/pasuje/4e",
+        VIRTUAL_HOST,
+        request_id=request_id,
+        body=BODY,
+        headers={
+            "X-Aspenbridge-Model": "m",
+            "X-Aspenbridge-Token-Count": "350,37",
+            "X-Aspenbridge-Prefix-Hash": f"5c1e07a2:100,{request_id}:250",
+            "X-Aspenbridge-Deadline-Ms": "5000",
+        },
+    )
+    return status
+
+
+def crashes(rig: Rig) -> int:
+    return sum(engine.crashes for engine in rig.engines)
+
+
+async def main() -> int:
+    async with Rig(HERE, hosts_per_zone=1, engines=5) as rig:
+        route = stream_route(
+            "code-short", VIRTUAL_HOST, "/pasuje/", maxAttempts=1, resumable=False
+        )
+        rig.store.write("op", "config", configuration(3, [route]))
+        await rig.all_ready()
+        await asyncio.sleep(CONTACT_S + 1.0)
+        begin_s = rig.record.now_s()
+        await send(rig)
+        await asyncio.sleep(0.5)
+        await send(rig)
+        if crashes(rig) != 2:
+            return 2
+        await asyncio.sleep(KILL_AFTER_S)
+        if TROUBLE:
+            rig.record.add("all hosts are killed")
+            for host in rig.hosts:
+                host.send_signal(signal.SIGKILL)
+            await asyncio.sleep(1.0)
+            await rig.all_ready()
+        await asyncio.sleep(CONTACT_S + 2.0)
+        third_s = None
+        while rig.record.now_s() < begin_s + LENGTH_S:
+            await send(rig)
+            if third_s is None and crashes(rig) >= CRASHES:
+                third_s = rig.record.now_s()
+            await asyncio.sleep(random.uniform(4.5, 5.5))
+        late = [
+            arrival
+            for engine in rig.engines
+            for arrival in engine.arrivals
+            if third_s is not None and arrival["at_s"] > third_s + CONTACT_S
+        ]
+        rig.record.add(
+            "end",
+            crashes=crashes(rig),
+            third_s=third_s,
+            late_retries=len(late),
+            late_runs=sum(arrival["ran"] for arrival in late),
+            at_s=sorted(round(arrival["at_s"], 1) for arrival in late),
+        )
+        if third_s is None:
+            return 2
+        return 1 if len(late) > ALLOWED_RETRIES else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
