--- a/review/standins-3/platform_rig.py
+++ b/review/standins-3/platform_rig.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -224,14 +225,13 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._returning: asyncio.Task | None = None
 
     async def start(self) -> None:
         self.id = f"i-{random.randbytes(4).hex()}"
         self._slots = asyncio.Semaphore(SLOTS)
         self.running, self.waiting = {}, 0
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port, limit=8 * 1024 * 1024
-        )
+        self._server = await self._listen()
         self.port = self._server.sockets[0].getsockname()[1]
         self.down = False
         self.store.write(
@@ -251,6 +251,16 @@
         )
         self.record.add("engine starts", engine=self.id, port=self.port)
 
+    async def _listen(self) -> asyncio.Server:
+        """Listen at the address as before, or at a new one if it is taken."""
+        limit = 8 * 1024 * 1024
+        try:
+            return await asyncio.start_server(
+                self._serve, "127.0.0.1", self.port, limit=limit
+            )
+        except OSError:
+            return await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=limit)
+
     def crash(self, cause: str) -> None:
         if self.down:
             return
@@ -266,7 +276,7 @@
             writer.transport.abort()
         for task in list(self._tasks):
             task.cancel()
-        asyncio.ensure_future(self._come_back(self.id))
+        self._returning = asyncio.create_task(self._come_back(self.id))
 
     async def _come_back(self, old_id: str) -> None:
         crashed_s = time.monotonic()
@@ -538,6 +548,8 @@
         for host in self.hosts:
             if host.process is not None:
                 host.process.wait()
+            host.log.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def _balance(self) -> None:
         """Ask each host each second whether it is ready."""
