Review: stand-ins that drop a request whose caller has left, and stricter ends

Engines ran a request whose caller had left in its first 30 ms. An error of a case no longer exits with the code of a broken rule, hosts are ended also when the start fails, and LOST is looked at over its 5 s.

--- a/review/standins-3/platform_rig.py
+++ b/review/standins-3/platform_rig.py
@@ -19,9 +19,10 @@
 import struct
 import subprocess
 import tempfile
+import sys
 import time
 import tomllib
-from collections import defaultdict
+import traceback
 from pathlib import Path
 
 import aiohttp
@@ -34,6 +35,15 @@
 EVENT_S = 0.02
 SLOTS = 8
 QUEUE = 24
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2  # exit codes of a case; see run.sh
+LIMIT_S = 114.0  # of a whole case
+ROW_BYTES = 65536
+MAX_TRANSACTION_BYTES = 1_000_000
+# Of the rule LOST for items of batch jobs.
+CALM_S = 5.0
+UNFINISHED_S = 3.0
+FAILED_S = 20.0
+SHORT_RUN_S = 1.0
 ZONES = {"jhb-a": "gauteng", "cpt-a": "western-cape", "dbn-a": "kwazulu-natal"}
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -64,6 +74,30 @@
 """
 
 
+class CouldNotRunError(Exception):
+    """The case could not run as it is meant to."""
+
+
+def run_case(main) -> None:
+    """Run a case within its time, and exit with one of the codes above."""
+    try:
+        code = asyncio.run(_limited(main))
+    except BaseException:
+        traceback.print_exc()
+        code = COULD_NOT_RUN
+    sys.exit(code)
+
+
+async def _limited(main) -> int:
+    # The processes of the hosts are ended also when the script is stopped.
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(LIMIT_S):
+        return await main()
+
+
 class Record:
     """The events of a run, in the order in which they were seen."""
 
@@ -155,6 +189,14 @@
         ]
         if len({entry.get("part", "") for entry in entries}) > 1 or len(entries) > 100:
             return web.Response(status=400)
+        written = [*fields.get("setKeys", ()), *fields.get("remove", ())]
+        if any(entry["table"] in ("op", "servers") for entry in written):
+            return web.Response(status=403)
+        sizes = [len(entry["value"]) for entry in fields.get("setKeys", ())]
+        if any(size > ROW_BYTES * 4 / 3 for size in sizes):
+            return web.Response(status=400)
+        if sum(sizes) > MAX_TRANSACTION_BYTES:
+            return web.Response(status=400)
         checks = fields.get("expectedRev", ())
         keys = [(c["table"], c.get("part", ""), c["key"]) for c in checks]
         found = [self.rows.get(key) for key in keys]
@@ -217,7 +259,8 @@
         self.id = ""
         self.down = True
         self.port = 0
-        self.crashes = 0
+        self.crashes_s: list[float] = []
+        self.back_s = 0.0  # when it was back after its last crash
         self.arrivals: list[dict] = []  # of this engine, through all its starts
         self.running: dict[str, float] = {}
         self.waiting = 0
@@ -234,6 +277,7 @@
         self._server = await self._listen()
         self.port = self._server.sockets[0].getsockname()[1]
         self.down = False
+        self.back_s = self.record.now_s() if self.crashes_s else 0.0
         self.store.write(
             "servers",
             self.id,
@@ -265,7 +309,7 @@
         if self.down:
             return
         self.down = True
-        self.crashes += 1
+        self.crashes_s.append(self.record.now_s())
         self.record.add("engine crashes", engine=self.id, cause=cause)
         assert self._server is not None
         self._server.close()
@@ -314,7 +358,10 @@
         base = {"X-Aspenbridge-Attempt-Id": request_id}
         expected = headers.get("x-aspenbridge-expect-instance", self.id)
         if expected != self.id:
-            return self._answer(writer, 421, base)
+            self.record.add("engine answers 421", engine=self.id, id=request_id)
+            return self._answer(
+                writer, 421, base | {"X-Aspenbridge-Instance-Id": self.id}
+            )
         arrival = {
             "at_s": self.record.now_s(),
             "engine": self.id,
@@ -327,17 +374,21 @@
         }
         self.arrivals.append(arrival)
         if self.waiting >= QUEUE:
-            arrival["end"] = "refused"
+            arrival["end"], arrival["ended_s"] = "refused", self.record.now_s()
+            self.record.add("engine refuses", engine=self.id, id=request_id)
             return self._answer(
                 writer, 503, base | {"X-Aspenbridge-Not-Executed": "1"}
             )
         self.waiting += 1
         gone = asyncio.ensure_future(reader.read(1))
+        queued = True
         try:
             async with self._slots:
                 self.waiting -= 1
+                queued = False
                 return await self._run(writer, headers, arrival, base, gone)
         finally:
+            self.waiting -= queued and not self.down
             gone.cancel()
             if arrival["end"] == "open":
                 arrival["end"] = "broken"
@@ -353,6 +404,9 @@
     async def _run(self, writer, headers, arrival, base, gone) -> bool:
         request_id = arrival["id"]
         await asyncio.sleep(0.03)
+        if gone.done():  # an engine drops a request whose caller has left
+            arrival["end"] = "left"
+            return False
         arrival["ran"] = True
         self.running[request_id] = time.monotonic()
         self.record.add(
@@ -418,7 +472,9 @@
         self.log = (rig.folder / f"{self.name}.log").open("a")
         self.process: subprocess.Popen | None = None
         self.misses = 2
-        self.restart_after_s: float | None = 0.5  # None: it is not restarted
+        self.restart_after_s = 0.5
+        self.started_s = 0.0
+        self.ends = 0  # of its process, killed or not
 
     def write_settings(self) -> None:
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
@@ -436,7 +492,8 @@
 discovery = "platform"
 entry = "vip"
 heartbeatMs = 1200
-contracts = ["base","drain","config","cost","recover","batch","stream","engine"]
+contracts = ["base","drain","config","cost","recover","batch","stream","engine","platform"]
+faultCounted = false
 [zones]
 {zones}
 [listen]
@@ -449,6 +506,10 @@
 maxFds = 8200
 linkMbps = 1000.0
 diskMb = 0
+[faultTolerance]
+machines = 1
+zones = 0
+regions = 0
 [bounds]
 {BOUNDS}
 [platform]
@@ -480,6 +541,7 @@
             stdout=self.log,
             stderr=self.log,
         )
+        self.started_s = self.rig.record.now_s()
         self.rig.record.add("host starts", host=self.name, pid=self.process.pid)
 
     async def keep_running(self) -> None:
@@ -493,9 +555,9 @@
             )
             self.process = None
             self.misses = 2
-            if self.restart_after_s is not None:
-                await asyncio.sleep(self.restart_after_s)
-                self.start()
+            self.ends += 1
+            await asyncio.sleep(self.restart_after_s)
+            self.start()
 
     def send_signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -512,14 +574,21 @@
         self.hosts_per_zone, self.engine_count = hosts_per_zone, engines
         self.hosts: list[Host] = []
         self.engines: list[Engine] = []
+        self.session: aiohttp.ClientSession | None = None
         self._background: list[asyncio.Task] = []
 
     async def __aenter__(self) -> Rig:
-        # The processes of the hosts are ended also when the script is stopped.
-        main = asyncio.current_task()
-        assert main is not None
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, main.cancel)
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
         await self.store.start()
         zones = list(ZONES)
         for number in range(self.engine_count):
@@ -532,16 +601,14 @@
             host.start()
             self.hosts.append(host)
             self._background.append(asyncio.create_task(host.keep_running()))
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
-        )
         self._background.append(asyncio.create_task(self._balance()))
-        return self
 
     async def __aexit__(self, *error) -> None:
         for task in self._background:
             task.cancel()
-        await self.session.close()
+        await asyncio.gather(*self._background, return_exceptions=True)
+        if self.session is not None:
+            await self.session.close()
         for host in self.hosts:
             host.send_signal(signal.SIGCONT)
             host.send_signal(signal.SIGKILL)
@@ -575,6 +642,21 @@
             while any(host.misses for host in self.hosts):
                 await asyncio.sleep(0.1)
 
+    @property
+    def crashes_s(self) -> list[float]:
+        """When engines crashed, in order."""
+        return sorted(at_s for engine in self.engines for at_s in engine.crashes_s)
+
+    def check_hosts(self, ends: int = 0) -> None:
+        """
+        Check that no host has ended but those that the case has killed.
+
+        :param ends: how often each host was killed.
+        """
+        ended = {host.name: host.ends for host in self.hosts if host.ends != ends}
+        if ended:
+            raise CouldNotRunError(f"hosts have ended: {ended}")
+
     async def call(
         self,
         method: str,
@@ -695,7 +777,11 @@
 
     async def submit(self, tries: int = 4) -> bool:
         body = json.dumps({"requests": self.items}).encode()
+        self.rig.record.add("job", id=self.id, items=[i["id"] for i in self.items])
+        host: Host | None = None
         for _ in range(tries):
+            others = [h for h in self.rig.ready_hosts() if h is not host]
+            host = random.choice(others)
             status, _ = await self.rig.call(
                 "POST",
                 f"{self.prefix}{self.id[:6]}",
@@ -707,6 +793,7 @@
                     "X-Aspenbridge-Deadline-Ms": "4000",
                 },
                 limit_s=4.0,
+                host=host,
             )
             self.answers.append(status)
             if status == 202:
@@ -733,10 +820,79 @@
                         job=self.id,
                         item=result["id"],
                         state=result["state"],
-                        chars=len(result["text"]),
+                        whole=result["text"] == self.texts.get(result["id"]),
                     )
                 self.results += page["results"]
             await asyncio.sleep(0.5)
 
     def listed(self) -> set[str]:
         return {result["id"] for result in self.results}
+
+
+def lost_items(rig: Rig, jobs: list[Job]) -> tuple[list[str], dict[str, object]]:
+    """
+    Return the items that the rule LOST counts now, and what decided it.
+
+    The jobs are open, and ``finishS`` is over. Not counted are items of jobs of
+    which an engine had an unlisted item in the last 5 s, and items that failed
+    at an engine in the last 20 s. None counts if these 5 s were not calm, if
+    an engine was half full in them, or if an item of any job was finished in
+    the last 3 s.
+    """
+    now_s = rig.record.now_s()
+    since_s = now_s - CALM_S
+    arrivals = [a for engine in rig.engines for a in engine.arrivals]
+    texts = {item for job in jobs for item in job.texts}
+
+    def ended_s(arrival: dict) -> float:
+        return arrival.get("ended_s", now_s)
+
+    # Runs that their sender ends within a second count as neither.
+    runs = [
+        a
+        for a in arrivals
+        if a["end"] != "left" or ended_s(a) - a["at_s"] >= SHORT_RUN_S
+    ]
+    had = {a["id"] for a in runs if ended_s(a) >= since_s}
+    failed = {
+        a["id"]
+        for a in runs
+        if a["end"] in ("broken", "refused", "left") and ended_s(a) >= now_s - FAILED_S
+    }
+    finished = [
+        a["id"]
+        for a in arrivals
+        if a["id"] in texts
+        and a["end"] == "whole"
+        and ended_s(a) >= now_s - UNFINISHED_S
+    ]
+    fullest = max(_most_at_once(e.arrivals, since_s, now_s) for e in rig.engines)
+    calm = all(not e.down and e.back_s < since_s for e in rig.engines) and all(
+        host.process is not None and host.started_s < since_s for host in rig.hosts
+    )
+    unlisted = {job.id: job.texts.keys() - job.listed() for job in jobs}
+    lost = [
+        item
+        for items in unlisted.values()
+        if not items & had
+        for item in sorted(items - failed)
+    ]
+    details = {
+        "unlisted": sum(map(len, unlisted.values())),
+        "lost": len(lost),
+        "never_at_an_engine": len(set(lost) - {a["id"] for a in arrivals}),
+        "calm": calm,
+        "fullest_engine": fullest,
+        "finished_in_3_s": len(finished),
+        "unlisted_had_in_5_s": sum(len(items & had) for items in unlisted.values()),
+    }
+    counts = calm and not finished and fullest < SLOTS / 2
+    return (lost if counts else []), details
+
+
+def _most_at_once(arrivals: list[dict], since_s: float, now_s: float) -> int:
+    """Return how many requests an engine had at most since a time."""
+    spans = [(a["at_s"], a.get("ended_s", now_s)) for a in arrivals]
+    spans = [span for span in spans if span[1] >= since_s]
+    times_s = [since_s, *(begin_s for begin_s, _ in spans if begin_s >= since_s)]
+    return max(sum(b <= at_s <= e for b, e in spans) for at_s in times_s)
