--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,10 +13,15 @@
 sys.path.insert(0, str(HERE.parent / "standins-3"))
 
 from platform_rig import (  # noqa: E402
+    BROKEN,
+    HELD,
+    CouldNotRunError,
     Job,
     Rig,
     batch_route,
     configuration,
+    lost_items,
+    run_case,
     stream_route,
 )
 
@@ -27,8 +32,6 @@
 EVENTS = 150
 TRAFFIC_S = 14.0
 FINISH_S = 18.0  # finishS, after the end of traffic
-CALM_S = 5.0
-UNFINISHED_S = 3.0
 
 
 async def write_entry(rig: Rig) -> None:
@@ -76,7 +79,7 @@
 
 
 async def main() -> int:
-    async with Rig(HERE, hosts_per_zone=1, engines=5) as rig:
+    async with Rig(HERE, hosts_per_zone=3, engines=5) as rig:
         routes = [
             batch_route("verbatim-batch", VIRTUAL_HOST, "/pule252/"),
             stream_route("code-long", VIRTUAL_HOST, "/lohu930/"),
@@ -95,59 +98,28 @@
             for _ in range(10):
                 job.add_item(f"9c{number}", random.randbytes(15000), EVENTS)
             if not await job.submit():
-                return 2
+                raise CouldNotRunError("a job was not accepted")
             jobs.append(job)
             background.append(asyncio.create_task(job.read()))
             await asyncio.sleep((TRAFFIC_S - 3.0) / 4)
         traffic.cancel()
         ended_s = rig.record.now_s()
         await asyncio.sleep(FINISH_S)
-        now_s = rig.record.now_s()
-        arrivals = [a for engine in rig.engines for a in engine.arrivals]
-        texts = {item: text for job in jobs for item, text in job.texts.items()}
-        listed = {item for job in jobs for item in job.listed()}
-        wrong = [r for j in jobs for r in j.results if r["text"] != texts[r["id"]]]
-        had = {
-            a["id"]
-            for a in arrivals
-            if a["end"] == "open" or a.get("ended_s", 0) > now_s - CALM_S
-        }
-        had_jobs = [j.name for j in jobs if had & (j.texts.keys() - j.listed())]
-        finished = [
-            a
-            for a in arrivals
-            if a["id"] in texts
-            and a["end"] == "whole"
-            and a["ended_s"] > now_s - UNFINISHED_S
-        ]
-        busy = max(len(engine.running) for engine in rig.engines)
-        lost = [
-            item
-            for job in jobs
-            if job.name not in had_jobs
-            for item in job.texts.keys() - listed
-        ]
+        rig.check_hosts()
+        lost, details = lost_items(rig, jobs)
+        wrong = [r for j in jobs for r in j.results if r["text"] != j.texts[r["id"]]]
         rig.record.add(
             "end",
             traffic_ended_s=f"{ended_s:.1f}",
-            now_s=f"{now_s:.1f}",
-            items=len(texts),
-            listed=len(listed),
-            lost=len(lost),
-            never_at_an_engine=sum(
-                all(a["id"] != item for a in arrivals) for item in lost
-            ),
+            listed=sum(len(job.results) for job in jobs),
             wrong=len(wrong),
-            finished_in_last_3_s=len(finished),
-            busiest_engine=busy,
             online={status: statuses.count(status) for status in set(statuses)},
+            **details,
         )
         for task in background:
             task.cancel()
-        if wrong:
-            return 1
-        return 1 if lost and not finished and busy < 4 else 0
+        return BROKEN if wrong or lost else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    run_case(main)
