--- a/review/standins-3/platform_rig.py
+++ b/review/standins-3/platform_rig.py
@@ -131,9 +131,16 @@
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     def write(self, table: str, key: str, fields: dict | None) -> None:
-        """Write or remove a row as the operator or an engine does."""
-        self.version += 1
+        """
+        Write or remove a row as the operator or an engine does.
+
+        One that is written again as it was does not change.
+        """
         value = None if fields is None else json.dumps(fields).encode()
+        row = self.rows.get((table, "", key))
+        if value is not None and row and base64.b64decode(row["value"]) == value:
+            return
+        self.version += 1
         self._put({"table": table, "part": "", "key": key}, value)
         self._wake()
 
@@ -359,9 +366,11 @@
         expected = headers.get("x-aspenbridge-expect-instance", self.id)
         if expected != self.id:
             self.record.add("engine answers 421", engine=self.id, id=request_id)
-            return self._answer(
-                writer, 421, base | {"X-Aspenbridge-Instance-Id": self.id}
-            )
+            rejected = {
+                "X-Aspenbridge-Not-Executed": "1",
+                "X-Aspenbridge-Instance-Id": self.id,
+            }
+            return self._answer(writer, 421, base | rejected)
         arrival = {
             "at_s": self.record.now_s(),
             "engine": self.id,
@@ -376,9 +385,7 @@
         if self.waiting >= QUEUE:
             arrival["end"], arrival["ended_s"] = "refused", self.record.now_s()
             self.record.add("engine refuses", engine=self.id, id=request_id)
-            return self._answer(
-                writer, 503, base | {"X-Aspenbridge-Not-Executed": "1"}
-            )
+            return self._answer(writer, 503, base | {"X-Aspenbridge-Not-Executed": "1"})
         self.waiting += 1
         gone = asyncio.ensure_future(reader.read(1))
         queued = True
