--- a/review/standins-3/platform_rig.py
+++ b/review/standins-3/platform_rig.py
@@ -30,6 +30,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 RESET = struct.pack("ii", 1, 0)
+IDLE_S = 20  # how long an engine keeps an idle connection, which it states
 ENTRY_LIFETIME_S = 3.6  # of a silent engine: three heartbeats
 ENGINE_DOWN_S = 3.0  # "back after some seconds"
 EVENT_S = 0.02
@@ -173,7 +174,15 @@
         if call == "rows-parts":
             table = request.query["table"]
             parts = sorted({p for t, p, _ in self.rows if t == table})
-            return web.json_response({"parts": parts, "hasMore": False})
+            parts = [part for part in parts if part > request.query.get("after", "")]
+            return self._rows_answer(parts=parts[:1000], hasMore=len(parts) > 1000)
+        if call == "blob-list":
+            prefix, after = request.query["prefix"], request.query.get("after", "")
+            names = [n for n in sorted(self.objects) if n.startswith(prefix)]
+            names = [name for name in names if name > after]
+            return web.json_response(
+                {"names": names[:1000], "hasMore": len(names) > 1000}
+            )
         name = request.path.split("/", 2)[2]
         if call == "blob-put":
             if name in self.objects:
@@ -212,14 +221,14 @@
             for row, check in zip(found, checks, strict=True)
         ):
             rows = [row for row in found if row]
-            return web.json_response({"rows": rows, "ver": self.version}, status=412)
+            return self._rows_answer(412, rows=rows)
         self.version += 1
         for entry in fields.get("setKeys", ()):
             self._put(entry, base64.b64decode(entry["value"]))
         for entry in fields.get("remove", ()):
             self._put(entry, None)
         self._wake()
-        return web.json_response({"ver": self.version})
+        return self._rows_answer()
 
     def _read(self, query) -> web.Response:
         low, high = query.get("from", ""), query.get("to", "")
@@ -231,14 +240,12 @@
             and (not high or key < high)
         ]
         limit = min(500, int(query.get("limit", 500)))
-        return web.json_response(
-            {
-                "rows": rows[:limit],
-                "ver": self.version,
-                "hasMore": len(rows) > limit,
-                "nowMs": int(time.monotonic() * 1000),
-            }
-        )
+        return self._rows_answer(rows=rows[:limit], hasMore=len(rows) > limit)
+
+    def _rows_answer(self, status: int = 200, **fields) -> web.Response:
+        now_ms = int(time.monotonic() * 1000)
+        stated = {"ver": self.version, "nowMs": now_ms}
+        return web.json_response(fields | stated, status=status)
 
     async def _feed(self, query) -> web.Response:
         after, table = int(query["after"]), query["table"]
@@ -247,7 +254,7 @@
             rows = [r for r in self.history if r["ver"] > after and r["table"] == table]
             remaining_s = until_s - time.monotonic()
             if rows or remaining_s <= 0:
-                return web.json_response({"rows": rows, "ver": self.version})
+                return self._rows_answer(rows=rows)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining_s):
                     await self._changed.wait()
@@ -296,6 +303,8 @@
                 "slots": SLOTS,
                 "state": "ready",
                 "coldLeftMs": 0,
+                "stage": "both",
+                "models": [{"name": "m", "version": 1, "adapters": []}],
                 "seq": 1,
                 "born": int(time.time() * 1000),
             },
@@ -345,7 +354,12 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (
+            ConnectionError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self._writers.discard(writer)
@@ -353,7 +367,8 @@
             writer.transport.abort()
 
     async def _serve_one(self, reader, writer) -> bool:
-        head = await reader.readuntil(b"\r\n\r\n")
+        async with asyncio.timeout(IDLE_S):
+            head = await reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         method, target, _ = lines[0].split(" ")
         headers = {}
@@ -362,7 +377,12 @@
             headers[name.strip().lower()] = value.strip()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("x-aspenbridge-attempt-id", "")
-        base = {"X-Aspenbridge-Attempt-Id": request_id}
+        base = {
+            "X-Aspenbridge-Attempt-Id": request_id,
+            "Keep-Alive": f"timeout={IDLE_S}",
+        }
+        if method == "GET" and target in ("/healthz", "/report"):
+            return self._tell(writer, target, base)
         expected = headers.get("x-aspenbridge-expect-instance", self.id)
         if expected != self.id:
             self.record.add("engine answers 421", engine=self.id, id=request_id)
@@ -397,15 +417,36 @@
         finally:
             self.waiting -= queued and not self.down
             gone.cancel()
+            await asyncio.wait([gone])
             if arrival["end"] == "open":
                 arrival["end"] = "broken"
             arrival["ended_s"] = self.record.now_s()
 
-    def _answer(self, writer, status: int, headers: dict) -> bool:
+    def _tell(self, writer, target: str, base: dict) -> bool:
+        """Answer a question about the engine itself."""
+        if target == "/healthz":
+            health = {"X-Aspenbridge-Instance-Id": self.id}
+            return self._answer(writer, 200, base | health)
+        report = {
+            "stage": "both",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": False,
+            "seq": 0,
+            "queued": self.waiting,
+            "active": len(self.running),
+            "kvUsed": 0,
+            "kvTotal": 147261,
+            "handles": 0,
+        }
+        answer = json.dumps(report).encode()
+        json_type = {"Content-Type": "application/json"}
+        return self._answer(writer, 200, base | json_type, answer)
+
+    def _answer(self, writer, status: int, headers: dict, body: bytes = b"") -> bool:
         lines = [f"HTTP/1.1 {status} X"]
         lines += [f"{n}: {v}" for n, v in headers.items()]
-        lines += ["Content-Length: 0", "", ""]
-        writer.write("\r\n".join(lines).encode())
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        writer.write("\r\n".join(lines).encode() + body)
         return True
 
     async def _run(self, writer, headers, arrival, base, gone) -> bool:
@@ -414,6 +455,11 @@
         if gone.done():  # an engine drops a request whose caller has left
             arrival["end"] = "left"
             return False
+        deadline_ms = float(headers.get("x-aspenbridge-deadline-ms", "inf"))
+        until_s = arrival["at_s"] + deadline_ms / 1000
+        if self.record.now_s() >= until_s:
+            arrival["end"] = "refused"
+            return self._answer(writer, 503, base | {"X-Aspenbridge-Not-Executed": "1"})
         arrival["ran"] = True
         self.running[request_id] = time.monotonic()
         self.record.add(
@@ -438,8 +484,8 @@
             lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in head.items()), "", ""]
             writer.write("\r\n".join(lines).encode())
             for number in range(first, count + 1):
-                if gone.done():
-                    arrival["end"] = "left"
+                if gone.done() or self.record.now_s() >= until_s:
+                    arrival["end"] = "left"  # or its time is up
                     return False
                 event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
                 writer.write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -449,7 +495,7 @@
             await writer.drain()
             arrival["end"] = "whole"
             self.record.add("engine ends", engine=self.id, id=request_id)
-            return False
+            return not gone.done()
         finally:
             self.running.pop(request_id, None)
 
@@ -747,7 +793,7 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "pool", "healthPath": "/healthz"}],
+        "services": [{"name": "pool", "healthPath": "/healthz", "maxConns": 360}],
         "limits": LIMITS,
     }
 
