Decode: an entry without a listed field names no engine

Cause: an entry of another writer without version, coldLeftMs and seq was taken for an engine. _EngineRow asked only for the fields that this program uses; the platform's page lists eight and says that an entry which lacks some names none.

The tests of missing fields and of other types failed before the change in 10 cases and pass with it.

Tests: one case that allowed null for born and coldLeftMs is replaced by cases that reject both, since null is another type; the others stand. The entries of both stand-ins lacked version and seq, and now have all listed fields.

--- a/src/aspenbridge/platform/_decode.py
+++ b/src/aspenbridge/platform/_decode.py
@@ -172,8 +172,8 @@
     """
     What an engine's row has to hold so that the engine can be used.
 
-    Other writers leave rows here, too. What is not used is not looked at, but
-    for the fields of which each engine writes one type only.
+    Other writers leave rows here, too, so that a row without one of the fields
+    that all engines write is of no engine, even if the field is not used.
     """
 
     service: Name
@@ -181,10 +181,13 @@
     zone: Name
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)] | None = None
-    coldLeftMs: Annotated[float, msgspec.Meta(le=MAX_WHOLE_NUMBER)] | None = None
-    seq: int | None = None
-    version: str | int | float | None = None
+    version: str | int | float
+    coldLeftMs: Annotated[float, msgspec.Meta(le=MAX_WHOLE_NUMBER)]
+    seq: int
+    # The examples of the platform's messages have rows without it.
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)] = 0
+    stage: str = ""
+    models: list[dict[str, Any]] = []
 
 
 def decode_engine(engine_id: str, value: bytes) -> EngineEntry:
@@ -209,8 +212,8 @@
         failure_domain=row.zone,
         slots=row.slots,
         draining=row.state == ENGINE_DRAINING,
-        started_ms=row.born or 0,
-        warm_up_s=max(0.0, row.coldLeftMs or 0.0) / 1000,
+        started_ms=row.born,
+        warm_up_s=max(0.0, row.coldLeftMs) / 1000,
     )
 
 
--- a/src/aspenbridge_standins/entry_platform.py
+++ b/src/aspenbridge_standins/entry_platform.py
@@ -334,9 +334,11 @@
         "service": service,
         "addr": address,
         "zone": failure_domain,
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "coldLeftMs": 0,
+        "seq": 0,
     }
     return {engine_id: msgspec.json.encode(row) for engine_id in engine_ids}
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -139,7 +139,14 @@
         {"service": "a\nb"},
         {"zone": "\x00"},
         {"seq": "4"},
+        {"seq": None},
         {"version": ["v1"]},
+        {"version": None},
+        {"coldLeftMs": None},
+        {"born": None},
+        {"stage": 1},
+        {"models": {}},
+        {"models": ["m"]},
         *(
             {"addr": addr}
             for addr in (
@@ -178,6 +185,14 @@
         decode_engine("i-1", json.dumps(ENGINE | changed_field).encode())
 
 
+# Guards against an entry of another writer that is taken for an engine.
+@pytest.mark.parametrize("name", list(ENGINE))
+def test_engine_row_without_a_field_that_engines_write_is_rejected(name):
+    row = {key: value for key, value in ENGINE.items() if key != name}
+    with pytest.raises(MessageError):
+        decode_engine("i-1", json.dumps(row).encode())
+
+
 @pytest.mark.parametrize("engine_id", ["", "a b", "a\nb", "ä", "x" * 201])
 def test_engine_whose_id_no_header_can_hold_is_rejected(engine_id):
     with pytest.raises(MessageError):
@@ -188,7 +203,7 @@
     ("fields", "address"),
     [
         ({}, "10.0.0.9:8080"),
-        ({"born": None, "coldLeftMs": None, "stage": "both"}, "10.0.0.9:8080"),
+        ({"born": 5, "stage": "both", "models": [{"name": "m"}]}, "10.0.0.9:8080"),
         ({"coldLeftMs": 1.5, "version": 3, "more": {}}, "10.0.0.9:8080"),
         ({"addr": "127.0.0.1:65535", "coldLeftMs": -3}, "127.0.0.1:65535"),
         ({"addr": "[fd00::9]:1", "slots": 1}, "[fd00::9]:1"),
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -59,9 +59,11 @@
         "service": "llm",
         "addr": address,
         "zone": "a-1",
+        "version": "v1",
         "slots": 8,
         "state": state,
         "coldLeftMs": 0,
+        "seq": 0,
     }
 
 
