Slots: divide only those that each host can use

Cause: the division of free slots counted every listed engine. One that can't be reached runs nothing, so that its slots are the first to be assigned. A host that knew it dropped these slots after the division and got no others for them; its items waited for the engine, and longer after each failed connection. Items of other hosts waited behind those of a host that reaches no engine.

Change: an engine that accepted no connection is unreachable until it answers. Load reports name such engines, and every host computes the division in which each one gets slots of engines that it reaches. One item without a slot tries such an engine after each pause. A failed connection does not prolong the delay of an item.

Random divisions: each slot goes to a host that reaches its engine, or none that could use it waits.

--- a/src/aspenbridge/fleet/_exchange.py
+++ b/src/aspenbridge/fleet/_exchange.py
@@ -49,6 +49,7 @@
 # On the way from host to host, which the age of a report doesn't count.
 MAX_DELIVERY_S = 0.1
 MAX_LEAVING_ENGINES = 64  # in one report; together 1.3 kB with ids of 10 letters
+MAX_UNREACHABLE_ENGINES = 64  # in one report
 
 
 class CrashNotices(msgspec.Struct, frozen=True, array_like=True):
@@ -93,6 +94,7 @@
     beat_age_s: float
     age_s: float
     backlogs: tuple[tuple[str, int, float], ...] = ()
+    unreachable: tuple[str, ...] = ()
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -108,6 +110,8 @@
     holds the ids of engines that said that they leave, and their starts in
     milliseconds of Unix time. ``pass_on`` asks the receiver to pass the load
     on; ``passed_on`` holds the loads that the sender passes on.
+    ``unreachable`` holds the ids of the engines that accept no connection of
+    the host and that its waiting items could use.
     """
 
     host: str
@@ -121,6 +125,7 @@
     pass_on: bool = False
     passed_on: tuple[PassedOnReport, ...] = ()
     backlogs: tuple[tuple[str, int, float], ...] = ()
+    unreachable: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -289,8 +294,9 @@
             engine_id: EngineLoad(online, batch)
             for engine_id, online, batch in report.engines
         }
+        unreachable = frozenset(report.unreachable)
         backlogs = {
-            service: Backlog(items, due_wall_s)
+            service: Backlog(items, due_wall_s, unreachable)
             for service, items, due_wall_s in report.backlogs
         }
         self._load_view.apply_report(host, loads, backlogs, age_s)
@@ -385,6 +391,7 @@
                 last.beat_age_s,
                 age_s,
                 last.backlogs,
+                last.unreachable,
             )
             size_bytes = len(self._encoder.encode(report))
             # One that is larger than all goes alone.
@@ -401,6 +408,9 @@
             (service, backlog.items, backlog.due_wall_s)
             for service, backlog in self._load_view.own_backlogs.items()
         )
+        unreachable = frozenset[str]().union(
+            *(b.unreachable for b in self._load_view.own_backlogs.values())
+        )
         return LoadReport(
             self._host,
             self._sequence,
@@ -414,6 +424,7 @@
             self.notices(),
             tuple(self.leaving()[-MAX_LEAVING_ENGINES:]),
             backlogs=tuple(backlogs),
+            unreachable=tuple(sorted(unreachable)[:MAX_UNREACHABLE_ENGINES]),
         )
 
     def _send_report(self, report: LoadReport, peers: Iterable[PeerAddress]) -> None:
@@ -453,4 +464,4 @@
 
 
 def _load(report: LoadReport | PassedOnReport) -> tuple[object, ...]:
-    return report.engines, report.backlogs
+    return report.engines, report.backlogs, report.unreachable
--- a/src/aspenbridge/fleet/_load.py
+++ b/src/aspenbridge/fleet/_load.py
@@ -69,12 +69,14 @@
     The batch items of the other hosts that wait for one service.
 
     ``own_turn`` is the place of this host's items in the order of assignment,
-    and ``items_ahead`` the number of items that come before it.
+    and ``items_ahead`` the number of items that come before it. ``limited`` is
+    the number of hosts that don't reach all engines of the service.
     """
 
     by_host: dict[str, Backlog] = attrs.field(factory=dict)  # without empty ones
     own_turn: tuple[float, str] = (float("-inf"), "")
     items_ahead: int = 0
+    limited: int = 0
 
     def set_own_turn(self, turn: tuple[float, str]) -> None:
         if turn != self.own_turn:
@@ -85,6 +87,8 @@
         previous = self.by_host.pop(host, NO_BACKLOG)
         if backlog.items:
             self.by_host[host] = backlog
+        self.limited += bool(backlog.items and backlog.unreachable)
+        self.limited -= bool(previous.items and previous.unreachable)
         if (previous.due_wall_s, host) < self.own_turn:
             self.items_ahead -= previous.items
         if (backlog.due_wall_s, host) < self.own_turn:
@@ -169,6 +173,14 @@
         queue.set_own_turn((own.due_wall_s, own_host))
         return queue.items_ahead
 
+    def all_reach_engines(self, service: str) -> bool:
+        """Whether all hosts with waiting items reach a service's engines."""
+        self.drop_expired()
+        if self._own_backlogs.get(service, NO_BACKLOG).unreachable:
+            return False
+        queue = self._queues.get(service)
+        return queue is None or not queue.limited
+
     def apply_report(
         self,
         host: str,
--- a/src/aspenbridge/fleet/_slot_assignment.py
+++ b/src/aspenbridge/fleet/_slot_assignment.py
@@ -6,23 +6,25 @@
 reports of the other hosts. The engines of each service are allocated by
 themselves, to the items that may run there: items of a service without a free
 slot must not wait in front of those of another. Hosts get their slots in the
-order of ``Backlog.due_wall_s``.
+order of ``Backlog.due_wall_s``, each on the engines that it reaches. Slots
+that a host can't use are left to the next one.
 
 Hosts with equal views compute the same allocation, so that each slot is used
 once. While views differ, for example after a lost report, two hosts may use
-the same slot, or no host uses it. If an engine gets more requests than it has
-slots, the hosts stop as many of its batch items as ``items_to_preempt``
-returns.
+the same slot, or no host uses it, until the next report. If an engine gets
+more requests than it has slots, the hosts stop as many of its batch items as
+``items_to_preempt`` returns.
 """
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
 HEADROOM_SLOTS = 1  # slots of each engine reserved for online requests
 
@@ -44,11 +46,13 @@
     An item of a route with several services counts for each of them.
     ``due_wall_s`` is the due time of the job whose item starts first at the
     host. A penalty is added to it if that item can't complete in time, so that
-    the host gets its slots after those whose items can.
+    the host gets its slots after those whose items can. ``unreachable`` holds
+    the ids of the engines that accept no connection of the host.
     """
 
     items: int
     due_wall_s: float
+    unreachable: frozenset[str] = frozenset()
 
 
 def assign_slots(
@@ -66,10 +70,49 @@
     own = backlogs.get(own_host)
     if own is None:
         return []
+    if any(backlog.unreachable for backlog in backlogs.values()):
+        turns = sorted((backlog.due_wall_s, host) for host, backlog in backlogs.items())
+        ahead = turns[: turns.index((own.due_wall_s, own_host))]
+        return _reachable_slots(own, [backlogs[host] for _, host in ahead], free)
     start = items_ahead((own.due_wall_s, own_host), backlogs)
     return list(_most_free_first(free)[start : start + own.items])
 
 
+def _reachable_slots(
+    own: Backlog, ahead: Iterable[Backlog], free: Mapping[str, int]
+) -> list[str]:
+    """
+    Return the engines of a host's slots if not all hosts reach all engines.
+
+    :param ahead: the backlogs that come before its own, in their order.
+    """
+    # The engine with the most free slots left comes first, as in
+    # ``_most_free_first``.
+    engines = [(-count, engine_id) for engine_id, count in free.items()]
+    heapq.heapify(engines)
+    taken: list[str] = []
+    for backlog in (*ahead, own):
+        taken = _take_slots(backlog, engines)
+    return taken
+
+
+def _take_slots(backlog: Backlog, engines: list[tuple[int, str]]) -> list[str]:
+    """Take the slots of one backlog from a heap; return their engines."""
+    taken: list[str] = []
+    skipped: list[tuple[int, str]] = []
+    while engines and len(taken) < backlog.items:
+        free, engine_id = heapq.heappop(engines)
+        if engine_id in backlog.unreachable:
+            skipped.append((free, engine_id))
+            continue
+        taken.append(engine_id)
+        if free < -1:
+            heapq.heappush(engines, (free + 1, engine_id))
+    for engine in skipped:
+        heapq.heappush(engines, engine)
+    return taken
+
+
 def items_ahead(turn: tuple[float, str], backlogs: Mapping[str, Backlog]) -> int:
     """
     Return the number of items that get their slots before those of a host.
--- a/src/aspenbridge/fleet/_view.py
+++ b/src/aspenbridge/fleet/_view.py
@@ -87,6 +87,11 @@
         """Return the number of a service's free slots for batch items."""
         return self._index.free_slot_count(service)
 
+    def unreachable(self, service: str) -> frozenset[str]:
+        """Return ids of engines of a service that this host can't reach."""
+        engines = (self._index.get(name) for name in self._health.unreachable())
+        return frozenset(e.id for e in engines if e and e.service == service)
+
     def overfull(self) -> Set[str]:
         """Return the ids of the engines with more requests than slots."""
         return self._index.overfull()
--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import attrs
+
 from aspenbridge.fleet import Backlog, assign_slots
 
 from ._order import completes_in_time
@@ -30,7 +32,9 @@
     Reports this host's backlogs and computes the slots it may use.
 
     All hosts compute the same assignment from the same reports, so a host
-    waits until the others have received its latest report.
+    waits until the others have received its latest report. An engine that
+    accepts no connection of this host gets none of its items but one now and
+    then that has no slot, which tells whether the engine can be used again.
     """
 
     def __init__(
@@ -68,12 +72,26 @@
             for service in route.services:
                 known = backlogs.get(service)
                 backlogs[service] = (
-                    Backlog(1, self._turn_wall_s(job, state))
+                    Backlog(
+                        1,
+                        self._turn_wall_s(job, state),
+                        self._view.unreachable(service),
+                    )
                     if known is None
-                    else Backlog(known.items + 1, known.due_wall_s)
+                    else attrs.evolve(known, items=known.items + 1)
                 )
+        if self.report_delay_s <= 0 and self._reaches_other_engines(backlogs):
+            self.start_report_delay()
         self._load_view.set_backlogs(backlogs)
 
+    def _reaches_other_engines(self, backlogs: Mapping[str, Backlog]) -> bool:
+        """Whether the other hosts know wrongly which engines can be used."""
+        reported = self._load_view.own_backlogs
+        return any(
+            service in reported and backlog.unreachable != reported[service].unreachable
+            for service, backlog in backlogs.items()
+        )
+
     def _turn_wall_s(self, job: OwnedJob, state: ItemState) -> float:
         """Return the time that orders a backlog which begins with an item."""
         in_time = completes_in_time(job, state, self._estimator, self._clock.wall_s())
@@ -109,18 +127,34 @@
         """
         if self.report_delay_s > 0:
             return False
-        return any(
-            self._view.free_slot_count(service)
-            > self._load_view.items_ahead(service, self._incarnation)
-            for service in self._load_view.own_backlogs
-        )
+        return any(map(self._any_assigned, self._load_view.own_backlogs))
+
+    def _any_assigned(self, service: str) -> bool:
+        free = self._view.free_slot_count(service)
+        if not free or self._load_view.all_reach_engines(service):
+            return free > self._load_view.items_ahead(service, self._incarnation)
+        return bool(self._assigned(service) or self._engines_to_retry(service))
 
     def assigned_slots(self) -> Mapping[str, deque[EngineEntry]]:
         """Return the engines to start items on by service, one a slot."""
-        slots: dict[str, deque[EngineEntry]] = {}
-        for service in self._load_view.own_backlogs:
-            backlogs = self._load_view.backlogs(service, self._incarnation)
-            free = self._view.free_slots(service)
-            assigned = assign_slots(self._incarnation, backlogs, free)
-            slots[service] = deque(self._view.usable(assigned))
-        return slots
+        services = self._load_view.own_backlogs
+        return {service: deque(self._assigned(service)) for service in services}
+
+    def _assigned(self, service: str) -> list[EngineEntry]:
+        backlogs = self._load_view.backlogs(service, self._incarnation)
+        free = self._view.free_slots(service)
+        return self._view.usable(assign_slots(self._incarnation, backlogs, free))
+
+    def engines_to_retry(self) -> Mapping[str, list[EngineEntry]]:
+        """
+        Return engines that accepted no connection and may do so by now.
+
+        They are returned by service. Each may get one item that has no slot.
+        """
+        services = self._load_view.own_backlogs
+        return {service: self._engines_to_retry(service) for service in services}
+
+    def _engines_to_retry(self, service: str) -> list[EngineEntry]:
+        free = self._view.free_slots(service)
+        unreachable = self._view.unreachable(service).intersection(free)
+        return self._view.usable(sorted(unreachable))
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aspenbridge.observability import MAX_LOGGED_PARTS, log_decision, metrics
@@ -33,7 +34,7 @@
         Route,
     )
     from aspenbridge.ports import Clock, EngineCaller
-    from aspenbridge.quarantine import Quarantine, RunSubjects
+    from aspenbridge.quarantine import EventArrivals, Quarantine, RunSubjects
     from aspenbridge.store import Stored
 
     from ._directory import JobDirectory
@@ -266,11 +267,27 @@
                 self._start_item(job, state, route, slots[service].popleft())
             else:
                 unassigned.append((job, state, route))
+        self._retry_engines(unassigned)
         if len(unassigned) == len(waiting):
             return False
         self._slots.report_backlogs(unassigned)
         return True
 
+    def _retry_engines(
+        self, unassigned: list[tuple[OwnedJob, ItemState, Route]]
+    ) -> None:
+        """Send items without a slot to engines that may be reached again."""
+        for service, engines in self._slots.engines_to_retry().items():
+            for engine in engines:
+                last = next(
+                    (i for i in reversed(unassigned) if service in i[2].services), None
+                )
+                if last is None:
+                    break
+                unassigned.remove(last)
+                self._health.record_retry(engine.id)
+                self._start_item(*last, engine)
+
     def _dispatchable_items(
         self, configuration: Configuration
     ) -> list[tuple[OwnedJob, ItemState, Route]]:
@@ -355,7 +372,7 @@
             item,
             state,
             self._clock.now_s() + remaining_s,
-            lambda arrivals: self._quarantine.record_events(subjects, arrivals),
+            partial(self._record_events, subjects, engine),
         )
         metrics.ITEM_RUNS.labels(run.outcome.value).inc()
         log_decision(
@@ -384,6 +401,13 @@
         else:
             self._retry_or_fail(job, state, route, run)
 
+    def _record_events(
+        self, subjects: RunSubjects, engine: EngineEntry, arrivals: EventArrivals
+    ) -> None:
+        if arrivals.first_s == arrivals.last_s:
+            self._health.record_answer(engine.id)
+        self._quarantine.record_events(subjects, arrivals)
+
     def _update_engine_health(self, engine: EngineEntry, run: ItemRunResult) -> None:
         if run.call_outcome is CallOutcome.NOT_SENT:
             self._health.record_unreachable(engine.id)
@@ -428,10 +452,11 @@
                 self._finish_item(job, state, None, run.reason)
                 return
         job.requeue(state)
-        progressed = len(state.events) > state.events_at_delay
-        state.runs_without_progress = (
-            0 if progressed else state.runs_without_progress + 1
-        )
+        if len(state.events) > state.events_at_delay:
+            state.runs_without_progress = 0
+        elif run.call_outcome is not CallOutcome.NOT_SENT:
+            # An engine that can't be reached has a pause of its own.
+            state.runs_without_progress += 1
         state.delay_retry(self._clock.now_s())
 
     def _finish_item(
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -19,6 +19,7 @@
     items_to_preempt,
     place_online,
 )
+from aspenbridge.fleet._health import FIRST_PAUSE_S
 from aspenbridge.jobs import should_claim
 from tests.support.entry_fleet import make_configuration, make_engine, make_route
 
@@ -80,6 +81,46 @@
     assert assign_slots("a", waiting, {"e1": 2}) == []
 
 
+ENGINE_NAMES = ["e1", "e2", "e3"]
+limited_backlogs = st.dictionaries(
+    st.sampled_from("abcdef"),
+    st.builds(
+        Backlog,
+        st.integers(1, 9),
+        st.floats(0, 50),
+        st.frozensets(st.sampled_from(ENGINE_NAMES)),
+    ),
+    min_size=1,
+)
+
+
+# Guards against slots that are kept for a host which can't use them.
+@given(limited_backlogs, free_slots)
+def test_each_slot_goes_to_a_host_that_reaches_its_engine_or_none_needs_it(
+    waiting, free
+):
+    by_host = {host: assign_slots(host, waiting, free) for host in waiting}
+    assigned = [slot for slots in by_host.values() for slot in slots]
+    left = {name: count - assigned.count(name) for name, count in free.items()}
+    assert all(count >= 0 for count in left.values())
+    for host, backlog in waiting.items():
+        assert not backlog.unreachable.intersection(by_host[host])
+        reachable = [n for n in left if left[n] and n not in backlog.unreachable]
+        assert len(by_host[host]) == backlog.items or not reachable
+
+
+@given(backlogs, free_slots)
+def test_engine_that_no_host_reaches_changes_no_share(waiting, free):
+    dead = frozenset(["dead"])
+    limited = {
+        host: Backlog(backlog.items, backlog.due_wall_s, dead)
+        for host, backlog in waiting.items()
+    }
+    for host in waiting:
+        shares = assign_slots(host, limited, free | {"dead": 8})
+        assert shares == assign_slots(host, waiting, free)
+
+
 loads = st.dictionaries(
     st.sampled_from("abcdef"),
     st.builds(EngineLoad, st.integers(0, 6), st.integers(0, 6)),
@@ -154,6 +195,39 @@
 
 # Each request in hand at an engine that was cut off for a moment doubled its
 # pause, so that the host left it alone for up to 3 s.
+def test_engine_that_accepted_no_connection_is_unreachable_until_it_answers():
+    clock = ManualClock()
+    health = EngineHealth(clock)
+    health.record_unreachable("e1")
+    health.record_refusal("e2")
+    assert health.unreachable() == {"e1"}
+    clock.time_s += 10.0
+    assert not health.paused() and health.unreachable() == {"e1"}
+    health.record_answer("e1")
+    assert not health.unreachable()
+
+
+@pytest.mark.parametrize("outcome", ["fails", "refused", "answered"])
+def test_engine_that_is_tried_again_gets_one_request_at_a_time(outcome):
+    clock = ManualClock()
+    health = EngineHealth(clock)
+    health.record_unreachable("e1")
+    clock.time_s += FIRST_PAUSE_S
+    assert not health.is_paused("e1")
+    health.record_retry("e1")
+    assert health.is_paused("e1")
+    if outcome == "fails":
+        health.record_unreachable("e1")
+        clock.time_s += 2 * FIRST_PAUSE_S - 0.01
+        assert health.is_paused("e1") and health.unreachable() == {"e1"}
+    elif outcome == "refused":
+        health.record_refusal("e1")
+        assert health.is_paused("e1") and not health.unreachable()
+    else:
+        health.record_answer("e1")
+        assert not health.is_paused("e1") and not health.unreachable()
+
+
 def test_requests_that_fail_together_pause_an_engine_once():
     clock = ManualClock()
     health = EngineHealth(clock)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -60,6 +60,7 @@
     json.dumps(engine_row("a\nb:80")),
     json.dumps(engine_row("127.0.0.1:9") | {"slots": "8"}),
     json.dumps(engine_row("127.0.0.1:9") | {"slots": 10**9}),
+    json.dumps(engine_row("127.0.0.1:9") | {"version": None}),
 )
 TOGETHER = "engines crash together"  # breaks a promise, see KNOWN-RED.txt
 PLANNED = (
@@ -257,7 +258,12 @@
     async def _odd_rows(self) -> None:
         """Write rows among those of the engines that name no engine."""
         store, number = self._run.store, self.counts[ODD_ROWS]
-        for entry in ODD_ENTRIES:
+        # Nothing listens at their address, which only a connection tells.
+        unreachable = [
+            json.dumps(engine_row("127.0.0.1:9") | {"service": service})
+            for service in sorted({engine.service for engine in self._run.engines})
+        ]
+        for entry in (*ODD_ENTRIES, *unreachable):
             key = f"odd-{number}-{self._random.randrange(10)}"
             store.write_value("servers", key, entry)
             await asyncio.sleep(self._random.uniform(*SERIES_INTERVAL_S))
