Quarantine: store crashes before all who saw them may be lost

Cause: the row of a crash was written when the list of engines confirmed it, up to 8 s later, or when the request was held. Until then it was in the memory of hosts. The rule leaves room for one forgotten crash; a kill forgot two.

Change: a crash under a request is written at once by the host that saw it, one under a part of prompts from the second on a second later, once sound parts have cleared themselves; others write it 3 to 6 s after they heard of it. Rows of what was no crash are deleted, as rows of held suspects were.

--- a/src/aspenbridge/entry/_host.py
+++ b/src/aspenbridge/entry/_host.py
@@ -179,7 +179,12 @@
         )
         self._followers = (
             Follower(*feed_options, tables.configuration_table, self.configuration),
-            Follower(*feed_options, CRASHES_TABLE, self.quarantine),
+            Follower(
+                *feed_options,
+                CRASHES_TABLE,
+                self.quarantine,
+                interval_s=READ_INTERVAL_S,
+            ),
             engine_follower,
             host_follower,
             head_follower,
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -1,10 +1,16 @@
 """
 Holds back requests and parts of prompts that crash engines, at all hosts.
 
-A host tells the others of a crash with its next load report, and writes a row
-once the engine has ended for certain, or at once if a suspect is held for it.
-The rows outlive the hosts; the reports are faster and need no store. A trial
-needs a row that one host can create, so there is none while the store is away.
+A host tells the others of a crash with its next load report, and writes a row,
+since all hosts may be lost before the list of engines confirms the crash. The
+rows outlive the hosts; the reports are faster and need no store. A trial needs
+a row that one host can create, so there is none while the store is away.
+
+A crash under a request is written at once. One under a part of its prompt
+waits until sound parts have cleared themselves, and for a second crash: each
+crash has as many suspects as its prompts have parts, most of which are sound.
+What turns out to be no crash has its row deleted, also by hosts that started
+later.
 """
 
 from __future__ import annotations
@@ -60,6 +66,12 @@
 # A silent engine is removed from the list after this many heartbeats.
 SILENT_HEARTBEATS = 3
 LIST_LAG_S = 4.0  # slow news of the engine list, and the feed's wait
+# Each host may see a crash at one moment. A part of the store takes 200 writes
+# a second and lets those of one more second wait, so that their writes are
+# spread over a time that grows with their number.
+MOMENT_WRITES_PER_S = 400.0
+# Sound parts of prompts are cleared by other requests within this time.
+PART_WRITE_DELAY_S = 1.0
 # A host that did not see a crash itself writes its row only if the one that
 # did has not done so by then. Random delays spread the writes of many hosts.
 OTHERS_WRITE_DELAY_S = (3.0, 6.0)
@@ -110,6 +122,7 @@
         self._claims_from_s = float("-inf")  # when to claim the next trial
         self._own_trials: dict[str, int] = {}  # that have not ended, by suspect
         self._rows_due = asyncio.Event()  # rows are to be written at once
+        self._next_write_s = float("-inf")  # of rows that can wait for it
         self.on_news: Callable[[], None] = lambda: None
 
     def held_key(self, subjects: RunSubjects) -> str | None:
@@ -348,7 +361,8 @@
             self._judge_short_answers()
             self._expire()
             self._update_held()
-            await self._rows.write(self._ledger.crashes())
+            if await self._rows.write(self._ledger.crashes()):
+                self._next_write_s = self._clock.now_s() + UPDATE_INTERVAL_S
             await self._rows.delete()
 
     async def _wait_for_update(self) -> None:
@@ -356,6 +370,8 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(UPDATE_INTERVAL_S):
                 await self._rows_due.wait()
+                spread_s = self._hosts.listed_count() / MOMENT_WRITES_PER_S
+                await asyncio.sleep(self._random.uniform(0.0, spread_s))
         self._rows_due.clear()
 
     def _blame(
@@ -383,6 +399,7 @@
             known = self._record(key, crash)
             if known is not None:
                 self._seen[key, crash_id] = known
+                self._schedule_rows(key)
                 if known.counted:
                     self.on_news()
 
@@ -409,13 +426,33 @@
 
     def _record(self, key: str, crash: Crash) -> Crash | None:
         known = self._ledger.record(key, crash)
-        if known is None:
-            return None
-        if known.confirmed and not known.stored and known.write_at_s == float("inf"):
-            delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
-            known.write_at_s = self._clock.now_s() + delay_s
+        if known is not None:
+            self._schedule_rows(key)
         return known
 
+    def _schedule_rows(self, key: str) -> None:
+        """Have the crashes of a suspect stored that must outlive the hosts."""
+        suspect = self._ledger.get(key)
+        if suspect is None:
+            return
+        once = is_part(key) and (len(suspect.crashes) == 1 or suspect.count == 1)
+        for crash in suspect.crashes.values():
+            if crash.counted and not crash.stored and (crash.confirmed or not once):
+                self._schedule_row(key, crash)
+
+    def _schedule_row(self, key: str, crash: Crash) -> None:
+        now_s = self._clock.now_s()
+        if (key, crash.id) not in self._seen:
+            if crash.write_at_s == float("inf"):
+                delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
+                crash.write_at_s = now_s + delay_s
+        elif is_part(key):
+            crash.write_at_s = min(crash.write_at_s, now_s + PART_WRITE_DELAY_S)
+        elif crash.write_at_s > now_s:
+            crash.write_at_s = now_s
+            if now_s >= self._next_write_s:
+                self._rows_due.set()
+
     def _update_held(self) -> None:
         """Log who is held or free since the last time, and have it stored."""
         held = self._ledger.held()
--- a/src/aspenbridge/quarantine/_rows.py
+++ b/src/aspenbridge/quarantine/_rows.py
@@ -10,6 +10,7 @@
 from aspenbridge.store import Changes
 
 from ._records import CrashRecord, TrialRecord, crash_key, trial_key
+from ._subjects import is_part
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -38,19 +39,23 @@
         self._random = random
         self._obsolete: dict[RowKey, float] = {}  # when to try to delete each
 
-    async def write(self, crashes: Iterable[tuple[str, Crash]]) -> None:
+    async def write(self, crashes: Iterable[tuple[str, Crash]]) -> bool:
         """
         Write the crashes that are due, as many as fit into one call.
 
-        :param crashes: crashes with the fingerprints of their requests. Those
-            that were written are marked as stored.
+        Those of whole requests come first, since they have no other suspect.
+
+        :param crashes: crashes with the keys of their suspects. Those that
+            were written are marked as stored.
+        :return: whether any were due.
         """
         now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
         due = [
             (fingerprint, crash)
             for fingerprint, crash in crashes
             if not crash.stored and crash.write_at_s <= now_s
-        ][:MAX_COMMIT_ROWS]
+        ]
+        due = sorted(due, key=lambda row: is_part(row[0]))[:MAX_COMMIT_ROWS]
         changes = Changes()
         for fingerprint, crash in due:
             at_wall_s = wall_s - (now_s - crash.at_s)
@@ -67,6 +72,7 @@
         if due and await self._commit(changes):
             for _, crash in due:
                 crash.stored = True
+        return bool(due)
 
     async def claim_trials(
         self, trials: Mapping[str, int]
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -265,6 +265,7 @@
 
     status: int = 0  # answers with this status; 0 for a normal answer
     break_after: int | None = None  # breaks the connection after so many events
+    connection_lost: bool = False  # whether what breaks is a connection that ends
     outcome: CallOutcome | None = None  # fails with it before the request runs
     delay_s: float = 0.0  # before it fails with ``outcome``
     head_pause_s: float = 0.0  # silence before the head, after the run began
@@ -472,7 +473,11 @@
             rest, self._failed_body = self._failed_body, b""
             return rest
         if self._broken:
-            raise AttemptError(CallOutcome.BROKEN, "reset")
+            raise AttemptError(
+                CallOutcome.BROKEN,
+                "reset",
+                connection_lost=self._fault.connection_lost,
+            )
         number = self._next_event
         sent = number - self._first_event
         ends = number >= self._engines.events
