Quarantine: pace the writes of a crash that others tell of, count less often

Two faults of the change before, found on reading it: each report of another host made a crash whose write had failed due at once, so that in an outage of the store its retries were not spread; and each record of a crash counted the crashes of its suspect anew, once more for the decision to store it. Prompts of a thousand parts have thousands of suspects.

Change: a report no longer changes when a row is written that is due already. A suspect keeps its count until its crashes change. A round of verdicts writes 50 lines at most, those of whole requests first, since a host writes 200 lines a second; the metric counts all.

Test: test_reports_of_a_crash_do_not_hurry_a_write_that_failed fails on the commit before and passes now.

--- a/src/aspenbridge/jobs/_slots.py
+++ b/src/aspenbridge/jobs/_slots.py
@@ -80,12 +80,12 @@
                     if known is None
                     else attrs.evolve(known, items=known.items + 1)
                 )
-        if self.report_delay_s <= 0 and self._reaches_other_engines(backlogs):
+        if self.report_delay_s <= 0 and self._unreachable_changed(backlogs):
             self.start_report_delay()
         self._load_view.set_backlogs(backlogs)
 
-    def _reaches_other_engines(self, backlogs: Mapping[str, Backlog]) -> bool:
-        """Whether the other hosts know wrongly which engines can be used."""
+    def _unreachable_changed(self, backlogs: Mapping[str, Backlog]) -> bool:
+        """Whether the last report names other engines as unreachable."""
         reported = self._load_view.own_backlogs
         return any(
             service in reported and backlog.unreachable != reported[service].unreachable
--- a/src/aspenbridge/jobs/_worker.py
+++ b/src/aspenbridge/jobs/_worker.py
@@ -279,14 +279,14 @@
         """Send items without a slot to engines that may be reached again."""
         for service, engines in self._slots.engines_to_retry().items():
             for engine in engines:
-                last = next(
-                    (i for i in reversed(unassigned) if service in i[2].services), None
-                )
-                if last is None:
+                waiting = [i for i in unassigned if service in i[2].services]
+                if not waiting:
                     break
-                unassigned.remove(last)
+                # The last one has the longest to wait for a slot.
+                job, state, route = waiting[-1]
+                unassigned.remove(waiting[-1])
                 self._health.record_retry(engine.id)
-                self._start_item(*last, engine)
+                self._start_item(job, state, route, engine)
 
     def _dispatchable_items(
         self, configuration: Configuration
@@ -404,7 +404,7 @@
     def _record_events(
         self, subjects: RunSubjects, engine: EngineEntry, arrivals: EventArrivals
     ) -> None:
-        if arrivals.first_s == arrivals.last_s:
+        if arrivals.first_s == arrivals.last_s:  # later ones are no news of it
             self._health.record_answer(engine.id)
         self._quarantine.record_events(subjects, arrivals)
 
--- a/src/aspenbridge/quarantine/_ledger.py
+++ b/src/aspenbridge/quarantine/_ledger.py
@@ -126,6 +126,8 @@
     # When each trial began, by its number; the first one has number 1.
     trials: dict[int, float] = attrs.field(factory=dict)
     last_trial: int = 0  # its number, also if it was removed
+    # How many crashes count, if they have not changed since it was asked.
+    _count: int | None = attrs.field(default=None, init=False)
 
     @property
     def last_s(self) -> float:
@@ -136,6 +138,15 @@
     @property
     def count(self) -> int:
         """How many crashes count now."""
+        if self._count is None:
+            self._count = self._count_crashes()
+        return self._count
+
+    def crashes_changed(self) -> None:
+        """Have the crashes counted anew when they are asked for."""
+        self._count = None
+
+    def _count_crashes(self) -> int:
         counted = [crash for crash in self.crashes.values() if crash.counted]
         if not self.is_part:
             return len(counted)
@@ -457,6 +468,7 @@
 
     def _weigh(self, key: str, suspect: Suspect) -> None:
         """Have it decided anew who is held, if this suspect matters for it."""
+        suspect.crashes_changed()
         if may_be_held(suspect):
             self._candidates[key] = suspect
             self._undecided = True
--- a/src/aspenbridge/quarantine/_quarantine.py
+++ b/src/aspenbridge/quarantine/_quarantine.py
@@ -17,6 +17,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -70,7 +71,9 @@
 # a second and lets those of one more second wait, so that their writes are
 # spread over a time that grows with their number.
 MOMENT_WRITES_PER_S = 400.0
-# Sound parts of prompts are cleared by other requests within this time.
+# A part is stored from this crash on, once sound parts have been cleared by
+# other requests.
+FIRST_STORED_CRASHES = 2
 PART_WRITE_DELAY_S = 1.0
 # A host that did not see a crash itself writes its row only if the one that
 # did has not done so by then. Random delays spread the writes of many hosts.
@@ -80,6 +83,8 @@
 # crash would not tell which of them is to blame.
 MIXED_TRIAL_DELAY_S = 3.0
 MAX_LOGGED_CRASHES = 8  # of one suspect in a line
+# One prompt may have a thousand parts, and a host writes 200 lines a second.
+MAX_LOGGED_VERDICTS = 50
 
 
 class Quarantine:
@@ -398,8 +403,9 @@
             place += is_part(key)
             known = self._record(key, crash)
             if known is not None:
+                seen_now = (key, crash_id) not in self._seen
                 self._seen[key, crash_id] = known
-                self._schedule_rows(key)
+                self._schedule_rows(key, known, seen_now=seen_now)
                 if known.counted:
                     self.on_news()
 
@@ -427,31 +433,40 @@
     def _record(self, key: str, crash: Crash) -> Crash | None:
         known = self._ledger.record(key, crash)
         if known is not None:
-            self._schedule_rows(key)
+            self._schedule_rows(key, known)
         return known
 
-    def _schedule_rows(self, key: str) -> None:
-        """Have the crashes of a suspect stored that must outlive the hosts."""
+    def _schedule_rows(self, key: str, known: Crash, *, seen_now: bool = False) -> None:
+        """
+        Have a crash stored, and those before it, if all hosts may be lost.
+
+        :param seen_now: whether this host has just seen it, of which others
+            may have told before.
+        """
         suspect = self._ledger.get(key)
         if suspect is None:
             return
-        once = is_part(key) and (len(suspect.crashes) == 1 or suspect.count == 1)
-        for crash in suspect.crashes.values():
-            if crash.counted and not crash.stored and (crash.confirmed or not once):
+        again = not is_part(key) or suspect.count >= FIRST_STORED_CRASHES
+        if known.confirmed or again:
+            self._schedule_row(key, known, seen_now=seen_now)
+        if is_part(key) and again and len(suspect.crashes) == FIRST_STORED_CRASHES:
+            for crash in suspect.crashes.values():
                 self._schedule_row(key, crash)
 
-    def _schedule_row(self, key: str, crash: Crash) -> None:
+    def _schedule_row(self, key: str, crash: Crash, *, seen_now: bool = False) -> None:
+        if crash.stored or not crash.counted:
+            return
+        if crash.write_at_s < float("inf") and not seen_now:
+            return  # a write that failed is tried again at its own time
         now_s = self._clock.now_s()
+        delay_s = 0.0
         if (key, crash.id) not in self._seen:
-            if crash.write_at_s == float("inf"):
-                delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
-                crash.write_at_s = now_s + delay_s
+            delay_s = self._random.uniform(*OTHERS_WRITE_DELAY_S)
         elif is_part(key):
-            crash.write_at_s = min(crash.write_at_s, now_s + PART_WRITE_DELAY_S)
-        elif crash.write_at_s > now_s:
-            crash.write_at_s = now_s
-            if now_s >= self._next_write_s:
-                self._rows_due.set()
+            delay_s = PART_WRITE_DELAY_S
+        crash.write_at_s = min(crash.write_at_s, now_s + delay_s)
+        if not delay_s and now_s >= self._next_write_s:
+            self._rows_due.set()
 
     def _update_held(self) -> None:
         """Log who is held or free since the last time, and have it stored."""
@@ -544,10 +559,13 @@
             self._apply_verdict(key, crash, verdict, own=is_own)
         # Logged last, since each line needs who is held, and each verdict has
         # that decided anew.
-        for (key, crash, verdict), is_own in zip(judged, own, strict=True):
-            if is_own:
-                event = f"engine {verdict.value} after a broken run"
-                self._log(event, key, engine=crash.id.engine_id)
+        seen = [entry for entry, is_own in zip(judged, own, strict=True) if is_own]
+        seen.sort(key=lambda entry: is_part(entry[0]))
+        for verdict, count in Counter(verdict for *_, verdict in seen).items():
+            metrics.QUARANTINE.labels(f"engine {verdict.value}").inc(count)
+        for key, crash, verdict in seen[:MAX_LOGGED_VERDICTS]:
+            event = f"engine {verdict.value} after a broken run"
+            self._log(event, key, engine=crash.id.engine_id)
 
     def _judge_short_answers(self) -> None:
         """Clear the parts of answers whose engine the list still shows."""
@@ -562,8 +580,6 @@
     def _apply_verdict(
         self, key: str, crash: Crash, verdict: Verdict, *, own: bool
     ) -> None:
-        if own:
-            metrics.QUARANTINE.labels(f"engine {verdict.value}").inc()
         if verdict is Verdict.ENDED:
             if own:
                 crash.write_at_s = self._clock.now_s()
--- a/tests/entry/test_crashes_outlive_hosts.py
+++ b/tests/entry/test_crashes_outlive_hosts.py
@@ -294,3 +294,23 @@
             task.cancel()
 
     run_virtual(main)
+
+
+# Guards against writes that reports of other hosts make come at once again, in
+# an outage of the store.
+def test_reports_of_a_crash_do_not_hurry_a_write_that_failed():
+    async def check(fleet):
+        fleet.engine_down_s = DOWN_S
+        fleet.store.unreachable_for = {"*"}
+        await crash_once(fleet, 0)
+        await asyncio.sleep(1.3)  # the first write has failed
+        quarantine = fleet.hosts["h0"].quarantine
+        ((_, crash),) = quarantine._ledger.crashes()
+        while crash.write_at_s <= fleet.clock.now_s():
+            await asyncio.sleep(0.05)
+        next_try_s = crash.write_at_s
+        quarantine.apply_notices(fleet.hosts["h1"].quarantine.notices())
+        quarantine.apply_notices(quarantine.notices())
+        assert crash.write_at_s == next_try_s
+
+    with_fleet(check)
